--- /dev/null
+++ b/cmd/briarreach/main.go
@@ -0,0 +1,5 @@
+// Command briarreach runs the roles of the router fleet and the operators'
+// commands.
+package main
+
+func main() {}
--- /dev/null
+++ b/ledger/record.go
@@ -0,0 +1,140 @@
+package ledger
+
+import "time"
+
+// Record is one change to a shard's state. It is one of OpenBudget, TopUp,
+// Draw, Bill, Return, Fence and Release.
+type Record interface{ record() }
+
+type (
+	// OpenBudget creates a budget with Prepaid budget tokens. A second record
+	// with the same PatchID has no effect.
+	OpenBudget struct {
+		Budget  string `cbor:"budget"`
+		Prepaid int64  `cbor:"prepaid"`
+		PatchID string `cbor:"patch_id"`
+	}
+
+	// TopUp adds Amount budget tokens. A second record with the same PatchID
+	// and budget has no effect.
+	TopUp struct {
+		Budget  string `cbor:"budget"`
+		Amount  int64  `cbor:"amount"`
+		PatchID string `cbor:"patch_id"`
+	}
+
+	// Draw grants between Min and Max budget tokens to the holder, or nothing
+	// if less than Min is available.
+	Draw struct {
+		DrawID string `cbor:"draw_id"`
+		Budget string `cbor:"budget"`
+		Holder string `cbor:"holder"`
+		Min    int64  `cbor:"min"`
+		Max    int64  `cbor:"max"`
+	}
+
+	// Bill charges a finished request to the holder's grant. The first bill of
+	// an identity counts; later ones have no effect.
+	Bill struct {
+		Identity         Identity  `cbor:"identity"`
+		Budget           string    `cbor:"budget"`
+		Holder           string    `cbor:"holder"`
+		Attempt          string    `cbor:"attempt"`
+		Cost             int64     `cbor:"cost"`
+		PromptTokens     int64     `cbor:"prompt_tokens"`
+		CompletionTokens int64     `cbor:"completion_tokens"`
+		Outcome          string    `cbor:"outcome"`
+		At               time.Time `cbor:"at"`
+	}
+
+	// Return gives back an unused amount of the holder's grant.
+	Return struct {
+		ReturnID string `cbor:"return_id"`
+		Budget   string `cbor:"budget"`
+		Holder   string `cbor:"holder"`
+		Amount   int64  `cbor:"amount"`
+	}
+
+	// Fence ends a holder: it gets no further draws. Its bills stay accepted
+	// up to its outstanding amounts until Release.
+	Fence struct {
+		Holder string `cbor:"holder"`
+	}
+
+	// Release returns the outstanding amounts of a fenced holder except for
+	// Held, the reservations still running by budget.
+	Release struct {
+		Holder string           `cbor:"holder"`
+		Held   map[string]int64 `cbor:"held"`
+	}
+)
+
+func (OpenBudget) record() {}
+func (TopUp) record()      {}
+func (Draw) record()       {}
+func (Bill) record()       {}
+func (Return) record()     {}
+func (Fence) record()      {}
+func (Release) record()    {}
+
+// Result is the effect of one record. It is one of Opened, ToppedUp, Drawn,
+// Billed, Returned, Fenced, Released and Refused.
+type Result interface{ result() }
+
+type (
+	// Opened is the result of OpenBudget. Duplicate is set when the same patch
+	// had opened the budget before.
+	Opened struct {
+		Prepaid   int64
+		Duplicate bool
+	}
+	// ToppedUp is the result of TopUp; Prepaid is the sum after it.
+	ToppedUp struct {
+		Prepaid   int64
+		Duplicate bool
+	}
+	// Drawn is the result of Draw. Granted is 0 when less than the minimum was
+	// available. Available is what remains for others.
+	Drawn struct {
+		Granted   int64
+		Available int64
+		Duplicate bool
+	}
+	// Billed is the result of Bill. First is the attempt whose bill counts.
+	Billed struct {
+		Cost      int64
+		First     string
+		Duplicate bool
+	}
+	// Returned is the result of Return.
+	Returned struct {
+		Amount    int64
+		Duplicate bool
+	}
+	// Fenced is the result of Fence, with the holder's outstanding amounts by
+	// budget.
+	Fenced struct{ Outstanding map[string]int64 }
+	// Released is the result of Release, with the amounts returned by budget.
+	Released struct{ Returned map[string]int64 }
+	// Refused is the result of a record that had no effect. Err is one of the
+	// package's error types.
+	Refused struct{ Err error }
+)
+
+func (Opened) result()   {}
+func (ToppedUp) result() {}
+func (Drawn) result()    {}
+func (Billed) result()   {}
+func (Returned) result() {}
+func (Fenced) result()   {}
+func (Released) result() {}
+func (Refused) result()  {}
+
+// Batch is the value of one row of a shard's log. Writer and BatchID identify
+// the batch when the answer to its write was lost. At is the writer's time.
+type Batch struct {
+	Writer  string
+	BatchID string
+	At      time.Time
+	Records []Record
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,320 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"briarreach/ledger"
+	"briarreach/timeline"
+)
+
+// Message is one message between two processes of the fleet.
+type Message interface{ message() }
+
+// Execution says whether a refused or failed request ran at its target.
+type Execution string
+
+// Executions of a request.
+const (
+	NotRun  Execution = "not_run" // proved: no target has run it and none will
+	Unknown Execution = "unknown"
+	Ran     Execution = "ran"
+)
+
+// Outcome says how an attempt ended.
+type Outcome string
+
+// Outcomes of an attempt.
+const (
+	Complete  Outcome = "complete"
+	Cancelled Outcome = "cancelled"
+	Failed    Outcome = "failed"
+)
+
+// Role is the role of a process.
+type Role string
+
+// Roles of processes.
+const (
+	EntryRole    Role = "entry"
+	AgentRole    Role = "agent"
+	OperatorRole Role = "operator"
+)
+
+// LoadReport is the state of a target as its agent sees it. HeldTokens and
+// MaxTokens are 0 for plain services.
+type LoadReport struct {
+	Target        string `cbor:"target"`
+	Version       string `cbor:"version"`
+	Running       int    `cbor:"running"`
+	Queued        int    `cbor:"queued"`
+	HeldTokens    int64  `cbor:"held_tokens"`
+	MaxConcurrent int    `cbor:"max_concurrent"`
+	MaxTokens     int64  `cbor:"max_tokens"`
+	Leaving       bool   `cbor:"leaving"`
+	ConfigNumber  uint64 `cbor:"config_number"`
+}
+
+// Usage is what an attempt consumed, in tokens and in budget tokens (Cost).
+type Usage struct {
+	PromptTokens     int64 `cbor:"prompt_tokens"`
+	CompletionTokens int64 `cbor:"completion_tokens"`
+	Cost             int64 `cbor:"cost"`
+}
+
+// UnbilledUsage is the usage of a finished attempt whose bill has not been
+// acknowledged.
+type UnbilledUsage struct {
+	Attempt   string          `cbor:"attempt"`
+	Identity  ledger.Identity `cbor:"identity"`
+	Workspace string          `cbor:"workspace"`
+	Budget    string          `cbor:"budget"`
+	Holder    string          `cbor:"holder"`
+	Outcome   Outcome         `cbor:"outcome"`
+	Usage     Usage           `cbor:"usage"`
+	At        time.Time       `cbor:"at"`
+}
+
+type (
+	// Hello opens the stream on which an agent pushes Load and ConfigNumber
+	// messages to an entry.
+	Hello struct {
+		Process      string         `cbor:"process"`
+		Role         Role           `cbor:"role"`
+		Holder       string         `cbor:"holder"`
+		ConfigNumber uint64         `cbor:"config_number"`
+		Clock        timeline.Stamp `cbor:"clock"`
+	}
+
+	// Dispatch asks an agent to run a request. Reserved bounds the cost in
+	// budget tokens. Credit is the number of answer bytes that the entry
+	// accepts before it sends a Credit message. MaxTokens bounds the generated
+	// tokens of a model request.
+	Dispatch struct {
+		RequestID       string          `cbor:"request_id"`
+		Attempt         string          `cbor:"attempt"`
+		Identity        ledger.Identity `cbor:"identity"`
+		Workspace       string          `cbor:"workspace"`
+		Budget          string          `cbor:"budget"`
+		Holder          string          `cbor:"holder"`
+		ConfigNumber    uint64          `cbor:"config_number"`
+		Target          string          `cbor:"target"`
+		Version         string          `cbor:"version"`
+		Route           string          `cbor:"route"`
+		Repeatable      bool            `cbor:"repeatable"`
+		Priority        int             `cbor:"priority"`
+		Deadline        time.Time       `cbor:"deadline"`
+		Reserved        int64           `cbor:"reserved"`
+		PromptPrice     int64           `cbor:"prompt_price"`
+		CompletionPrice int64           `cbor:"completion_price"`
+		PromptTokens    int64           `cbor:"prompt_tokens"` // upper bound
+		MaxTokens       int64           `cbor:"max_tokens"`
+		Method          string          `cbor:"method"`
+		Path            string          `cbor:"path"`
+		Body            []byte          `cbor:"body"`
+		Credit          int64           `cbor:"credit"`
+		Clock           timeline.Stamp  `cbor:"clock"`
+	}
+
+	// Refusal says that a dispatch was not accepted.
+	Refusal struct {
+		Attempt      string     `cbor:"attempt"`
+		Reason       string     `cbor:"reason"`
+		Execution    Execution  `cbor:"execution"`
+		ConfigNumber uint64     `cbor:"config_number"`
+		Load         LoadReport `cbor:"load"`
+	}
+
+	// Head starts an answer. Status is an HTTP status code.
+	Head struct {
+		Attempt     string         `cbor:"attempt"`
+		Status      int            `cbor:"status"`
+		ContentType string         `cbor:"content_type"`
+		Clock       timeline.Stamp `cbor:"clock"`
+	}
+
+	// Frame carries bytes of the answer from Offset on.
+	Frame struct {
+		Offset int64  `cbor:"offset"`
+		Data   []byte `cbor:"data"`
+	}
+
+	// Final ends an answer. Length and Checksum (xxHash64) cover the whole
+	// answer.
+	Final struct {
+		Length    int64          `cbor:"length"`
+		Checksum  uint64         `cbor:"checksum"`
+		Usage     Usage          `cbor:"usage"`
+		Outcome   Outcome        `cbor:"outcome"`
+		Execution Execution      `cbor:"execution"`
+		Reason    string         `cbor:"reason,omitempty"`
+		Load      LoadReport     `cbor:"load"`
+		Clock     timeline.Stamp `cbor:"clock"`
+	}
+
+	// Credit says that the entry has consumed all bytes below Offset and
+	// accepts bytes up to Limit.
+	Credit struct {
+		Offset int64 `cbor:"offset"`
+		Limit  int64 `cbor:"limit"`
+	}
+
+	// Heartbeat shows that a silent stream is alive.
+	Heartbeat struct {
+		ConfigNumber uint64         `cbor:"config_number"`
+		Clock        timeline.Stamp `cbor:"clock"`
+	}
+
+	// Resume continues the answer of an attempt from Offset on a new stream.
+	Resume struct {
+		Attempt string `cbor:"attempt"`
+		Offset  int64  `cbor:"offset"`
+		Credit  int64  `cbor:"credit"`
+	}
+
+	// Cancel stops an attempt.
+	Cancel struct {
+		Attempt string `cbor:"attempt"`
+	}
+
+	// UsageAck says that the bills of the attempts are durable.
+	UsageAck struct {
+		Attempts []string `cbor:"attempts"`
+	}
+
+	// TakeUsage asks an agent for usage that has waited for its
+	// acknowledgement for OlderThan.
+	TakeUsage struct {
+		OlderThan time.Duration `cbor:"older_than"`
+	}
+
+	// ReportUsage answers TakeUsage.
+	ReportUsage struct {
+		Usages []UnbilledUsage `cbor:"usages"`
+	}
+
+	// FenceHolder tells an agent to refuse dispatches of the holder from now on.
+	FenceHolder struct {
+		Holder string `cbor:"holder"`
+	}
+
+	// FenceResult answers FenceHolder: usage under the holder that is not
+	// billed, and reservations still running, by budget.
+	FenceResult struct {
+		Holder   string           `cbor:"holder"`
+		Unbilled []UnbilledUsage  `cbor:"unbilled"`
+		Running  map[string]int64 `cbor:"running"`
+	}
+
+	// ResolveAttempt asks an agent what became of an attempt. An agent that
+	// has not seen the attempt refuses it from now on.
+	ResolveAttempt struct {
+		Attempt string    `cbor:"attempt"`
+		Claimed time.Time `cbor:"claimed"`
+	}
+
+	// AttemptResult answers ResolveAttempt. Status and Body are set when State
+	// is AttemptDone.
+	AttemptResult struct {
+		Attempt string       `cbor:"attempt"`
+		State   AttemptState `cbor:"state"`
+		Status  int          `cbor:"status"`
+		Body    []byte       `cbor:"body"`
+	}
+
+	// Load is pushed by an agent when its load or state changes.
+	Load struct {
+		Report LoadReport     `cbor:"report"`
+		Clock  timeline.Stamp `cbor:"clock"`
+	}
+
+	// ConfigNumber announces the sender's configuration number.
+	ConfigNumber struct {
+		Number  uint64 `cbor:"number"`
+		Process string `cbor:"process"`
+	}
+
+	// FetchConfig asks for the receiver's configuration document.
+	FetchConfig struct{}
+
+	// ConfigDocument answers FetchConfig. Document is the stored form of the
+	// document, Fenced the list of fenced holders.
+	ConfigDocument struct {
+		Number   uint64   `cbor:"number"`
+		Document []byte   `cbor:"document"`
+		Fenced   []string `cbor:"fenced"`
+	}
+
+	// Recall asks an entry to return idle amounts of a budget.
+	Recall struct {
+		Budget string `cbor:"budget"`
+		Amount int64  `cbor:"amount"`
+	}
+
+	// Recalled answers Recall with the amount on its way back.
+	Recalled struct {
+		Amount int64 `cbor:"amount"`
+	}
+
+	// FetchEvents asks for time line events.
+	FetchEvents struct {
+		Filter timeline.Filter `cbor:"filter"`
+	}
+
+	// Events answers FetchEvents.
+	Events struct {
+		Events []timeline.Event `cbor:"events"`
+	}
+
+	// StatusRequest asks a process for its state.
+	StatusRequest struct{}
+
+	// Status answers StatusRequest.
+	Status struct {
+		Process      string         `cbor:"process"`
+		Role         Role           `cbor:"role"`
+		Holder       string         `cbor:"holder"`
+		ConfigNumber uint64         `cbor:"config_number"`
+		Started      time.Time      `cbor:"started"`
+		Address      netip.AddrPort `cbor:"address"`
+	}
+)
+
+// AttemptState is what an agent knows of an attempt.
+type AttemptState string
+
+// States of an attempt.
+const (
+	AttemptNeverSeen AttemptState = "never_seen" // and refused from now on
+	AttemptRunning   AttemptState = "running"
+	AttemptDone      AttemptState = "done"
+	AttemptUnknown   AttemptState = "unknown" // the agent started after the claim
+)
+
+func (Hello) message()          {}
+func (Dispatch) message()       {}
+func (Refusal) message()        {}
+func (Head) message()           {}
+func (Frame) message()          {}
+func (Final) message()          {}
+func (Credit) message()         {}
+func (Heartbeat) message()      {}
+func (Resume) message()         {}
+func (Cancel) message()         {}
+func (UsageAck) message()       {}
+func (TakeUsage) message()      {}
+func (ReportUsage) message()    {}
+func (FenceHolder) message()    {}
+func (FenceResult) message()    {}
+func (ResolveAttempt) message() {}
+func (AttemptResult) message()  {}
+func (Load) message()           {}
+func (ConfigNumber) message()   {}
+func (FetchConfig) message()    {}
+func (ConfigDocument) message() {}
+func (Recall) message()         {}
+func (Recalled) message()       {}
+func (FetchEvents) message()    {}
+func (Events) message()         {}
+func (StatusRequest) message()  {}
+func (Status) message()         {}
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,126 @@
+// Package table is the client of the platform's table service.
+//
+// Rows are addressed by partition and sort key and carry a version that grows
+// by one with each write. A transaction applies all of its writes or none.
+package table
+
+import (
+	"context"
+	"fmt"
+	"strings"
+)
+
+// MaxItems is the number of rows that one transaction may write or check. The
+// table service's API sets this limit.
+const MaxItems = 100
+
+// MaxValueBytes is the largest value of one row.
+const MaxValueBytes = 380 * 1024
+
+// Key addresses a row.
+type Key struct {
+	Partition string
+	Sort      string
+}
+
+// String returns the key as "partition/sort".
+func (k Key) String() string { return k.Partition + "/" + k.Sort }
+
+// Row is a stored value. Version is 0 when the row does not exist.
+type Row struct {
+	Key
+	Version uint64
+	Value   []byte
+}
+
+// Expect is what a write or a check requires of the row before the
+// transaction. It is one of Any, Absent and Exactly.
+type Expect interface{ expect() }
+
+type (
+	// Any accepts every state of the row.
+	Any struct{}
+	// Absent requires that the row does not exist.
+	Absent struct{}
+	// Exactly requires the given version.
+	Exactly struct{ Version uint64 }
+)
+
+func (Any) expect()     {}
+func (Absent) expect()  {}
+func (Exactly) expect() {}
+
+// Write sets the value of a row, or deletes the row if Value is nil. A write
+// that expects Any does not keep the version sequence: the new version is 1.
+type Write struct {
+	Key
+	Expect Expect
+	Value  []byte
+}
+
+// Check requires a state of a row without writing it.
+type Check struct {
+	Key
+	Expect Expect
+}
+
+// Transaction is a set of writes and checks that is applied as a whole. ID
+// identifies the transaction: the service applies an ID once.
+type Transaction struct {
+	ID     string
+	Writes []Write
+	Checks []Check
+}
+
+// Store reads and writes rows. All reads are strongly consistent.
+type Store interface {
+	// Get returns one row for each key, in the order of the keys.
+	Get(ctx context.Context, keys ...Key) ([]Row, error)
+	// Query returns up to limit rows of a partition whose sort key is greater
+	// than after, in ascending order.
+	Query(ctx context.Context, partition, after string, limit int) ([]Row, error)
+	// Commit applies the transaction. It fails with *ConflictError,
+	// *UnavailableError, *ThrottledError, *AmbiguousError or *InvalidError.
+	Commit(ctx context.Context, tx Transaction) error
+}
+
+// ConflictError reports that rows were not in the expected state. Nothing was
+// applied.
+type ConflictError struct{ Keys []Key }
+
+func (e *ConflictError) Error() string {
+	names := make([]string, len(e.Keys))
+	for i, k := range e.Keys {
+		names[i] = k.String()
+	}
+	return "conflict on rows " + strings.Join(names, ", ")
+}
+
+// UnavailableError reports that the service was not reached. Nothing was
+// applied.
+type UnavailableError struct{ Err error }
+
+func (e *UnavailableError) Error() string { return fmt.Sprintf("table unavailable: %v", e.Err) }
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// ThrottledError reports that the service refused the call because of its rate
+// limit. Nothing was applied.
+type ThrottledError struct{ Err error }
+
+func (e *ThrottledError) Error() string { return fmt.Sprintf("table throttled: %v", e.Err) }
+func (e *ThrottledError) Unwrap() error { return e.Err }
+
+// AmbiguousError reports that the answer was lost: the transaction may have
+// been applied. The caller must read back.
+type AmbiguousError struct{ Err error }
+
+func (e *AmbiguousError) Error() string {
+	return fmt.Sprintf("table write outcome unknown: %v", e.Err)
+}
+func (e *AmbiguousError) Unwrap() error { return e.Err }
+
+// InvalidError reports a transaction or query that the service can't accept,
+// for example one with too many rows.
+type InvalidError struct{ Reason string }
+
+func (e *InvalidError) Error() string { return "invalid table request: " + e.Reason }
