--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,406 @@
+// Package settings reads the TOML file of a process and checks it strictly.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Duration is a time.Duration written as text, for example "250ms".
+type Duration struct{ time.Duration }
+
+// DurationError reports a duration without a unit or with a wrong one.
+type DurationError struct{ Text string }
+
+func (e *DurationError) Error() string {
+	return fmt.Sprintf(`%q is not a duration: a number with the unit ns, us, ms, s, m or h is accepted, for example "250ms"`, e.Text)
+}
+
+// UnmarshalText parses a duration with its unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return &DurationError{Text: string(text)}
+	}
+	d.Duration = v
+	return nil
+}
+
+// MarshalText returns the duration with its unit.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// Settings is the content of a process's settings file. Entry and Agent are
+// nil when the process does not have the role.
+type Settings struct {
+	Process       string `toml:"process"`
+	VM            string `toml:"vm"`
+	FailureDomain string `toml:"failure_domain"`
+	Entry         *Entry `toml:"entry"`
+	Agent         *Agent `toml:"agent"`
+	Table         Table  `toml:"table"`
+	VMList        VMList `toml:"vm_list"`
+	Fleet         Fleet  `toml:"fleet"`
+	Log           Log    `toml:"log"`
+}
+
+// Entry is the settings of the entry role.
+type Entry struct {
+	CallerAddress    netip.AddrPort   `toml:"caller_address"`
+	OperatorAddress  netip.AddrPort   `toml:"operator_address"`
+	PeerAddress      netip.AddrPort   `toml:"peer_address"`
+	Entries          []netip.AddrPort `toml:"entries"` // peer addresses of the other entries
+	DrainDelay       Duration         `toml:"drain_delay"`
+	ConfigInterval   Duration         `toml:"config_interval"`
+	FlushInterval    Duration         `toml:"flush_interval"`
+	DrawHorizon      Duration         `toml:"draw_horizon"`
+	LeaseTime        Duration         `toml:"lease_time"`
+	ReclaimAfter     Duration         `toml:"reclaim_after"`
+	MaxBodyBytes     int              `toml:"max_body_bytes"`
+	MaxHeaderBytes   int              `toml:"max_header_bytes"`
+	ReadTimeout      Duration         `toml:"read_timeout"`
+	RequestTimeout   Duration         `toml:"request_timeout"`
+	StreamWindow     int              `toml:"stream_window_bytes"`
+	MaxBufferedBytes int              `toml:"max_buffered_bytes"`
+	MaxRequests      int              `toml:"max_requests"`
+}
+
+// Agent is the settings of the agent role. Target is the target's name in the
+// configuration. EnforcesFencing says whether the target refuses orders with
+// an old fencing number by itself.
+type Agent struct {
+	PeerAddress      netip.AddrPort   `toml:"peer_address"`
+	Target           string           `toml:"target"`
+	TargetURL        string           `toml:"target_url"`
+	EnforcesFencing  bool             `toml:"enforces_fencing"`
+	Entries          []netip.AddrPort `toml:"entries"`
+	MetricsAddress   netip.AddrPort   `toml:"metrics_address"`
+	ConfigInterval   Duration         `toml:"config_interval"`
+	StallTimeout     Duration         `toml:"stall_timeout"`
+	StreamWindow     int              `toml:"stream_window_bytes"`
+	MaxBufferedBytes int              `toml:"max_buffered_bytes"`
+}
+
+// Table is the address of the platform's table service.
+type Table struct {
+	Endpoint        string   `toml:"endpoint"`
+	Region          string   `toml:"region"`
+	Name            string   `toml:"name"`
+	AccessKeyID     string   `toml:"access_key_id"`
+	SecretAccessKey string   `toml:"secret_access_key"`
+	Timeout         Duration `toml:"timeout"`
+}
+
+// VMList is the address of the platform's list of VMs.
+type VMList struct {
+	URL      string   `toml:"url"`
+	Interval Duration `toml:"interval"`
+}
+
+// Fleet names the files of the fleet's certificate authority and of the
+// process's own certificate, in PEM.
+type Fleet struct {
+	CAFile   string `toml:"ca_file"`
+	CertFile string `toml:"cert_file"`
+	KeyFile  string `toml:"key_file"`
+}
+
+// Log is the level ("debug", "info", "warn", "error") and the format ("json",
+// "logfmt") of the log.
+type Log struct {
+	Level  string `toml:"level"`
+	Format string `toml:"format"`
+}
+
+// Defaults fills what the file leaves out.
+func (s *Settings) Defaults() {
+	text(&s.Table.Region, "local")
+	text(&s.Table.Name, "briarreach")
+	text(&s.Table.AccessKeyID, "local")
+	text(&s.Table.SecretAccessKey, "local")
+	duration(&s.Table.Timeout, 2*time.Second)
+	duration(&s.VMList.Interval, 5*time.Second)
+	text(&s.Log.Level, "info")
+	text(&s.Log.Format, "json")
+	if s.Entry != nil {
+		s.Entry.Defaults()
+	}
+	if s.Agent != nil {
+		s.Agent.Defaults()
+	}
+}
+
+// Defaults fills what the file leaves out.
+func (e *Entry) Defaults() {
+	duration(&e.DrainDelay, 5*time.Second)
+	duration(&e.ConfigInterval, 2*time.Second)
+	duration(&e.FlushInterval, 250*time.Millisecond)
+	duration(&e.DrawHorizon, 20*time.Minute)
+	duration(&e.LeaseTime, 10*time.Second)
+	duration(&e.ReclaimAfter, 10*time.Second)
+	number(&e.MaxBodyBytes, 4<<20)
+	number(&e.MaxHeaderBytes, 16<<10)
+	duration(&e.ReadTimeout, 30*time.Second)
+	duration(&e.RequestTimeout, 10*time.Minute)
+	number(&e.StreamWindow, 16<<10)
+	number(&e.MaxBufferedBytes, 48<<20)
+	number(&e.MaxRequests, 20_000)
+}
+
+// Defaults fills what the file leaves out.
+func (a *Agent) Defaults() {
+	duration(&a.ConfigInterval, 2*time.Second)
+	duration(&a.StallTimeout, 30*time.Second)
+	number(&a.StreamWindow, 16<<10)
+	number(&a.MaxBufferedBytes, 48<<20)
+}
+
+func text(v *string, def string) {
+	if *v == "" {
+		*v = def
+	}
+}
+
+func number(v *int, def int) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+func duration(v *Duration, def time.Duration) {
+	if v.Duration == 0 {
+		v.Duration = def
+	}
+}
+
+// ValueError reports a value out of its accepted range. Key is the dotted key
+// in the file.
+type ValueError struct {
+	Key      string
+	Value    string
+	Accepted string
+}
+
+func (e *ValueError) Error() string {
+	return fmt.Sprintf("%s = %s: accepted is %s", e.Key, e.Value, e.Accepted)
+}
+
+// FileError reports where a settings file is wrong. Line is 0 when the key is
+// missing.
+type FileError struct {
+	File   string
+	Line   int
+	Column int
+	Key    string
+	Err    error
+}
+
+func (e *FileError) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("%s: %v", e.File, e.Err)
+	}
+	if e.Key == "" {
+		return fmt.Sprintf("%s:%d:%d: %v", e.File, e.Line, e.Column, e.Err)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s: %v", e.File, e.Line, e.Column, e.Key, e.Err)
+}
+
+func (e *FileError) Unwrap() error { return e.Err }
+
+// UnknownKeyError reports a key that no setting has.
+type UnknownKeyError struct{ Key string }
+
+func (e *UnknownKeyError) Error() string {
+	return "unknown setting; docs/operators.md lists the accepted ones"
+}
+
+// Load reads, completes and checks a settings file. All faults are reported
+// together as *FileError values joined by errors.Join.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings.Load: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse is Load for the content of a file.
+func Parse(file string, data []byte) (*Settings, error) {
+	var s Settings
+	decoder := toml.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return nil, fmt.Errorf("settings.Parse: %w", decodeError(file, err))
+	}
+	s.Defaults()
+	faults := s.Validate()
+	if len(faults) == 0 {
+		return &s, nil
+	}
+	lines := keyPositions(data)
+	errs := make([]error, len(faults))
+	for i, fault := range faults {
+		at := lines[fault.Key]
+		errs[i] = &FileError{File: file, Line: at.Line, Column: at.Column, Err: fault}
+	}
+	return nil, fmt.Errorf("settings.Parse: %w", errors.Join(errs...))
+}
+
+func decodeError(file string, err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		errs := make([]error, len(unknown.Errors))
+		for i := range unknown.Errors {
+			e := &unknown.Errors[i]
+			line, column := e.Position()
+			key := strings.Join(e.Key(), ".")
+			errs[i] = &FileError{File: file, Line: line, Column: column, Key: key, Err: &UnknownKeyError{Key: key}}
+		}
+		return errors.Join(errs...)
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		line, column := wrong.Position()
+		return &FileError{File: file, Line: line, Column: column, Key: strings.Join(wrong.Key(), "."), Err: err}
+	}
+	return &FileError{File: file, Err: err}
+}
+
+// keyPositions returns the position of each dotted key of a valid document.
+func keyPositions(data []byte) map[string]unstable.Position {
+	positions := map[string]unstable.Position{}
+	var parser unstable.Parser
+	parser.Reset(data)
+	var prefix []string
+	for parser.NextExpression() {
+		e := parser.Expression()
+		var key []string
+		var at unstable.Position
+		for it := e.Key(); it.Next(); {
+			key = append(key, string(it.Node().Data))
+			at = parser.Shape(it.Node().Raw).Start
+		}
+		switch e.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			prefix = key
+			positions[strings.Join(key, ".")] = at
+		case unstable.KeyValue:
+			positions[strings.Join(append(prefix[:len(prefix):len(prefix)], key...), ".")] = at
+		}
+	}
+	return positions
+}
+
+// Validate returns every value that is out of range.
+func (s *Settings) Validate() []*ValueError {
+	var c checker
+	c.required("process", s.Process)
+	c.required("vm", s.VM)
+	c.required("failure_domain", s.FailureDomain)
+	c.url("table.endpoint", s.Table.Endpoint, true)
+	c.duration("table.timeout", s.Table.Timeout, 10*time.Millisecond, time.Minute)
+	c.url("vm_list.url", s.VMList.URL, false)
+	c.duration("vm_list.interval", s.VMList.Interval, 100*time.Millisecond, 10*time.Minute)
+	c.required("fleet.ca_file", s.Fleet.CAFile)
+	c.required("fleet.cert_file", s.Fleet.CertFile)
+	c.required("fleet.key_file", s.Fleet.KeyFile)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "json", "logfmt")
+	if (s.Entry == nil) == (s.Agent == nil) {
+		c.add("entry", "both or none", "exactly one of the tables [entry] and [agent]")
+	}
+	if s.Entry != nil {
+		s.Entry.validate(&c)
+	}
+	if s.Agent != nil {
+		s.Agent.validate(&c)
+	}
+	return c.faults
+}
+
+func (e *Entry) validate(c *checker) {
+	c.address("entry.caller_address", e.CallerAddress)
+	c.address("entry.operator_address", e.OperatorAddress)
+	c.address("entry.peer_address", e.PeerAddress)
+	c.duration("entry.drain_delay", e.DrainDelay, time.Millisecond, 5*time.Minute)
+	// A configuration must be in force everywhere within 7 s.
+	c.duration("entry.config_interval", e.ConfigInterval, 50*time.Millisecond, 5*time.Second)
+	c.duration("entry.flush_interval", e.FlushInterval, 5*time.Millisecond, 5*time.Second)
+	c.duration("entry.draw_horizon", e.DrawHorizon, time.Second, time.Hour)
+	c.duration("entry.lease_time", e.LeaseTime, 200*time.Millisecond, 5*time.Minute)
+	c.duration("entry.reclaim_after", e.ReclaimAfter, 200*time.Millisecond, time.Hour)
+	c.number("entry.max_body_bytes", e.MaxBodyBytes, 1<<10, 64<<20)
+	c.number("entry.max_header_bytes", e.MaxHeaderBytes, 1<<10, 1<<20)
+	c.duration("entry.read_timeout", e.ReadTimeout, 100*time.Millisecond, 10*time.Minute)
+	c.duration("entry.request_timeout", e.RequestTimeout, 100*time.Millisecond, time.Hour)
+	c.number("entry.stream_window_bytes", e.StreamWindow, 1<<10, 1<<20)
+	c.number("entry.max_buffered_bytes", e.MaxBufferedBytes, 1<<20, 1<<30)
+	c.number("entry.max_requests", e.MaxRequests, 1, 1_000_000)
+}
+
+func (a *Agent) validate(c *checker) {
+	c.address("agent.peer_address", a.PeerAddress)
+	c.required("agent.target", a.Target)
+	c.url("agent.target_url", a.TargetURL, true)
+	c.duration("agent.config_interval", a.ConfigInterval, 50*time.Millisecond, 5*time.Second)
+	c.duration("agent.stall_timeout", a.StallTimeout, 100*time.Millisecond, 10*time.Minute)
+	c.number("agent.stream_window_bytes", a.StreamWindow, 1<<10, 1<<20)
+	c.number("agent.max_buffered_bytes", a.MaxBufferedBytes, 1<<20, 1<<30)
+}
+
+type checker struct{ faults []*ValueError }
+
+func (c *checker) add(key, value, accepted string) {
+	c.faults = append(c.faults, &ValueError{Key: key, Value: value, Accepted: accepted})
+}
+
+func (c *checker) required(key, value string) {
+	if value == "" {
+		c.add(key, "(missing)", "a text that is not empty")
+	}
+}
+
+func (c *checker) address(key string, value netip.AddrPort) {
+	if !value.IsValid() {
+		c.add(key, "(missing)", `an IP address with a port, for example "10.0.0.1:8080"`)
+	}
+}
+
+func (c *checker) url(key, value string, required bool) {
+	if value == "" && !required {
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.add(key, fmt.Sprintf("%q", value), `a URL, for example "http://10.0.0.1:8000"`)
+	}
+}
+
+func (c *checker) duration(key string, value Duration, low, high time.Duration) {
+	if value.Duration < low || value.Duration > high {
+		c.add(key, value.String(), fmt.Sprintf("%v to %v", low, high))
+	}
+}
+
+func (c *checker) number(key string, value, low, high int) {
+	if value < low || value > high {
+		c.add(key, fmt.Sprint(value), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) oneOf(key, value string, accepted ...string) {
+	for _, a := range accepted {
+		if value == a {
+			return
+		}
+	}
+	c.add(key, fmt.Sprintf("%q", value), strings.Join(accepted, ", "))
+}
