--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,366 @@
+// Package agent is the process beside a target. It is the only one that sends
+// work and orders to the target: it admits, runs each attempt at most once,
+// counts usage, fences and drains.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/dig"
+
+	"briarreach/admission"
+	"briarreach/config"
+	"briarreach/configsync"
+	"briarreach/engine"
+	"briarreach/peer"
+	"briarreach/service"
+	"briarreach/settings"
+	"briarreach/table"
+	"briarreach/timeline"
+)
+
+const (
+	maxFrameBytes     = 8 << 10
+	heartbeatInterval = 500 * time.Millisecond
+	loadInterval      = time.Second
+	// maxUnbilled bounds the usage kept until its bill is acknowledged. A
+	// replica of the largest deployment finishes about 8 requests/s, so that
+	// this holds for more than two hours.
+	maxUnbilled = 65_536
+	// attemptRetention is how long an ended attempt is remembered, so that a
+	// duplicate dispatch does not run again.
+	attemptRetention = 10 * time.Minute
+	maxAttempts      = 100_000
+	// resumeTimeout is how long an attempt goes on without an entry that reads
+	// its answer.
+	resumeTimeout = 10 * time.Second
+	// clockMargin is how far the clocks of VMs may be apart, with a reserve.
+	clockMargin = 5 * time.Second
+	// maxStoredResponse bounds the response that a claim keeps.
+	maxStoredResponse = 16 << 10
+	// usageAckTimeout bounds the wait for outstanding bills at shutdown.
+	usageAckTimeout = 5 * time.Second
+)
+
+// Agent is a running agent process.
+type Agent struct {
+	settings *settings.Settings
+	clock    clockwork.Clock
+	log      log.Interface
+	events   *timeline.Recorder
+	metrics  *metrics.Set
+	endpoint *peer.Endpoint
+	follower *configsync.Follower
+	engine   *engine.Client
+	service  *service.Client
+	started  time.Time
+	budget   *bufferLimit
+
+	mu         sync.Mutex
+	admission  *admission.Controller
+	attempts   map[string]*attempt
+	ended      []*attempt // in the order in which they ended
+	refused    map[string]time.Time
+	forgotten  time.Time // attempts that ended before may have been forgotten
+	unbilled   map[string]peer.UnbilledUsage
+	leaving    bool
+	versions   map[string]uint64 // highest fencing number seen, by kind of order
+	subscriber map[*peer.Stream]chan struct{}
+
+	running atomic.Int64
+	pumps   sync.WaitGroup
+	cancel  context.CancelFunc
+	context context.Context
+	done    chan struct{}
+}
+
+// bufferLimit counts the answer bytes reserved for tails.
+type bufferLimit struct {
+	max  int64
+	used atomic.Int64
+}
+
+func (b *bufferLimit) take(n int64) bool {
+	if b.used.Add(n) > b.max {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *bufferLimit) give(n int64) { b.used.Add(-n) }
+
+// Option changes a default of New.
+type Option func(*options)
+
+type options struct {
+	clock clockwork.Clock
+	log   log.Interface
+	store table.Store
+}
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(o *options) { o.clock = c } }
+
+// WithLog sets the log.
+func WithLog(l log.Interface) Option { return func(o *options) { o.log = l } }
+
+// WithStore sets the table store instead of a client made from the settings.
+func WithStore(s table.Store) Option { return func(o *options) { o.store = s } }
+
+// New starts an agent.
+func New(s *settings.Settings, opts ...Option) (*Agent, error) {
+	o := options{clock: clockwork.NewRealClock(), log: log.Log}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	c, err := container(s, o)
+	if err != nil {
+		return nil, fmt.Errorf("agent.New: %w", err)
+	}
+	var a *Agent
+	if err := c.Invoke(func(made *Agent) { a = made }); err != nil {
+		return nil, fmt.Errorf("agent.New: %w", dig.RootCause(err))
+	}
+	return a, nil
+}
+
+// handler lets the endpoint be made before the agent that serves its streams.
+type handler struct {
+	set   chan struct{}
+	serve func(context.Context, *peer.Stream)
+}
+
+func (h *handler) handle(ctx context.Context, s *peer.Stream) {
+	select {
+	case <-h.set:
+		h.serve(ctx, s)
+	case <-ctx.Done():
+	}
+}
+
+func container(s *settings.Settings, o options) (*dig.Container, error) {
+	c := dig.New()
+	constructors := []any{
+		func() *settings.Settings { return s },
+		func() clockwork.Clock { return o.clock },
+		func() log.Interface { return o.log.WithField("process", s.Process) },
+		func(clock clockwork.Clock) *timeline.Recorder {
+			return timeline.NewRecorder(s.Process, timeline.NewClock(clock))
+		},
+		metrics.NewSet,
+		func() *handler { return &handler{set: make(chan struct{})} },
+		func() (table.Store, error) {
+			if o.store != nil {
+				return o.store, nil
+			}
+			return table.New(
+				table.WithEndpoint(s.Table.Endpoint), table.WithRegion(s.Table.Region),
+				table.WithTableName(s.Table.Name), table.WithTimeout(s.Table.Timeout.Duration),
+				table.WithCredentials(s.Table.AccessKeyID, s.Table.SecretAccessKey))
+		},
+		func() (*peer.Credentials, error) {
+			return peer.LoadCredentials(s.Fleet.CAFile, s.Fleet.CertFile, s.Fleet.KeyFile)
+		},
+		func(credentials *peer.Credentials, h *handler, clock clockwork.Clock, l log.Interface) (*peer.Endpoint, error) {
+			return peer.New(peer.WithListen(s.Agent.PeerAddress), peer.WithCredentials(credentials),
+				peer.WithHandler(h.handle), peer.WithClock(clock), peer.WithLog(l))
+		},
+		func(store table.Store, endpoint *peer.Endpoint, clock clockwork.Clock, l log.Interface) *configsync.Follower {
+			return configsync.New(store, configsync.WithClock(clock), configsync.WithLog(l),
+				configsync.WithInterval(s.Agent.ConfigInterval.Duration),
+				configsync.WithPeers(endpoint, func() []netip.AddrPort { return s.Agent.Entries }))
+		},
+		func() (*engine.Client, error) { return engine.New(s.Agent.TargetURL) },
+		func() (*service.Client, error) { return service.New(s.Agent.TargetURL) },
+		start,
+	}
+	for _, constructor := range constructors {
+		if err := c.Provide(constructor); err != nil {
+			return nil, fmt.Errorf("agent.container: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func start(s *settings.Settings, clock clockwork.Clock, l log.Interface, events *timeline.Recorder,
+	set *metrics.Set, endpoint *peer.Endpoint, follower *configsync.Follower, h *handler,
+	engineClient *engine.Client, serviceClient *service.Client) *Agent {
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Agent{
+		settings: s, clock: clock, log: l, events: events, metrics: set, endpoint: endpoint,
+		follower: follower, engine: engineClient, service: serviceClient, started: clock.Now(),
+		budget:     &bufferLimit{max: int64(s.Agent.MaxBufferedBytes)},
+		admission:  admission.New(admission.Capacity{}),
+		attempts:   map[string]*attempt{},
+		refused:    map[string]time.Time{},
+		unbilled:   map[string]peer.UnbilledUsage{},
+		versions:   map[string]uint64{},
+		subscriber: map[*peer.Stream]chan struct{}{},
+		context:    ctx,
+		cancel:     cancel,
+		done:       make(chan struct{}),
+	}
+	a.forgotten = a.started
+	a.registerMetrics()
+	h.serve = a.serve
+	close(h.set)
+	go func() {
+		defer close(a.done)
+		ticker := clock.NewTicker(loadInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.Chan():
+				a.expire(clock.Now())
+			}
+		}
+	}()
+	l.WithField("target", s.Agent.Target).WithField("address", endpoint.Addr().String()).Info("agent started")
+	return a
+}
+
+// Addr returns the address on which entries reach the agent.
+func (a *Agent) Addr() netip.AddrPort { return a.endpoint.Addr() }
+
+// Events returns the agent's time line.
+func (a *Agent) Events() *timeline.Recorder { return a.events }
+
+// Metrics returns the agent's metrics.
+func (a *Agent) Metrics() *metrics.Set { return a.metrics }
+
+// Ready reports why the agent can't accept work, or nil.
+func (a *Agent) Ready() error {
+	document := a.follower.Current()
+	switch {
+	case document == nil:
+		return &configsync.NoDocumentError{}
+	case !a.follower.FencesKnown():
+		return &NotReadyError{Reason: "the list of fenced holders has not been read"}
+	default:
+		return nil
+	}
+}
+
+// NotReadyError reports why the agent accepts no work.
+type NotReadyError struct{ Reason string }
+
+func (e *NotReadyError) Error() string { return "agent is not ready: " + e.Reason }
+
+// Close stops accepting work, waits until running attempts have ended and
+// their bills are acknowledged or the context ends, and stops the process.
+func (a *Agent) Close(ctx context.Context) error {
+	a.Leave()
+	err := a.drain(ctx)
+	a.cancel()
+	<-a.done
+	a.follower.Close()
+	return errors.Join(err, a.endpoint.Close())
+}
+
+// Leave stops accepting work and tells the entries.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	a.leaving = true
+	a.admission.Leave()
+	a.mu.Unlock()
+	a.events.Record(timeline.Event{Kind: "target_leaving", Target: a.settings.Agent.Target})
+	a.notifyLoad()
+}
+
+func (a *Agent) drain(ctx context.Context) error {
+	ticker := a.clock.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	var idleSince time.Time
+	for {
+		a.mu.Lock()
+		open := 0
+		for _, at := range a.attempts {
+			at.mu.Lock()
+			if !at.consumed && at.attached != nil || !at.isFinished() {
+				open++
+			}
+			at.mu.Unlock()
+		}
+		unbilled := len(a.unbilled)
+		a.mu.Unlock()
+		now := a.clock.Now()
+		if open > 0 {
+			idleSince = time.Time{}
+		} else if idleSince.IsZero() {
+			idleSince = now
+		}
+		if open == 0 && (unbilled == 0 || now.Sub(idleSince) > usageAckTimeout) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &DrainTimeoutError{Running: open}
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// registered returns the target's registration in the current document.
+func (a *Agent) registered(document *config.Document) (config.Target, bool) {
+	if document == nil {
+		return config.Target{}, false
+	}
+	t, ok := document.Targets[a.settings.Agent.Target]
+	return t, ok
+}
+
+func (a *Agent) registerMetrics() {
+	a.metrics.NewGauge("briarreach_agent_running", func() float64 { return float64(a.running.Load()) })
+	a.metrics.NewGauge("briarreach_agent_unbilled", func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return float64(len(a.unbilled))
+	})
+	a.metrics.NewGauge("briarreach_agent_buffered_bytes", func() float64 { return float64(a.budget.used.Load()) })
+	a.metrics.NewGauge("briarreach_agent_config_number", func() float64 { return float64(a.follower.Number()) })
+}
+
+func (a *Agent) count(name string) { a.metrics.GetOrCreateCounter(name).Inc() }
+
+// expire forgets attempts and refusals that are older than their retention,
+// and cancels attempts whose entry is gone.
+func (a *Agent) expire(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for len(a.ended) > 0 {
+		oldest := a.ended[0]
+		if now.Sub(oldest.ended) < attemptRetention && len(a.ended) <= maxAttempts {
+			break
+		}
+		a.ended = a.ended[1:]
+		delete(a.attempts, oldest.dispatch.Attempt)
+		if oldest.ended.After(a.forgotten) {
+			a.forgotten = oldest.ended
+		}
+	}
+	for id, at := range a.refused {
+		if now.Sub(at) >= attemptRetention {
+			delete(a.refused, id)
+			if at.After(a.forgotten) {
+				a.forgotten = at
+			}
+		}
+	}
+	// The attempts of expired tickets end by their own deadline.
+	a.admission.Expire(now)
+	for _, ticket := range a.admission.Admit(now) {
+		a.admit(ticket)
+	}
+}
--- /dev/null
+++ b/agent/errors.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"fmt"
+	"time"
+)
+
+// StalledError reports an answer that ended because the reader consumed
+// nothing for the stall time.
+type StalledError struct{ After time.Duration }
+
+func (e *StalledError) Error() string {
+	return fmt.Sprintf("reader made no progress for %v", e.After)
+}
+
+// CancelledError reports an attempt that was cancelled.
+type CancelledError struct{ Err error }
+
+func (e *CancelledError) Error() string { return fmt.Sprintf("attempt cancelled: %v", e.Err) }
+func (e *CancelledError) Unwrap() error { return e.Err }
+
+// HolderFencedError is the cause of a cancellation when the holder of the
+// attempt's grant was fenced.
+type HolderFencedError struct{ Holder string }
+
+func (e *HolderFencedError) Error() string { return "holder " + e.Holder + " is fenced" }
+
+// CallerGoneError is the cause of a cancellation at the entry's request.
+type CallerGoneError struct{}
+
+func (*CallerGoneError) Error() string { return "caller has gone" }
+
+// EntryGoneError is the cause of a cancellation when the entry's stream ended
+// and was not resumed in time.
+type EntryGoneError struct{}
+
+func (*EntryGoneError) Error() string { return "entry has gone" }
+
+// UnexpectedMessageError reports a message that does not fit the state of a
+// stream.
+type UnexpectedMessageError struct{ Message any }
+
+func (e *UnexpectedMessageError) Error() string {
+	return fmt.Sprintf("unexpected message %T", e.Message)
+}
+
+// DrainTimeoutError reports work that was still running when the time for a
+// graceful shutdown ended.
+type DrainTimeoutError struct{ Running int }
+
+func (e *DrainTimeoutError) Error() string {
+	return fmt.Sprintf("%d attempts still running at the end of the drain time", e.Running)
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,213 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"briarreach/engine"
+	"briarreach/peer"
+	"briarreach/service"
+	"briarreach/timeline"
+)
+
+// run waits for admission, runs the attempt at the target and keeps its usage.
+func (a *Agent) run(at *attempt) {
+	defer a.running.Add(-1)
+	select {
+	case <-at.admitted:
+	case <-at.context.Done():
+		if a.withdraw(at) {
+			a.finish(at, peer.Final{Outcome: peer.Cancelled, Execution: peer.NotRun, Reason: "queue_timeout"})
+			return
+		}
+		<-at.admitted
+	}
+	if at.dispatch.Method != "" {
+		a.runCall(at)
+		return
+	}
+	a.runModel(at)
+}
+
+// withdraw takes an attempt out of the queue. It is false if the attempt was
+// admitted meanwhile.
+func (a *Agent) withdraw(at *attempt) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-at.admitted:
+		return false
+	default:
+	}
+	for _, ticket := range a.admission.Cancel(at.dispatch.Attempt, a.clock.Now()) {
+		a.admit(ticket)
+	}
+	return true
+}
+
+func (a *Agent) runModel(at *attempt) {
+	d := at.dispatch
+	body, err := parseModelBody(d.Body)
+	if err != nil {
+		a.finish(at, peer.Final{Outcome: peer.Failed, Execution: peer.NotRun, Reason: err.Error()})
+		return
+	}
+	response, err := a.engine.Stream(at.context, engine.Request{
+		Body: body.limited(d.MaxTokens), Priority: d.Priority, RequestID: d.RequestID,
+	})
+	if err != nil {
+		a.finish(at, a.failedStart(err))
+		return
+	}
+	defer response.Close()
+	usage, err := a.relay(at, body.renderer(d.RequestID), response)
+	usage.Cost = usage.PromptTokens*d.PromptPrice + usage.CompletionTokens*d.CompletionPrice
+	final := peer.Final{Usage: usage, Outcome: peer.Complete, Execution: peer.Ran}
+	if err != nil {
+		final.Outcome, final.Reason = peer.Failed, reasonOf(err)
+		if at.context.Err() != nil {
+			final.Outcome = peer.Cancelled
+		}
+	}
+	a.finish(at, final)
+}
+
+// failedStart says how a request ended that the engine did not start to
+// answer.
+func (a *Agent) failedStart(err error) peer.Final {
+	final := peer.Final{Outcome: peer.Failed, Execution: peer.Unknown, Reason: reasonOf(err)}
+	var notSent *engine.NotSentError
+	var status *engine.StatusError
+	if errors.As(err, &notSent) {
+		final.Execution = peer.NotRun
+	}
+	if errors.As(err, &status) {
+		final.Execution = peer.Ran
+	}
+	return final
+}
+
+// relay passes the engine's events on until the answer is whole. The usage is
+// what was generated, also when the answer is not whole. The prompt is charged
+// at the engine's count, at most at the bound that was reserved.
+func (a *Agent) relay(at *attempt, r renderer, response *engine.Response) (peer.Usage, error) {
+	d := at.dispatch
+	usage := peer.Usage{PromptTokens: d.PromptTokens}
+	stall := a.settings.Agent.StallTimeout.Duration
+	started := false
+	for {
+		event, err := response.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return usage, fmt.Errorf("agent.relay: %w", err)
+		}
+		if !started {
+			started = true
+			at.setHead(peer.Head{Attempt: d.Attempt, Status: 200, ContentType: r.contentType(), Clock: a.events.Clock().Now()})
+		}
+		switch e := event.(type) {
+		case engine.Delta:
+			sum := at.addTokens(int64(e.Tokens))
+			usage.CompletionTokens = min(sum, d.MaxTokens)
+			a.progressed(at, sum)
+			data, err := r.delta(e)
+			if err != nil {
+				return usage, err
+			}
+			if err := at.write(data, stall); err != nil {
+				return usage, err
+			}
+		case engine.Usage:
+			usage.PromptTokens = min(int64(e.PromptTokens), d.PromptTokens)
+			usage.CompletionTokens = min(max(int64(e.CompletionTokens), usage.CompletionTokens), d.MaxTokens)
+		case engine.Finished:
+		}
+	}
+	end, err := r.end(usage)
+	if err != nil {
+		return usage, err
+	}
+	return usage, at.write(end, stall)
+}
+
+func (a *Agent) progressed(at *attempt, tokens int64) {
+	// The admission count of held tokens needs no update for every token.
+	const every = 16
+	if tokens%every != 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.admission.Progress(at.dispatch.Attempt, tokens)
+}
+
+func (a *Agent) runCall(at *attempt) {
+	d := at.dispatch
+	request := service.Request{Method: d.Method, Path: d.Path, Body: d.Body, ContentType: "application/json", RequestID: d.RequestID}
+	if !d.Repeatable {
+		request.IdempotencyKey = d.Attempt
+	}
+	response, err := a.service.Call(at.context, request)
+	if err != nil {
+		final := peer.Final{Outcome: peer.Failed, Execution: peer.Unknown, Reason: reasonOf(err)}
+		var notSent *service.NotSentError
+		if errors.As(err, &notSent) {
+			final.Execution = peer.NotRun
+		}
+		a.finish(at, final)
+		return
+	}
+	if !d.Repeatable && len(response.Body) <= maxStoredResponse {
+		at.mu.Lock()
+		at.response = response.Body
+		at.mu.Unlock()
+	}
+	at.setHead(peer.Head{Attempt: d.Attempt, Status: response.Status, ContentType: response.ContentType, Clock: a.events.Clock().Now()})
+	final := peer.Final{Usage: peer.Usage{Cost: d.Reserved}, Outcome: peer.Complete, Execution: peer.Ran}
+	if err := at.write(response.Body, a.settings.Agent.StallTimeout.Duration); err != nil {
+		final.Reason = reasonOf(err)
+	}
+	a.finish(at, final)
+}
+
+// finish keeps the usage of an attempt that ran, frees its place and ends its
+// answer. The usage is kept before the attempt counts as finished, so that a
+// fence that waits for the attempt finds it.
+func (a *Agent) finish(at *attempt, final peer.Final) {
+	d := at.dispatch
+	now := a.clock.Now()
+	a.mu.Lock()
+	if final.Execution != peer.NotRun && final.Usage.Cost > 0 {
+		a.unbilled[d.Attempt] = peer.UnbilledUsage{
+			Attempt: d.Attempt, Identity: d.Identity, Workspace: d.Workspace, Budget: d.Budget,
+			Holder: d.Holder, Outcome: final.Outcome, Usage: final.Usage, At: now,
+		}
+	}
+	for _, ticket := range a.admission.Done(d.Attempt, now.Sub(at.accepted), final.Outcome == peer.Complete, now) {
+		a.admit(ticket)
+	}
+	final.Load = a.loadLocked()
+	a.ended = append(a.ended, at)
+	a.mu.Unlock()
+	a.budget.give(int64(a.settings.Agent.StreamWindow))
+	a.count(`briarreach_agent_attempts_total{outcome="` + string(final.Outcome) + `"}`)
+	a.events.Record(timeline.Event{Kind: "attempt_" + string(final.Outcome), Request: d.RequestID, Workspace: d.Workspace,
+		Target: d.Target, ConfigNumber: d.ConfigNumber, Detail: final.Reason})
+	at.setFinal(final, now)
+}
+
+func reasonOf(err error) string {
+	var stalled *StalledError
+	switch {
+	case errors.As(err, &stalled):
+		return "reader_stalled"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "deadline"
+	default:
+		return err.Error()
+	}
+}
--- /dev/null
+++ b/agent/serve.go
@@ -0,0 +1,442 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"briarreach/admission"
+	"briarreach/peer"
+	"briarreach/timeline"
+)
+
+// serve answers one stream of a peer. The first message says what it is for.
+func (a *Agent) serve(ctx context.Context, s *peer.Stream) {
+	first, err := s.Receive()
+	if err != nil {
+		s.Abort()
+		return
+	}
+	switch m := first.(type) {
+	case peer.Dispatch:
+		a.events.Clock().Observe(m.Clock)
+		a.serveDispatch(ctx, s, m)
+	case peer.Resume:
+		a.serveResume(ctx, s, m)
+	case peer.Hello:
+		a.events.Clock().Observe(m.Clock)
+		a.follower.Hint(m.ConfigNumber, s.RemoteAddr())
+		a.serveLoad(ctx, s)
+	case peer.Cancel:
+		a.cancelAttempt(m.Attempt)
+		_ = s.CloseSend()
+	case peer.UsageAck:
+		a.acknowledgeUsage(m.Attempts)
+		_ = s.CloseSend()
+	case peer.TakeUsage:
+		a.answer(s, peer.ReportUsage{Usages: a.takeUsage(m.OlderThan)})
+	case peer.FenceHolder:
+		a.answer(s, a.fence(ctx, m.Holder))
+	case peer.ResolveAttempt:
+		a.answer(s, a.resolve(m))
+	case peer.ConfigNumber:
+		a.follower.Hint(m.Number, s.RemoteAddr())
+		_ = s.CloseSend()
+	case peer.FetchConfig:
+		a.answer(s, a.follower.Answer())
+	case peer.FetchEvents:
+		a.answer(s, peer.Events{Events: a.events.Events(m.Filter)})
+	case peer.StatusRequest:
+		a.answer(s, peer.Status{
+			Process: a.settings.Process, Role: peer.AgentRole, ConfigNumber: a.follower.Number(),
+			Started: a.started, Address: a.endpoint.Addr(),
+		})
+	default:
+		a.log.WithError(&UnexpectedMessageError{Message: m}).Warn("stream refused")
+		s.Abort()
+	}
+}
+
+func (a *Agent) answer(s *peer.Stream, m peer.Message) {
+	if err := s.Send(m); err != nil {
+		s.Abort()
+		return
+	}
+	_ = s.CloseSend()
+}
+
+func (a *Agent) serveDispatch(ctx context.Context, s *peer.Stream, d peer.Dispatch) {
+	at, refusal := a.accept(d)
+	if refusal != nil {
+		a.count(`briarreach_agent_refusals_total{reason="` + refusal.Reason + `"}`)
+		a.events.Record(timeline.Event{Kind: "dispatch_refused", Request: d.RequestID, Workspace: d.Workspace,
+			Target: d.Target, ConfigNumber: a.follower.Number(), Detail: refusal.Reason})
+		a.answer(s, *refusal)
+		return
+	}
+	a.count("briarreach_agent_dispatches_total")
+	a.events.Record(timeline.Event{Kind: "dispatch_accepted", Request: d.RequestID, Workspace: d.Workspace,
+		Target: d.Target, ConfigNumber: d.ConfigNumber, Detail: d.Attempt})
+	a.carry(ctx, s, at)
+}
+
+func (a *Agent) refusal(d peer.Dispatch, reason string, execution peer.Execution) *peer.Refusal {
+	return &peer.Refusal{Attempt: d.Attempt, Reason: reason, Execution: execution,
+		ConfigNumber: a.follower.Number(), Load: a.loadLocked()}
+}
+
+// accept decides whether a dispatch may run. The checks and the entry in the
+// table of attempts are one step under the lock, so that a holder that is
+// fenced afterwards has its attempt in the table.
+func (a *Agent) accept(d peer.Dispatch) (*attempt, *peer.Refusal) {
+	document := a.follower.Current()
+	now := a.clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	registered, known := a.registered(document)
+	if _, seen := a.attempts[d.Attempt]; seen {
+		return nil, a.refusal(d, "duplicate_attempt", peer.Unknown)
+	}
+	_, refusedBefore := a.refused[d.Attempt]
+	switch {
+	case document == nil || !a.follower.FencesKnown():
+		return nil, a.refusal(d, "not_ready", peer.NotRun)
+	case refusedBefore:
+		return nil, a.refusal(d, "attempt_refused", peer.NotRun)
+	case a.follower.Fenced(d.Holder):
+		return nil, a.refusal(d, "holder_fenced", peer.NotRun)
+	case d.ConfigNumber < document.Number:
+		return nil, a.refusal(d, "stale_config", peer.NotRun)
+	case !known || d.Target != registered.Name:
+		return nil, a.refusal(d, "unknown_target", peer.NotRun)
+	case d.Version != registered.Version:
+		return nil, a.refusal(d, "wrong_version", peer.NotRun)
+	case a.leaving || registered.Draining:
+		return nil, a.refusal(d, "leaving", peer.NotRun)
+	case len(a.unbilled) >= maxUnbilled:
+		return nil, a.refusal(d, "usage_backlog", peer.NotRun)
+	case !d.Deadline.After(now):
+		return nil, a.refusal(d, "deadline_passed", peer.NotRun)
+	case !a.budget.take(int64(a.settings.Agent.StreamWindow)):
+		return nil, a.refusal(d, "buffers_full", peer.NotRun)
+	}
+	a.admission.SetCapacity(admission.Capacity{MaxConcurrent: registered.MaxConcurrent, MaxTokens: registered.MaxTokens})
+	decision := a.admission.Offer(admission.Ticket{
+		Attempt: d.Attempt, Priority: d.Priority, Deadline: d.Deadline, Tokens: d.PromptTokens + d.MaxTokens,
+	}, now)
+	if refused, ok := decision.(admission.Refused); ok {
+		a.budget.give(int64(a.settings.Agent.StreamWindow))
+		return nil, a.refusal(d, string(refused.Reason), peer.NotRun)
+	}
+	at := newAttempt(a.context, d, a.settings.Agent.StreamWindow, now)
+	a.attempts[d.Attempt] = at
+	if _, ok := decision.(admission.Admitted); ok {
+		close(at.admitted)
+	}
+	a.running.Add(1)
+	go func() { a.run(at) }()
+	return at, nil
+}
+
+// admit lets a queued attempt run. The caller holds the lock.
+func (a *Agent) admit(t admission.Ticket) {
+	if at := a.attempts[t.Attempt]; at != nil {
+		close(at.admitted)
+	}
+}
+
+func (a *Agent) serveResume(ctx context.Context, s *peer.Stream, m peer.Resume) {
+	a.mu.Lock()
+	at := a.attempts[m.Attempt]
+	a.mu.Unlock()
+	if at == nil {
+		a.answer(s, peer.Refusal{Attempt: m.Attempt, Reason: "unknown_attempt", Execution: peer.Unknown})
+		return
+	}
+	at.mu.Lock()
+	err := at.sender.Resume(m.Offset, m.Offset+m.Credit)
+	at.mu.Unlock()
+	if err != nil {
+		a.answer(s, peer.Refusal{Attempt: m.Attempt, Reason: "tail_lost", Execution: peer.Unknown})
+		return
+	}
+	a.count("briarreach_agent_resumes_total")
+	a.carry(ctx, s, at)
+}
+
+// carry sends the answer of an attempt on a stream and takes the entry's
+// credit until the answer is consumed or another stream takes over.
+func (a *Agent) carry(ctx context.Context, s *peer.Stream, at *attempt) {
+	at.attach(s)
+	a.pumps.Add(1)
+	go func() {
+		defer a.pumps.Done()
+		a.pump(ctx, s, at)
+	}()
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			a.detached(s, at)
+			return
+		}
+		switch m := m.(type) {
+		case peer.Credit:
+			if err := at.acknowledge(m, a.clock.Now()); err != nil {
+				a.log.WithError(err).Warn("credit refused")
+				s.Abort()
+				return
+			}
+		case peer.Cancel:
+			a.cancelAttempt(at.dispatch.Attempt)
+		case peer.Heartbeat:
+			a.follower.Hint(m.ConfigNumber, s.RemoteAddr())
+		default:
+			s.Abort()
+			return
+		}
+	}
+}
+
+// detached cancels the attempt if no other stream takes it over in time. A
+// call to a service runs to its end: its outcome must be known.
+func (a *Agent) detached(s *peer.Stream, at *attempt) {
+	if at.isFinished() || at.dispatch.Method != "" {
+		return
+	}
+	timer := a.clock.NewTimer(resumeTimeout)
+	defer timer.Stop()
+	select {
+	case <-at.finished:
+	case <-a.context.Done():
+	case <-timer.Chan():
+		at.mu.Lock()
+		still := at.attached == s
+		at.mu.Unlock()
+		if still {
+			a.cancelCause(at, &EntryGoneError{})
+		}
+	}
+}
+
+// pump sends what the attempt has for the stream. Heartbeats are sent while
+// there is nothing else to send, but not while bytes wait for credit: the
+// entry does not read then, and unread heartbeats would pile up.
+func (a *Agent) pump(ctx context.Context, s *peer.Stream, at *attempt) {
+	timer := time.NewTimer(heartbeatInterval)
+	defer timer.Stop()
+	for {
+		m, ended := at.next(s)
+		if m != nil {
+			if f, ok := m.(peer.Final); ok {
+				f.Clock = a.events.Clock().Now()
+				m = f
+			}
+			if err := s.Send(m); err != nil {
+				s.Abort()
+				return
+			}
+			continue
+		}
+		if ended {
+			_ = s.CloseSend()
+			return
+		}
+		timer.Reset(heartbeatInterval)
+		select {
+		case <-at.ready:
+		case <-ctx.Done():
+			return
+		case <-s.Context().Done():
+			return
+		case <-timer.C:
+			if at.blocked() {
+				continue
+			}
+			if err := s.Send(peer.Heartbeat{ConfigNumber: a.follower.Number(), Clock: a.events.Clock().Now()}); err != nil {
+				s.Abort()
+				return
+			}
+		}
+	}
+}
+
+func (a *Agent) cancelAttempt(id string) {
+	a.mu.Lock()
+	at := a.attempts[id]
+	a.mu.Unlock()
+	if at != nil {
+		a.cancelCause(at, &CallerGoneError{})
+	}
+}
+
+// cancelCause stops a model request. A call to a service is not stopped: the
+// target may have run it already.
+func (a *Agent) cancelCause(at *attempt, cause error) {
+	if at.dispatch.Method != "" || at.isFinished() {
+		return
+	}
+	a.log.WithField("request_id", at.dispatch.RequestID).WithError(cause).Info("attempt cancelled")
+	at.cancel()
+}
+
+// serveLoad pushes the target's load to an entry: at once, when it changes
+// and once per loadInterval.
+func (a *Agent) serveLoad(ctx context.Context, s *peer.Stream) {
+	changed := make(chan struct{}, 1)
+	a.mu.Lock()
+	a.subscriber[s] = changed
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.subscriber, s)
+		a.mu.Unlock()
+		s.Abort()
+	}()
+	ticker := a.clock.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		if err := s.Send(peer.Load{Report: a.load(), Clock: a.events.Clock().Now()}); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Context().Done():
+			return
+		case <-changed:
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (a *Agent) notifyLoad() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, changed := range a.subscriber {
+		signal(changed)
+	}
+}
+
+func (a *Agent) load() peer.LoadReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.loadLocked()
+}
+
+func (a *Agent) loadLocked() peer.LoadReport {
+	document := a.follower.Current()
+	registered, known := a.registered(document)
+	l := a.admission.Load()
+	report := peer.LoadReport{
+		Target: a.settings.Agent.Target, Version: registered.Version, Running: l.Running, Queued: l.Queued,
+		HeldTokens: l.HeldTokens, MaxConcurrent: l.Limit, MaxTokens: registered.MaxTokens,
+		Leaving: a.leaving || registered.Draining || !known,
+	}
+	if document != nil {
+		report.ConfigNumber = document.Number
+	}
+	return report
+}
+
+// resolve says what became of an attempt. An attempt that was never seen is
+// refused from now on. The agent can't tell for attempts that were claimed
+// before it started or whose record it may have dropped.
+func (a *Agent) resolve(m peer.ResolveAttempt) peer.AttemptResult {
+	a.mu.Lock()
+	at := a.attempts[m.Attempt]
+	if at == nil {
+		defer a.mu.Unlock()
+		result := peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptNeverSeen}
+		if m.Claimed.Before(a.forgotten.Add(clockMargin)) {
+			result.State = peer.AttemptUnknown
+		}
+		a.refused[m.Attempt] = a.clock.Now()
+		return result
+	}
+	a.mu.Unlock()
+	if !at.isFinished() {
+		return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptRunning}
+	}
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.final.Execution == peer.NotRun {
+		return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptNeverSeen}
+	}
+	if at.final.Outcome != peer.Complete || at.head == nil {
+		return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptUnknown}
+	}
+	return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptDone, Status: at.head.Status, Body: at.response}
+}
+
+// fence refuses the holder from now on, stops its model requests and returns
+// its usage that is not billed.
+func (a *Agent) fence(ctx context.Context, holder string) peer.FenceResult {
+	// A dispatch that was accepted before this is in the table of attempts,
+	// since accept checks and enters it in one step.
+	a.follower.AddFenced(holder)
+	a.mu.Lock()
+	var open []*attempt
+	for _, at := range a.attempts {
+		if at.dispatch.Holder == holder && !at.isFinished() {
+			open = append(open, at)
+		}
+	}
+	a.mu.Unlock()
+	wait, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	running := map[string]int64{}
+	for _, at := range open {
+		a.cancelCause(at, &HolderFencedError{Holder: holder})
+		if at.dispatch.Method == "" {
+			select {
+			case <-at.finished:
+				continue
+			case <-wait.Done():
+			}
+		}
+		if !at.isFinished() {
+			running[at.dispatch.Budget] += at.dispatch.Reserved
+		}
+	}
+	result := peer.FenceResult{Holder: holder, Running: running}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, u := range a.unbilled {
+		if u.Holder == holder {
+			result.Unbilled = append(result.Unbilled, u)
+		}
+	}
+	a.events.Record(timeline.Event{Kind: "holder_fenced", Target: a.settings.Agent.Target, Detail: holder})
+	return result
+}
+
+func (a *Agent) takeUsage(olderThan time.Duration) []peer.UnbilledUsage {
+	const most = 1000
+	now := a.clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []peer.UnbilledUsage
+	for _, u := range a.unbilled {
+		if now.Sub(u.At) >= olderThan && len(out) < most {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+func (a *Agent) acknowledgeUsage(attempts []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range attempts {
+		delete(a.unbilled, id)
+	}
+}
+
+// executionOf says whether a request that failed with err ran.
+func executionOf(err error) peer.Execution {
+	var cancelled *CancelledError
+	if errors.As(err, &cancelled) {
+		return peer.Ran
+	}
+	return peer.Unknown
+}
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,120 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+)
+
+// MaxKeyBytes is the longest idempotency key that is accepted.
+const MaxKeyBytes = 255
+
+// TokensPerMessage is what an engine's template may add to a message, an upper
+// bound.
+const TokensPerMessage = 8
+
+// Envelope is what all requests have in common. Bearer is the caller's secret
+// key. Key is the idempotency key; it was made by the server if Generated.
+type Envelope struct {
+	RequestID string
+	Bearer    string
+	Key       string
+	Generated bool
+	Body      []byte
+}
+
+// Request is a request of a caller. It is one of *Chat and *Call.
+type Request interface{ envelope() *Envelope }
+
+// Chat is a chat completions request. PromptTokens is an upper bound: a token
+// is at least one byte of text. MaxTokens is 0 when the caller set none.
+type Chat struct {
+	Envelope
+	Model        string
+	Stream       bool
+	IncludeUsage bool
+	MaxTokens    int64
+	PromptTokens int64
+	Prompt       []byte // the messages in JSON, for prefix affinity
+}
+
+// Call is a request to a plain service.
+type Call struct {
+	Envelope
+	Service     string
+	Method      string
+	Path        string // with a leading slash, without the query
+	ContentType string
+}
+
+func (c *Chat) envelope() *Envelope { return &c.Envelope }
+func (c *Call) envelope() *Envelope { return &c.Envelope }
+
+// EnvelopeOf returns the common part of a request.
+func EnvelopeOf(r Request) *Envelope { return r.envelope() }
+
+type chatBody struct {
+	Model               string            `json:"model"`
+	Messages            []json.RawMessage `json:"messages"`
+	Tools               json.RawMessage   `json:"tools"`
+	Stream              bool              `json:"stream"`
+	MaxTokens           *int64            `json:"max_tokens"`
+	MaxCompletionTokens *int64            `json:"max_completion_tokens"`
+	N                   *int64            `json:"n"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// ParseChat reads the body of a chat completions request.
+func ParseChat(envelope Envelope) (*Chat, *Error) {
+	var body chatBody
+	if err := json.Unmarshal(envelope.Body, &body); err != nil {
+		return nil, Refuse(http.StatusBadRequest, InvalidRequest, "body is not a chat completions request: %s", jsonFault(err))
+	}
+	if body.Model == "" {
+		return nil, Refuse(http.StatusBadRequest, InvalidRequest, "model is missing")
+	}
+	if len(body.Messages) == 0 {
+		return nil, Refuse(http.StatusBadRequest, InvalidRequest, "messages is empty")
+	}
+	if body.N != nil && *body.N != 1 {
+		return nil, Refuse(http.StatusBadRequest, InvalidRequest, "n must be 1")
+	}
+	chat := &Chat{Envelope: envelope, Model: body.Model, Stream: body.Stream, IncludeUsage: body.StreamOptions.IncludeUsage}
+	for _, limit := range []*int64{body.MaxTokens, body.MaxCompletionTokens} {
+		if limit == nil {
+			continue
+		}
+		if *limit < 1 {
+			return nil, Refuse(http.StatusBadRequest, InvalidRequest, "max_tokens must be at least 1")
+		}
+		chat.MaxTokens = *limit
+	}
+	chat.Prompt = bytes.Join(rawMessages(body.Messages), nil)
+	chat.PromptTokens = int64(len(chat.Prompt)+len(body.Tools)) + TokensPerMessage*int64(len(body.Messages))
+	return chat, nil
+}
+
+func rawMessages(messages []json.RawMessage) [][]byte {
+	out := make([][]byte, len(messages))
+	for i, m := range messages {
+		out[i] = m
+	}
+	return out
+}
+
+// jsonFault describes a JSON error without repeating the body.
+func jsonFault(err error) string {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return syntax.Error()
+	case errors.As(err, &kind):
+		return kind.Field + " has the wrong type " + kind.Value
+	default:
+		return "malformed JSON"
+	}
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,273 @@
+// Package caller serves the callers' HTTP: chat completions, calls to plain
+// services, health and metrics.
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fasthttp/router"
+	"github.com/oklog/ulid/v2"
+	"github.com/valyala/fasthttp"
+)
+
+// Reply is what the handler answers. It is one of *Error, *Body and *Stream.
+type Reply interface{ reply() }
+
+// Body is a whole answer.
+type Body struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	Replayed    bool // the stored outcome of an earlier request with this key
+}
+
+// Stream is an answer that is read from Body while it is sent. An error other
+// than io.EOF ends the connection without the end of the chunked body, so that
+// the caller sees that the answer is incomplete. Body is closed in any case.
+type Stream struct {
+	Status      int
+	ContentType string
+	Body        io.ReadCloser
+}
+
+func (*Error) reply()  {}
+func (*Body) reply()   {}
+func (*Stream) reply() {}
+
+// Handler serves one request. It may block.
+// The context does not end when the server shuts down, so that requests in
+// flight finish.
+type Handler func(ctx context.Context, r Request) Reply
+
+// Ready reports why the process can't serve, or nil.
+type Ready func() error
+
+// Server is the callers' HTTP server.
+type Server struct {
+	handler  Handler
+	ready    Ready
+	http     *fasthttp.Server
+	listener net.Listener
+	done     chan struct{}
+}
+
+type options struct {
+	listen         netip.AddrPort
+	maxBodyBytes   int
+	maxHeaderBytes int
+	readTimeout    time.Duration
+	writeTimeout   time.Duration
+	maxConnections int
+	maxPerAddress  int
+	metrics        *metrics.Set
+}
+
+// Option changes a default of New.
+type Option func(*options)
+
+// WithListen sets the address; port 0 picks one.
+func WithListen(a netip.AddrPort) Option { return func(o *options) { o.listen = a } }
+
+// WithLimits bounds body, header and the time to read a request.
+func WithLimits(maxBodyBytes, maxHeaderBytes int, readTimeout time.Duration) Option {
+	return func(o *options) {
+		o.maxBodyBytes, o.maxHeaderBytes, o.readTimeout = maxBodyBytes, maxHeaderBytes, readTimeout
+	}
+}
+
+// WithWriteTimeout bounds the time that the whole answer may take.
+func WithWriteTimeout(d time.Duration) Option { return func(o *options) { o.writeTimeout = d } }
+
+// WithMaxConnections bounds the connections of the server and of one address.
+func WithMaxConnections(total, perAddress int) Option {
+	return func(o *options) { o.maxConnections, o.maxPerAddress = total, perAddress }
+}
+
+// WithMetrics adds the metrics of a set to /metrics.
+func WithMetrics(set *metrics.Set) Option { return func(o *options) { o.metrics = set } }
+
+// New starts the server.
+func New(handler Handler, ready Ready, opts ...Option) (*Server, error) {
+	o := options{
+		listen:         netip.MustParseAddrPort("127.0.0.1:0"),
+		maxBodyBytes:   4 << 20,
+		maxHeaderBytes: 16 << 10,
+		readTimeout:    30 * time.Second,
+		writeTimeout:   10 * time.Minute,
+		maxConnections: 20_000,
+		metrics:        metrics.NewSet(),
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	listener, err := net.Listen("tcp", o.listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("caller.New: %w", err)
+	}
+	s := &Server{handler: handler, ready: ready, listener: listener, done: make(chan struct{})}
+	routes := router.New()
+	routes.HandleMethodNotAllowed = true
+	routes.NotFound = func(ctx *fasthttp.RequestCtx) {
+		Refuse(http.StatusNotFound, UnknownRoute, "no such path").write(ctx)
+	}
+	routes.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
+		Refuse(http.StatusMethodNotAllowed, UnknownRoute, "method not allowed").write(ctx)
+	}
+	routes.POST("/v1/chat/completions", s.serveChat)
+	routes.ANY("/v1/services/{service}/{path:*}", s.serveService)
+	routes.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	routes.GET("/readyz", s.serveReady)
+	routes.GET("/metrics", func(ctx *fasthttp.RequestCtx) {
+		ctx.SetContentType("text/plain; version=0.0.4")
+		o.metrics.WritePrometheus(ctx)
+		metrics.WriteProcessMetrics(ctx)
+	})
+	s.http = &fasthttp.Server{
+		Name:                  "briarreach",
+		Handler:               routes.Handler,
+		ErrorHandler:          serveProtocolError,
+		MaxRequestBodySize:    o.maxBodyBytes,
+		ReadBufferSize:        o.maxHeaderBytes,
+		ReadTimeout:           o.readTimeout,
+		WriteTimeout:          o.writeTimeout,
+		IdleTimeout:           2 * time.Minute,
+		Concurrency:           o.maxConnections,
+		MaxConnsPerIP:         o.maxPerAddress,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                discard{},
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(listener)
+	}()
+	return s, nil
+}
+
+// Addr returns the address on which the server listens.
+func (s *Server) Addr() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Close stops accepting connections and waits until open requests have ended
+// or the context has.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.http.ShutdownWithContext(ctx)
+	if err != nil {
+		return fmt.Errorf("caller.Close: %w", err)
+	}
+	<-s.done
+	return nil
+}
+
+func (s *Server) serveReady(ctx *fasthttp.RequestCtx) {
+	if err := s.ready(); err != nil {
+		Refuse(http.StatusServiceUnavailable, NotReady, "%v", err).write(ctx)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (s *Server) serveChat(ctx *fasthttp.RequestCtx) {
+	envelope, fault := readEnvelope(ctx)
+	if fault != nil {
+		s.write(ctx, &envelope, fault)
+		return
+	}
+	chat, fault := ParseChat(envelope)
+	if fault != nil {
+		s.write(ctx, &envelope, fault)
+		return
+	}
+	s.write(ctx, &envelope, s.handler(context.Background(), chat))
+}
+
+func (s *Server) serveService(ctx *fasthttp.RequestCtx) {
+	envelope, fault := readEnvelope(ctx)
+	if fault != nil {
+		s.write(ctx, &envelope, fault)
+		return
+	}
+	path, _ := ctx.UserValue("path").(string)
+	service, _ := ctx.UserValue("service").(string)
+	s.write(ctx, &envelope, s.handler(context.Background(), &Call{
+		Envelope:    envelope,
+		Service:     strings.Clone(service),
+		Method:      string(ctx.Method()),
+		Path:        "/" + strings.Clone(path),
+		ContentType: string(ctx.Request.Header.ContentType()),
+	}))
+}
+
+// readEnvelope copies what it returns, since fasthttp reuses its buffers.
+func readEnvelope(ctx *fasthttp.RequestCtx) (Envelope, *Error) {
+	e := Envelope{RequestID: ulid.Make().String()}
+	bearer, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	if !ok || bearer == "" {
+		return e, Refuse(http.StatusUnauthorized, Unauthorized, "the Authorization header has no bearer key")
+	}
+	e.Bearer = bearer
+	e.Key = string(ctx.Request.Header.Peek("Idempotency-Key"))
+	if len(e.Key) > MaxKeyBytes {
+		return e, Refuse(http.StatusBadRequest, InvalidRequest, "Idempotency-Key is longer than %d bytes", MaxKeyBytes)
+	}
+	if e.Key == "" {
+		e.Key, e.Generated = e.RequestID, true
+	}
+	e.Body = append([]byte(nil), ctx.PostBody()...)
+	return e, nil
+}
+
+func (s *Server) write(ctx *fasthttp.RequestCtx, envelope *Envelope, reply Reply) {
+	switch r := reply.(type) {
+	case *Error:
+		r.RequestID = envelope.RequestID
+		r.write(ctx)
+	case *Body:
+		ctx.SetStatusCode(r.Status)
+		ctx.SetContentType(r.ContentType)
+		ctx.SetBody(r.Body)
+		if r.Replayed {
+			ctx.Response.Header.Set("Idempotent-Replayed", "true")
+		}
+	case *Stream:
+		ctx.SetStatusCode(r.Status)
+		ctx.SetContentType(r.ContentType)
+		ctx.Response.Header.Set("Cache-Control", "no-store")
+		ctx.SetBodyStream(r.Body, -1)
+	}
+	ctx.Response.Header.Set("X-Request-Id", envelope.RequestID)
+	if envelope.Key != "" {
+		ctx.Response.Header.Set("Idempotency-Key", envelope.Key)
+	}
+}
+
+// serveProtocolError answers requests that fasthttp could not read.
+func serveProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var network *net.OpError
+	switch {
+	case errors.As(err, &small):
+		Refuse(http.StatusRequestHeaderFieldsTooLarge, TooLarge, "headers are too large").write(ctx)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		Refuse(http.StatusRequestEntityTooLarge, TooLarge, "body is too large").write(ctx)
+	case errors.As(err, &network) && network.Timeout():
+		Refuse(http.StatusRequestTimeout, InvalidRequest, "request was not received in time").write(ctx)
+	default:
+		Refuse(http.StatusBadRequest, InvalidRequest, "malformed request").write(ctx)
+	}
+}
+
+// discard drops fasthttp's own log lines: they repeat what callers send.
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
--- /dev/null
+++ b/entry/backend.go
@@ -0,0 +1,363 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"golang.org/x/sync/errgroup"
+
+	"briarreach/config"
+	"briarreach/configsync"
+	"briarreach/ledger"
+	"briarreach/operator"
+	"briarreach/peer"
+	"briarreach/table"
+	"briarreach/timeline"
+)
+
+const (
+	// pollTimeout bounds a question to one daemon.
+	pollTimeout = time.Second
+	// pollers bounds the daemons that are asked at once.
+	pollers = 32
+	// maxSince bounds the patches that a conflict shows.
+	maxSince = 20
+)
+
+// backend serves the operators' API.
+type backend struct{ *Entry }
+
+func amountOf(record ledger.Record) (int64, bool) {
+	r, ok := record.(ledger.Return)
+	return r.Amount, ok
+}
+
+// Authorize returns the role of an operator's key.
+func (b backend) Authorize(ctx context.Context, secret string) (operator.Role, error) {
+	if secret == "" {
+		return "", &operator.Error{Status: 401, Type: operator.Unauthorized, Message: "the Authorization header has no bearer key"}
+	}
+	row, err := b.keys.lookup(ctx, secret)
+	if isUnknownKey(err) || err == nil && row.Operator == "" {
+		return "", &operator.Error{Status: 401, Type: operator.Unauthorized, Message: "the key is no operator's key"}
+	}
+	if err != nil {
+		return "", err
+	}
+	return operator.Role(row.Operator), nil
+}
+
+// Document returns the current document.
+func (b backend) Document() *config.Document { return b.follower.Current() }
+
+// Patch applies a patch to the document with the number it was made against.
+// A patch that was accepted before returns its first result.
+func (b backend) Patch(ctx context.Context, p config.Patch) (operator.Accepted, error) {
+	for _, op := range p.Operations {
+		if config.ByController(op) {
+			return operator.Accepted{}, &config.InvalidError{Operation: -1, Path: "operations", Reason: config.BadValue,
+				Detail: "the operation is written by the move controller only"}
+		}
+	}
+	return b.patch(ctx, p, nil)
+}
+
+// patch writes a patch in one transaction with the checks of a lease.
+func (e *Entry) patch(ctx context.Context, p config.Patch, checks []table.Check) (operator.Accepted, error) {
+	for {
+		accepted, err := e.patchOnce(ctx, p, checks)
+		var conflict *table.ConflictError
+		if !errors.As(err, &conflict) {
+			return accepted, err
+		}
+		for _, check := range checks {
+			if slices.Contains(conflict.Keys, check.Key) {
+				return accepted, err
+			}
+		}
+		if ctx.Err() != nil {
+			return accepted, err
+		}
+		// The head has moved or the id was used meanwhile: the next round says which.
+	}
+}
+
+func (e *Entry) patchOnce(ctx context.Context, p config.Patch, checks []table.Check) (operator.Accepted, error) {
+	none := operator.Accepted{}
+	patchKey := table.Key{Partition: config.PatchPartition, Sort: p.ID}
+	rows, err := e.store.Get(ctx, configsync.HeadKey, patchKey)
+	if err != nil {
+		return none, fmt.Errorf("entry.patch: %w", err)
+	}
+	if rows[1].Version > 0 {
+		result, err := config.DecodeRow[config.PatchResult](rows[1].Value)
+		if err != nil {
+			return none, err
+		}
+		if err := result.Repeats(p); err != nil {
+			return none, err
+		}
+		return operator.Accepted{Number: result.Number, PatchID: p.ID, Repeated: true}, nil
+	}
+	document, err := e.documentAt(ctx, rows[0])
+	if err != nil {
+		return none, err
+	}
+	if p.Base != document.Number {
+		return none, e.conflict(ctx, p.Base, document.Number)
+	}
+	now := e.clock.Now()
+	next, effects, err := document.Apply(p, now)
+	if err != nil {
+		return none, err
+	}
+	tx, err := patchTransaction(p, next, effects, rows[0].Version, now)
+	if err != nil {
+		return none, err
+	}
+	tx.Checks = append(tx.Checks, checks...)
+	if err := e.commitPatch(ctx, tx, effects.Records); err != nil {
+		return none, err
+	}
+	e.follower.Publish(next)
+	e.announce(next.Number)
+	e.events.Record(timeline.Event{Kind: "config_accepted", ConfigNumber: next.Number, Detail: p.ID})
+	return operator.Accepted{Number: next.Number, PatchID: p.ID}, nil
+}
+
+func (e *Entry) commitPatch(ctx context.Context, tx table.Transaction, records []ledger.Record) error {
+	j := e.journal.Load()
+	if j == nil {
+		return &operator.Error{Status: 503, Type: operator.Unavailable, Message: "the ledger is not open yet"}
+	}
+	results, err := j.Transact(ctx, tx, records)
+	if err != nil {
+		return err
+	}
+	for i, result := range results {
+		if refused, ok := result.(ledger.Refused); ok {
+			return &config.InvalidError{Operation: i, Path: "budget", Reason: config.BadValue, Detail: refused.Err.Error()}
+		}
+		e.observeRecord(records[i], result)
+	}
+	return nil
+}
+
+// documentAt returns the document that the head row names.
+func (e *Entry) documentAt(ctx context.Context, head table.Row) (*config.Document, error) {
+	if head.Version == 0 {
+		return nil, &configsync.NoDocumentError{}
+	}
+	h, err := config.DecodeRow[config.Head](head.Value)
+	if err != nil {
+		return nil, err
+	}
+	if current := e.follower.Current(); current != nil && current.Number == h.Number {
+		return current, nil
+	}
+	return configsync.ReadDocument(ctx, e.store, h.Number)
+}
+
+// patchTransaction returns the writes that accept a patch: the head row, the row of
+// the number, the row of the patch and those of keys.
+func patchTransaction(p config.Patch, next *config.Document, effects config.Effects, headVersion uint64, now time.Time) (table.Transaction, error) {
+	tx := table.Transaction{ID: ulid.Make().String()}
+	head, err := config.EncodeRow(config.Head{Number: next.Number})
+	if err != nil {
+		return tx, err
+	}
+	version, err := config.EncodeVersion(next, p)
+	if err != nil {
+		return tx, err
+	}
+	digest, err := p.Digest()
+	if err != nil {
+		return tx, err
+	}
+	result, err := config.EncodeRow(config.PatchResult{Number: next.Number, Digest: digest, Accepted: now})
+	if err != nil {
+		return tx, err
+	}
+	expectHead := table.Expect(table.Absent{})
+	if headVersion > 0 {
+		expectHead = table.Exactly{Version: headVersion}
+	}
+	tx.Writes = []table.Write{
+		{Key: configsync.HeadKey, Expect: expectHead, Value: head},
+		{Key: configsync.NumberKey(next.Number), Expect: table.Absent{}, Value: version},
+		{Key: table.Key{Partition: config.PatchPartition, Sort: p.ID}, Expect: table.Absent{}, Value: result},
+	}
+	for _, change := range effects.Keys {
+		w := table.Write{Key: table.Key{Partition: config.KeyPartition, Sort: change.Hash}, Expect: table.Any{}}
+		if change.Row != nil {
+			if w.Value, err = config.EncodeRow(*change.Row); err != nil {
+				return tx, err
+			}
+		}
+		tx.Writes = append(tx.Writes, w)
+	}
+	return tx, nil
+}
+
+// Bootstrap writes the first document of a deployment in one transaction. It
+// fails with *table.ConflictError if there is one already.
+func Bootstrap(ctx context.Context, store table.Store, shards int, p config.Patch, now time.Time) error {
+	next, effects, err := config.New(shards).Apply(p, now)
+	if err != nil {
+		return fmt.Errorf("entry.Bootstrap: %w", err)
+	}
+	if len(effects.Records) > 0 {
+		return &config.InvalidError{Operation: -1, Path: "operations", Reason: config.BadValue, Detail: "the first patch can't open budgets"}
+	}
+	tx, err := patchTransaction(p, next, effects, 0, now)
+	if err != nil {
+		return fmt.Errorf("entry.Bootstrap: %w", err)
+	}
+	if err := store.Commit(ctx, tx); err != nil {
+		return fmt.Errorf("entry.Bootstrap: %w", err)
+	}
+	return nil
+}
+
+func (e *Entry) conflict(ctx context.Context, base, current uint64) error {
+	conflict := &config.ConflictError{Base: base, Current: current}
+	if base >= current {
+		return conflict
+	}
+	for number := max(base+1, current-min(current, maxSince)+1); number <= current; number++ {
+		version, err := configsync.ReadVersion(ctx, e.store, number)
+		if err != nil {
+			break
+		}
+		conflict.Since = append(conflict.Since, version.Patch)
+	}
+	return conflict
+}
+
+// announce tells all peers the new number, so that they need not wait for
+// their next read of the head row.
+func (e *Entry) announce(number uint64) {
+	e.workers.Go(func() {
+		var group errgroup.Group
+		group.SetLimit(pollers)
+		for _, addr := range e.peers() {
+			group.Go(func() error {
+				_ = e.tell(e.context, addr, peer.ConfigNumber{Number: number, Process: e.settings.Process})
+				return nil
+			})
+		}
+		_ = group.Wait()
+	})
+}
+
+// History returns the changes after a number.
+func (b backend) History(ctx context.Context, after uint64, limit int) ([]operator.Change, error) {
+	current := b.follower.Number()
+	changes := []operator.Change{}
+	for number := after + 1; number <= current && len(changes) < limit; number++ {
+		version, err := configsync.ReadVersion(ctx, b.store, number)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, operator.Change{Number: number, Patch: version.Patch})
+	}
+	return changes, nil
+}
+
+// Status asks every daemon for its number.
+func (b backend) Status(ctx context.Context) operator.Status {
+	status := operator.Status{Number: b.follower.Number(), Lacking: []string{}}
+	status.Daemons = append(b.ask(ctx), operator.Daemon{Process: b.settings.Process, Role: peer.EntryRole,
+		Address: b.endpoint.Addr(), ConfigNumber: b.follower.Number()})
+	slices.SortFunc(status.Daemons, func(x, y operator.Daemon) int {
+		return strings.Compare(string(y.Role)+x.Process, string(x.Role)+y.Process)
+	})
+	for _, d := range status.Daemons {
+		if d.ConfigNumber < status.Number {
+			status.Lacking = append(status.Lacking, d.Process)
+		}
+	}
+	status.InForce = len(status.Lacking) == 0
+	return status
+}
+
+func (b backend) ask(ctx context.Context) []operator.Daemon {
+	var mu sync.Mutex
+	var daemons []operator.Daemon
+	b.eachPeer(ctx, peer.StatusRequest{}, func(addr netip.AddrPort, m peer.Message, err error) {
+		d := operator.Daemon{Process: addr.String(), Address: addr}
+		if s, ok := m.(peer.Status); ok {
+			d.Process, d.Role, d.ConfigNumber = s.Process, s.Role, s.ConfigNumber
+		} else if err != nil {
+			d.Error = err.Error()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		daemons = append(daemons, d)
+	})
+	return daemons
+}
+
+// eachPeer sends a question to every other process and passes the answers on.
+func (e *Entry) eachPeer(ctx context.Context, question peer.Message, answer func(netip.AddrPort, peer.Message, error)) {
+	var group errgroup.Group
+	group.SetLimit(pollers)
+	for _, addr := range e.peers() {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+			defer cancel()
+			m, err := e.endpoint.Call(ctx, addr, question)
+			answer(addr, m, err)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// Budgets returns the state of all budgets as the table has it.
+func (b backend) Budgets(ctx context.Context) ([]operator.Budget, error) {
+	j := b.journal.Load()
+	if j == nil {
+		return nil, &operator.Error{Status: 503, Type: operator.Unavailable, Message: "the ledger is not open yet"}
+	}
+	if err := j.Refresh(ctx); err != nil {
+		return nil, err
+	}
+	out := []operator.Budget{}
+	for shard := range j.Shards() {
+		j.ReadShard(shard, func(s *ledger.State) {
+			for _, name := range s.Budgets() {
+				balance, _ := s.Budget(name)
+				budget := operator.Budget{Name: name, Prepaid: balance.Prepaid, Settled: balance.Settled}
+				for _, amount := range balance.Outstanding {
+					budget.Outstanding += amount
+				}
+				budget.Available = budget.Prepaid - budget.Settled - budget.Outstanding
+				out = append(out, budget)
+			}
+		})
+	}
+	slices.SortFunc(out, func(x, y operator.Budget) int { return strings.Compare(x.Name, y.Name) })
+	return out, nil
+}
+
+// Timeline merges the events of all processes.
+func (b backend) Timeline(ctx context.Context, f timeline.Filter) []timeline.Event {
+	var mu sync.Mutex
+	lists := [][]timeline.Event{b.events.Events(f)}
+	b.eachPeer(ctx, peer.FetchEvents{Filter: f}, func(_ netip.AddrPort, m peer.Message, _ error) {
+		if events, ok := m.(peer.Events); ok {
+			mu.Lock()
+			defer mu.Unlock()
+			lists = append(lists, events.Events)
+		}
+	})
+	return timeline.Merge(f, lists...)
+}
--- /dev/null
+++ b/entry/billing.go
@@ -0,0 +1,324 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"briarreach/budget"
+	"briarreach/caller"
+	"briarreach/journal"
+	"briarreach/ledger"
+	"briarreach/peer"
+	"briarreach/timeline"
+)
+
+const (
+	drawInterval = 50 * time.Millisecond
+	// drawTimeout is how long a request waits for a grant.
+	drawTimeout = 1500 * time.Millisecond
+	ackInterval = 250 * time.Millisecond
+	// usageInterval is how often an entry takes over usage that another entry
+	// did not bill, and how old that usage must be.
+	usageInterval = 5 * time.Second
+	maxPending    = 200_000
+)
+
+// broadcast wakes all that wait for an event.
+type broadcast struct {
+	mu sync.Mutex
+	c  chan struct{}
+}
+
+func newBroadcast() *broadcast { return &broadcast{c: make(chan struct{})} }
+
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.c
+}
+
+func (b *broadcast) notify() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.c)
+	b.c = make(chan struct{})
+}
+
+// openJournal opens the ledger as soon as the number of shards is known.
+func (e *Entry) openJournal() {
+	for {
+		if d := e.follower.Current(); d != nil {
+			j, err := journal.New(e.store, d.Shards, journal.WithClock(e.clock), journal.WithWriter(e.holder),
+				journal.WithFlushInterval(e.settings.Entry.FlushInterval.Duration), journal.WithLog(e.log),
+				journal.WithMaxPending(maxPending))
+			if err == nil {
+				e.journal.Store(j)
+				break
+			}
+			e.log.WithError(err).Error("ledger not opened")
+		}
+		select {
+		case <-e.context.Done():
+			return
+		case <-e.clock.After(20 * time.Millisecond):
+		}
+	}
+	ctx, cancel := context.WithTimeout(e.context, e.settings.Table.Timeout.Duration)
+	defer cancel()
+	if err := e.keys.preload(ctx); err != nil {
+		e.log.WithError(err).Warn("keys not preloaded")
+	}
+}
+
+// reserve takes amount from the entry's grants of a budget. A request that
+// finds too little waits for a draw.
+func (e *Entry) reserve(ctx context.Context, name string, amount int64) (budget.Reservation, error) {
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	for {
+		drawn := e.drawn.wait()
+		now := e.clock.Now()
+		reservation, err := e.wallet.Reserve(name, amount, now)
+		var pending *budget.PendingError
+		if err == nil || !errors.As(err, &pending) {
+			return reservation, err
+		}
+		if j := e.journal.Load(); j != nil {
+			if draw, ok := e.wallet.Want(name, amount, now); ok {
+				result, submitErr := j.SubmitNow(ctx, name, draw)
+				if submitErr != nil {
+					return reservation, errors.Join(err, submitErr)
+				}
+				_ = result
+				continue
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return reservation, err
+		case <-drawn:
+		}
+	}
+}
+
+// observeRecord tells the wallet the result of a record of this holder.
+func (e *Entry) observeRecord(record ledger.Record, result ledger.Result) {
+	e.wallet.Observe(record, result)
+	e.drawn.notify()
+}
+
+func (e *Entry) submit(j *journal.Journal, record ledger.Record) {
+	err := j.Submit(record, budgetOf(record), func(result ledger.Result, err error) {
+		if err != nil {
+			e.log.WithError(err).Warn("record not written to the ledger")
+			return
+		}
+		e.observeRecord(record, result)
+	})
+	if err != nil {
+		e.log.WithError(err).Warn("record not written to the ledger")
+	}
+}
+
+func budgetOf(record ledger.Record) string {
+	switch r := record.(type) {
+	case ledger.OpenBudget:
+		return r.Budget
+	case ledger.TopUp:
+		return r.Budget
+	case ledger.Draw:
+		return r.Budget
+	case ledger.Bill:
+		return r.Budget
+	case ledger.Return:
+		return r.Budget
+	default:
+		return ""
+	}
+}
+
+// drawLoop draws and returns grants as the demand asks for.
+func (e *Entry) drawLoop() {
+	ticker := e.clock.NewTicker(drawInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.context.Done():
+			return
+		case <-ticker.Chan():
+		}
+		j := e.journal.Load()
+		if j == nil || e.leaving.Load() {
+			continue
+		}
+		for _, record := range e.wallet.Due(e.clock.Now()) {
+			e.submit(j, record)
+		}
+	}
+}
+
+// bill settles the reservation and writes the bill. The agent keeps the usage
+// until it hears that the bill is durable.
+func (e *Entry) bill(x *exchange, t try, usage peer.Usage, outcome peer.Outcome) {
+	if !x.reserved {
+		return
+	}
+	x.reserved = false
+	x.reservation.Settle(usage.Cost)
+	if usage.Cost == 0 {
+		return
+	}
+	e.submitBill(t.target.Agent, peer.UnbilledUsage{
+		Attempt: t.attempt, Identity: x.identity, Workspace: x.key.Workspace, Budget: x.key.Budget,
+		Holder: e.holder, Outcome: outcome, Usage: usage, At: e.clock.Now(),
+	}, x.envelope.RequestID)
+}
+
+func (e *Entry) submitBill(agent netip.AddrPort, u peer.UnbilledUsage, request string) {
+	j := e.journal.Load()
+	if j == nil {
+		return
+	}
+	record := ledger.Bill{
+		Identity: u.Identity, Budget: u.Budget, Holder: u.Holder, Attempt: u.Attempt, Cost: u.Usage.Cost,
+		PromptTokens: u.Usage.PromptTokens, CompletionTokens: u.Usage.CompletionTokens,
+		Outcome: string(u.Outcome), At: u.At,
+	}
+	err := j.Submit(record, u.Budget, func(result ledger.Result, err error) {
+		if err != nil {
+			e.log.WithError(err).WithField("request_id", request).Warn("bill not written")
+			return
+		}
+		if u.Holder == e.holder {
+			e.observeRecord(record, result)
+		}
+		e.billed(u, request, result)
+		e.acks.add(agent, u.Attempt)
+	})
+	if err != nil {
+		e.log.WithError(err).WithField("request_id", request).Warn("bill not written")
+	}
+}
+
+func (e *Entry) billed(u peer.UnbilledUsage, request string, result ledger.Result) {
+	kind := "billed"
+	switch r := result.(type) {
+	case ledger.Billed:
+		if r.Duplicate {
+			kind = "bill_duplicate"
+		}
+	case ledger.Refused:
+		kind = "bill_refused"
+		e.log.WithError(r.Err).WithField("request_id", request).WithField("workspace", u.Workspace).Error("bill refused")
+	}
+	e.metrics.GetOrCreateCounter(`briarreach_entry_bills_total{result="` + kind + `"}`).Inc()
+	e.events.Record(timeline.Event{Kind: kind, Request: request, Workspace: u.Workspace, Detail: u.Attempt})
+}
+
+// settleRefused gives the reservation of a request back that gave no answer.
+// If the request may have run, the agent's usage report decides what is
+// billed; the reservation is then held until the bill window for that usage
+// would otherwise be spent twice.
+func (e *Entry) settleRefused(x *exchange, _ *caller.Error) {
+	if x.claim != nil {
+		x.claim.afterRefusal()
+	}
+	if !x.reserved {
+		return
+	}
+	x.reserved = false
+	x.reservation.Cancel()
+}
+
+// acknowledgements collects attempts whose bills are durable, by agent.
+type acknowledgements struct {
+	mu      sync.Mutex
+	byAgent map[netip.AddrPort][]string
+}
+
+func newAcknowledgements() *acknowledgements {
+	return &acknowledgements{byAgent: map[netip.AddrPort][]string{}}
+}
+
+func (a *acknowledgements) add(agent netip.AddrPort, attempt string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.byAgent[agent] = append(a.byAgent[agent], attempt)
+}
+
+func (a *acknowledgements) take() map[netip.AddrPort][]string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	taken := a.byAgent
+	a.byAgent = map[netip.AddrPort][]string{}
+	return taken
+}
+
+func (e *Entry) acknowledgeLoop() {
+	ticker := e.clock.NewTicker(ackInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.context.Done():
+			return
+		case <-ticker.Chan():
+			e.acknowledge(e.context)
+		}
+	}
+}
+
+// acknowledge tells the agents which bills are durable. A lost message costs
+// a second, duplicate bill, which has no effect.
+func (e *Entry) acknowledge(ctx context.Context) {
+	for agent, attempts := range e.acks.take() {
+		if err := e.tell(ctx, agent, peer.UsageAck{Attempts: attempts}); err != nil {
+			e.log.WithError(err).Debug("usage not acknowledged")
+		}
+	}
+}
+
+// tell sends a message that has no answer.
+func (e *Entry) tell(ctx context.Context, addr netip.AddrPort, m peer.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	s, err := e.endpoint.Open(ctx, addr)
+	if err != nil {
+		return err
+	}
+	if err := s.Send(m); err != nil {
+		s.Abort()
+		return err
+	}
+	return s.CloseSend()
+}
+
+// takeUsageLoop bills what other entries left unbilled.
+func (e *Entry) takeUsageLoop() {
+	ticker := e.clock.NewTicker(usageInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.context.Done():
+			return
+		case <-ticker.Chan():
+		}
+		if e.journal.Load() == nil {
+			continue
+		}
+		for _, agent := range e.agents.addresses() {
+			ctx, cancel := context.WithTimeout(e.context, openTimeout)
+			answer, err := e.endpoint.Call(ctx, agent, peer.TakeUsage{OlderThan: usageInterval})
+			cancel()
+			report, ok := answer.(peer.ReportUsage)
+			if err != nil || !ok {
+				continue
+			}
+			for _, u := range report.Usages {
+				e.submitBill(agent, u, "")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/entry/chain.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"briarreach/budget"
+	"briarreach/caller"
+	"briarreach/config"
+	"briarreach/ledger"
+	"briarreach/peer"
+	"briarreach/timeline"
+)
+
+// exchange is one request on its way through the filters.
+type exchange struct {
+	request  caller.Request
+	envelope *caller.Envelope
+	started  time.Time
+	deadline time.Time
+
+	document    *config.Document
+	key         config.KeyRow
+	workspace   config.Workspace
+	identity    ledger.Identity
+	cost        cost
+	reservation budget.Reservation
+	reserved    bool
+	claim       *claimHandle // of a call that may not be repeated
+}
+
+// cost bounds what a request may cost. Reserved is in budget tokens.
+type cost struct {
+	subject         string // name of the model or service
+	route           string // evidence of a version move is kept by route
+	repeatable      bool
+	promptPrice     int64
+	completionPrice int64
+	promptTokens    int64
+	maxTokens       int64
+	reserved        int64
+}
+
+// filter is one step of the chain. It returns nil to go on, or the reply that
+// ends the request.
+type filter interface {
+	apply(ctx context.Context, x *exchange) caller.Reply
+}
+
+// serve passes a request through the filters.
+func (e *Entry) serve(ctx context.Context, r caller.Request) caller.Reply {
+	now := e.clock.Now()
+	if open := e.open.Add(1); open > int64(e.settings.Entry.MaxRequests) {
+		e.open.Add(-1)
+		refusal := caller.Refuse(http.StatusServiceUnavailable, caller.Overloaded, "%v", &TooManyRequestsError{Max: e.settings.Entry.MaxRequests})
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	x := &exchange{
+		request: r, envelope: caller.EnvelopeOf(r), started: now,
+		deadline: now.Add(e.settings.Entry.RequestTimeout.Duration),
+	}
+	for _, f := range e.filters {
+		reply := f.apply(ctx, x)
+		if reply == nil {
+			continue
+		}
+		if s, ok := reply.(*caller.Stream); ok {
+			s.Body = &countedBody{ReadCloser: s.Body, done: func() { e.open.Add(-1) }}
+			return reply
+		}
+		e.open.Add(-1)
+		e.observeReply(x, reply)
+		return reply
+	}
+	e.open.Add(-1)
+	return caller.Fail(http.StatusInternalServerError, caller.OutcomeUnknown, peer.Unknown, "no filter answered the request")
+}
+
+func (e *Entry) observeReply(x *exchange, reply caller.Reply) {
+	refusal, ok := reply.(*caller.Error)
+	if !ok {
+		return
+	}
+	e.metrics.GetOrCreateCounter(`briarreach_entry_errors_total{type="` + string(refusal.Type) + `",execution="` + string(refusal.Execution) + `"}`).Inc()
+	e.events.Record(timeline.Event{Kind: "request_refused", Request: x.envelope.RequestID, Workspace: x.key.Workspace,
+		ConfigNumber: e.follower.Number(), Detail: string(refusal.Type)})
+	e.log.WithField("request_id", x.envelope.RequestID).WithField("workspace", x.key.Workspace).
+		WithField("type", string(refusal.Type)).WithField("execution", string(refusal.Execution)).Info("request refused")
+}
+
+// authenticate finds the workspace of the caller's key.
+type authenticate struct{ e *Entry }
+
+func (f authenticate) apply(ctx context.Context, x *exchange) caller.Reply {
+	x.document = f.e.follower.Current()
+	if x.document == nil {
+		return caller.Refuse(http.StatusServiceUnavailable, caller.NotReady, "the entry has no configuration")
+	}
+	lookup, cancel := context.WithTimeout(ctx, f.e.settings.Table.Timeout.Duration)
+	defer cancel()
+	row, err := f.e.keys.lookup(lookup, x.envelope.Bearer)
+	if isUnknownKey(err) {
+		return caller.Refuse(http.StatusUnauthorized, caller.Unauthorized, "the key is unknown")
+	}
+	if err != nil {
+		return refusePlatform(err)
+	}
+	workspace, ok := x.document.Workspaces[row.Workspace]
+	if !ok {
+		return caller.Refuse(http.StatusUnauthorized, caller.Unauthorized, "the key belongs to no workspace")
+	}
+	x.key, x.workspace = row, workspace
+	return nil
+}
+
+// identify works out what is asked for, its identity and its largest cost.
+type identify struct{ e *Entry }
+
+func (f identify) apply(_ context.Context, x *exchange) caller.Reply {
+	x.identity = ledger.NewIdentity(x.key.Workspace, x.envelope.Key, x.envelope.Body)
+	switch r := x.request.(type) {
+	case *caller.Chat:
+		return f.chat(x, r)
+	case *caller.Call:
+		return f.call(x, r)
+	default:
+		return caller.Refuse(http.StatusBadRequest, caller.InvalidRequest, "unknown kind of request")
+	}
+}
+
+func (f identify) chat(x *exchange, r *caller.Chat) caller.Reply {
+	model, ok := x.document.Models[r.Model]
+	if !ok {
+		return caller.Refuse(http.StatusNotFound, caller.UnknownModel, "model %q is unknown", r.Model)
+	}
+	maxTokens := r.MaxTokens
+	if maxTokens == 0 || maxTokens > model.MaxTokens {
+		maxTokens = model.MaxTokens
+	}
+	x.cost = cost{
+		subject: model.Name, route: "/v1/chat/completions", repeatable: true,
+		promptPrice: model.PromptPrice, completionPrice: model.CompletionPrice,
+		promptTokens: r.PromptTokens, maxTokens: maxTokens,
+		reserved: r.PromptTokens*model.PromptPrice + maxTokens*model.CompletionPrice,
+	}
+	return nil
+}
+
+func (f identify) call(x *exchange, r *caller.Call) caller.Reply {
+	service, ok := x.document.Services[r.Service]
+	if !ok {
+		return caller.Refuse(http.StatusNotFound, caller.UnknownService, "service %q is unknown", r.Service)
+	}
+	for _, route := range service.Routes {
+		if route.Method != r.Method || !matchPath(route.Path, r.Path) {
+			continue
+		}
+		if !route.Repeatable && x.envelope.Generated {
+			return caller.Refuse(http.StatusBadRequest, caller.InvalidRequest,
+				"%s %s runs at most once: it needs an Idempotency-Key", r.Method, r.Path)
+		}
+		x.cost = cost{subject: service.Name, route: route.Path, repeatable: route.Repeatable, reserved: route.Price}
+		return nil
+	}
+	return caller.Refuse(http.StatusNotFound, caller.UnknownRoute, "service %q has no route %s %s", r.Service, r.Method, r.Path)
+}
+
+// matchPath compares segment by segment; "{name}" in the route matches any
+// segment.
+func matchPath(route, path string) bool {
+	want, have := strings.Split(route, "/"), strings.Split(path, "/")
+	if len(want) != len(have) {
+		return false
+	}
+	for i := range want {
+		if want[i] != have[i] && (!strings.HasPrefix(want[i], "{") || have[i] == "") {
+			return false
+		}
+	}
+	return true
+}
+
+// reserve holds back the largest cost of the request.
+type reserve struct{ e *Entry }
+
+func (f reserve) apply(ctx context.Context, x *exchange) caller.Reply {
+	if x.cost.reserved == 0 {
+		return nil
+	}
+	reservation, err := f.e.reserve(ctx, x.key.Budget, x.cost.reserved)
+	if err != nil {
+		return refuseBudget(err)
+	}
+	x.reservation, x.reserved = reservation, true
+	return nil
+}
+
+// dispatch sends the request to a target and returns the answer that the
+// caller reads.
+type dispatch struct{ e *Entry }
+
+func (f dispatch) apply(ctx context.Context, x *exchange) caller.Reply {
+	answer, refusal := f.e.dispatch(ctx, x)
+	if refusal != nil {
+		f.e.settleRefused(x, refusal)
+		return refusal
+	}
+	return &caller.Stream{Status: answer.head.Status, ContentType: answer.head.ContentType, Body: answer}
+}
+
+// newAttempt returns the id of an attempt.
+func newAttempt() string { return ulid.Make().String() }
+
+// random is a source that may be used by many requests at once.
+type random struct{}
+
+func (random) Uint64() uint64 { return rand.Uint64() }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,331 @@
+// Package entry is the process on an entry VM. It serves callers and
+// operators, spends from its grants, chooses targets and relays answers.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/oklog/ulid/v2"
+	"go.uber.org/dig"
+
+	"briarreach/budget"
+	"briarreach/caller"
+	"briarreach/config"
+	"briarreach/configsync"
+	"briarreach/journal"
+	"briarreach/operator"
+	"briarreach/peer"
+	"briarreach/settings"
+	"briarreach/table"
+	"briarreach/target"
+	"briarreach/timeline"
+)
+
+// Entry is a running entry process. Holder identifies this start of it.
+type Entry struct {
+	settings *settings.Settings
+	clock    clockwork.Clock
+	log      log.Interface
+	events   *timeline.Recorder
+	metrics  *metrics.Set
+	store    table.Store
+	endpoint *peer.Endpoint
+	follower *configsync.Follower
+	keys     *keyCache
+	pool     *target.Pool
+	retries  *target.RetryBudget
+	moves    *moves
+	agents   *agents
+	acks     *acknowledgements
+	holder   string
+	started  time.Time
+	filters  []filter
+
+	journal atomic.Pointer[journal.Journal]
+	wallet  *budget.Wallet
+	drawn   *broadcast
+
+	open      atomic.Int64
+	leaving   atomic.Bool
+	callers   *caller.Server
+	operators *operator.Server
+
+	context context.Context
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+}
+
+// Option changes a default of New.
+type Option func(*options)
+
+type options struct {
+	clock clockwork.Clock
+	log   log.Interface
+	store table.Store
+}
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(o *options) { o.clock = c } }
+
+// WithLog sets the log.
+func WithLog(l log.Interface) Option { return func(o *options) { o.log = l } }
+
+// WithStore sets the table store instead of a client made from the settings.
+func WithStore(s table.Store) Option { return func(o *options) { o.store = s } }
+
+// New starts an entry.
+func New(s *settings.Settings, opts ...Option) (*Entry, error) {
+	o := options{clock: clockwork.NewRealClock(), log: log.Log}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	c, err := container(s, o)
+	if err != nil {
+		return nil, fmt.Errorf("entry.New: %w", err)
+	}
+	var e *Entry
+	if err := c.Invoke(func(made *Entry) { e = made }); err != nil {
+		return nil, fmt.Errorf("entry.New: %w", dig.RootCause(err))
+	}
+	if err := e.listen(); err != nil {
+		return nil, errors.Join(fmt.Errorf("entry.New: %w", err), e.Close(context.Background()))
+	}
+	return e, nil
+}
+
+// handler lets the endpoint be made before the entry that serves its streams.
+type handler struct {
+	set   chan struct{}
+	serve func(context.Context, *peer.Stream)
+}
+
+func (h *handler) handle(ctx context.Context, s *peer.Stream) {
+	select {
+	case <-h.set:
+		h.serve(ctx, s)
+	case <-ctx.Done():
+	}
+}
+
+func container(s *settings.Settings, o options) (*dig.Container, error) {
+	c := dig.New()
+	constructors := []any{
+		func() *settings.Settings { return s },
+		func() clockwork.Clock { return o.clock },
+		func() log.Interface { return o.log.WithField("process", s.Process) },
+		func(clock clockwork.Clock) *timeline.Recorder {
+			return timeline.NewRecorder(s.Process, timeline.NewClock(clock))
+		},
+		metrics.NewSet,
+		func() *handler { return &handler{set: make(chan struct{})} },
+		func() (table.Store, error) {
+			if o.store != nil {
+				return o.store, nil
+			}
+			return table.New(
+				table.WithEndpoint(s.Table.Endpoint), table.WithRegion(s.Table.Region),
+				table.WithTableName(s.Table.Name), table.WithTimeout(s.Table.Timeout.Duration),
+				table.WithCredentials(s.Table.AccessKeyID, s.Table.SecretAccessKey))
+		},
+		func() (*peer.Credentials, error) {
+			return peer.LoadCredentials(s.Fleet.CAFile, s.Fleet.CertFile, s.Fleet.KeyFile)
+		},
+		func(credentials *peer.Credentials, h *handler, clock clockwork.Clock, l log.Interface) (*peer.Endpoint, error) {
+			return peer.New(peer.WithListen(s.Entry.PeerAddress), peer.WithCredentials(credentials),
+				peer.WithHandler(h.handle), peer.WithClock(clock), peer.WithLog(l))
+		},
+		func() *target.Pool { return target.New() },
+		start,
+	}
+	for _, constructor := range constructors {
+		if err := c.Provide(constructor); err != nil {
+			return nil, fmt.Errorf("entry.container: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func start(s *settings.Settings, clock clockwork.Clock, l log.Interface, events *timeline.Recorder, set *metrics.Set,
+	store table.Store, endpoint *peer.Endpoint, pool *target.Pool, h *handler) *Entry {
+	ctx, cancel := context.WithCancel(context.Background())
+	holder := ulid.Make().String()
+	e := &Entry{
+		settings: s, clock: clock, log: l.WithField("holder", holder), events: events, metrics: set,
+		store: store, endpoint: endpoint, pool: pool, retries: &target.RetryBudget{},
+		holder: holder, started: clock.Now(), drawn: newBroadcast(),
+		acks:    newAcknowledgements(),
+		context: ctx, cancel: cancel,
+	}
+	e.wallet = budget.New(holder, budget.WithHorizon(s.Entry.DrawHorizon.Duration), budget.WithHolders(e.liveHolders))
+	e.moves = newMoves()
+	e.agents = newAgents(e)
+	e.follower = configsync.New(store, configsync.WithClock(clock), configsync.WithLog(e.log),
+		configsync.WithInterval(s.Entry.ConfigInterval.Duration),
+		configsync.WithPeers(endpoint, e.peers),
+		configsync.WithOnChange(e.configured))
+	e.keys = newKeyCache(store, clock, e.keysNumber)
+	e.filters = []filter{authenticate{e}, identify{e}, reserve{e}, claimKey{e}, dispatch{e}}
+	e.registerMetrics()
+	h.serve = e.servePeer
+	close(h.set)
+	for _, work := range []func(){e.openJournal, e.drawLoop, e.acknowledgeLoop, e.takeUsageLoop, e.controlLoop} {
+		e.workers.Go(work)
+	}
+	return e
+}
+
+func (e *Entry) listen() error {
+	s := e.settings.Entry
+	var err error
+	e.callers, err = caller.New(e.serve, e.Ready,
+		caller.WithListen(s.CallerAddress),
+		caller.WithLimits(s.MaxBodyBytes, s.MaxHeaderBytes, s.ReadTimeout.Duration),
+		caller.WithWriteTimeout(s.RequestTimeout.Duration),
+		caller.WithMaxConnections(s.MaxRequests, 0),
+		caller.WithMetrics(e.metrics))
+	if err != nil {
+		return err
+	}
+	e.operators, err = operator.New(backend{e}, s.OperatorAddress)
+	if err != nil {
+		return err
+	}
+	e.log.WithField("callers", e.callers.Addr().String()).WithField("operators", e.operators.Addr().String()).
+		WithField("peers", e.endpoint.Addr().String()).Info("entry started")
+	return nil
+}
+
+// CallerAddr returns the address for callers.
+func (e *Entry) CallerAddr() netip.AddrPort { return e.callers.Addr() }
+
+// OperatorAddr returns the address for operators.
+func (e *Entry) OperatorAddr() netip.AddrPort { return e.operators.Addr() }
+
+// PeerAddr returns the address for the fleet's other processes.
+func (e *Entry) PeerAddr() netip.AddrPort { return e.endpoint.Addr() }
+
+// Holder identifies this start of the entry in grants and leases.
+func (e *Entry) Holder() string { return e.holder }
+
+// Ready reports why the entry should get no new requests, or nil.
+func (e *Entry) Ready() error {
+	switch {
+	case e.leaving.Load():
+		return &NotReadyError{Reason: "shutting down"}
+	case e.follower.Current() == nil:
+		return &NotReadyError{Reason: "no configuration"}
+	default:
+		return nil
+	}
+}
+
+// Close shuts the entry down gracefully: it reports not ready, waits for the
+// balancer to notice, finishes open requests, writes the bills and returns the
+// grants. The context bounds the time.
+func (e *Entry) Close(ctx context.Context) error {
+	first := !e.leaving.Swap(true)
+	if !first {
+		return nil
+	}
+	e.events.Record(timeline.Event{Kind: "entry_leaving"})
+	var errs []error
+	if e.callers != nil {
+		select {
+		case <-e.clock.After(e.settings.Entry.DrainDelay.Duration):
+		case <-ctx.Done():
+		}
+		errs = append(errs, e.callers.Close(ctx))
+	}
+	if e.operators != nil {
+		errs = append(errs, e.operators.Close(ctx))
+	}
+	if j := e.journal.Load(); j != nil {
+		for _, record := range e.wallet.ReturnAll() {
+			e.submit(j, record)
+		}
+		errs = append(errs, j.Close(ctx))
+	}
+	e.acknowledge(ctx)
+	e.cancel()
+	e.agents.close()
+	e.workers.Wait()
+	e.follower.Close()
+	errs = append(errs, e.endpoint.Close())
+	return errors.Join(errs...)
+}
+
+// configured is called with each new document, in order.
+func (e *Entry) configured(d *config.Document) {
+	e.pool.Update(d)
+	e.moves.update(d)
+	e.agents.update(d)
+	e.events.Record(timeline.Event{Kind: "config_applied", ConfigNumber: d.Number})
+	e.log.WithField("config_number", d.Number).Info("configuration applied")
+}
+
+func (e *Entry) keysNumber() uint64 {
+	if d := e.follower.Current(); d != nil {
+		return d.KeysNumber
+	}
+	return 0
+}
+
+// peers returns the peer addresses of the other entries and the agents.
+func (e *Entry) peers() []netip.AddrPort {
+	out := append([]netip.AddrPort(nil), e.settings.Entry.Entries...)
+	if d := e.follower.Current(); d != nil {
+		for _, t := range d.Targets {
+			out = append(out, t.Agent)
+		}
+	}
+	return out
+}
+
+// liveHolders is the number of entries that may draw on a budget.
+func (e *Entry) liveHolders() int { return 1 + len(e.settings.Entry.Entries) }
+
+func (e *Entry) registerMetrics() {
+	e.metrics.NewGauge("briarreach_entry_open_requests", func() float64 { return float64(e.open.Load()) })
+	e.metrics.NewGauge("briarreach_entry_config_number", func() float64 { return float64(e.follower.Number()) })
+	e.metrics.NewGauge("briarreach_entry_pending_records", func() float64 {
+		if j := e.journal.Load(); j != nil {
+			return float64(j.Pending())
+		}
+		return 0
+	})
+}
+
+func (e *Entry) observeAnswer(x *exchange, a *answer, outcome peer.Outcome, now time.Time) {
+	e.metrics.GetOrCreateCounter(`briarreach_entry_answers_total{outcome="` + string(outcome) + `"}`).Inc()
+	e.metrics.GetOrCreateHistogram(`briarreach_entry_first_byte_seconds`).Update(a.first.Sub(x.started).Seconds())
+	e.metrics.GetOrCreateHistogram(`briarreach_entry_request_seconds`).Update(now.Sub(x.started).Seconds())
+	e.events.Record(timeline.Event{Kind: "answer_" + string(outcome), Request: x.envelope.RequestID, Workspace: x.key.Workspace,
+		Target: a.t.target.Name, ConfigNumber: x.document.Number})
+	entry := e.log.WithField("request_id", x.envelope.RequestID).WithField("workspace", x.key.Workspace).
+		WithField("target", a.t.target.Name).WithField("config_number", x.document.Number).
+		WithField("outcome", string(outcome)).WithField("duration", now.Sub(x.started).String())
+	if outcome == peer.Complete {
+		entry.Debug("request answered")
+		return
+	}
+	entry.WithError(a.err).Warn("answer incomplete")
+}
+
+// statusOf returns the HTTP status of a reply that ends a request, for the
+// claim's record.
+func statusOf(a *answer) int {
+	if a.head.Status == 0 {
+		return http.StatusBadGateway
+	}
+	return a.head.Status
+}
--- /dev/null
+++ b/operator/api.go
@@ -0,0 +1,120 @@
+// Package operator serves the operators' HTTP API and is its client.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"briarreach/config"
+	"briarreach/peer"
+	"briarreach/timeline"
+)
+
+// Paths of the API.
+const (
+	ConfigPath   = "/operator/v1/config"
+	PatchPath    = "/operator/v1/config/patches"
+	HistoryPath  = "/operator/v1/config/history"
+	StatusPath   = "/operator/v1/status"
+	BudgetsPath  = "/operator/v1/budgets"
+	TimelinePath = "/operator/v1/timeline"
+)
+
+// Role is what an operator key allows.
+type Role string
+
+// Roles of operators. Write includes Read.
+const (
+	Read  Role = "read"
+	Write Role = "write"
+)
+
+// Accepted is the answer to a patch. Repeated is set when the patch had been
+// accepted before.
+type Accepted struct {
+	Number   uint64 `json:"number"`
+	PatchID  string `json:"patch_id"`
+	Repeated bool   `json:"repeated,omitempty"`
+}
+
+// Change is one number of the history.
+type Change struct {
+	Number uint64       `json:"number"`
+	Patch  config.Patch `json:"patch"`
+}
+
+// Daemon is the state of one entry or agent. Error is set when it did not
+// answer.
+type Daemon struct {
+	Process      string         `json:"process"`
+	Role         peer.Role      `json:"role"`
+	Address      netip.AddrPort `json:"address"`
+	ConfigNumber uint64         `json:"config_number"`
+	Error        string         `json:"error,omitempty"`
+}
+
+// Status says which daemons have the current number. Lacking names those that
+// have an older one or did not answer.
+type Status struct {
+	Number  uint64   `json:"number"`
+	InForce bool     `json:"in_force"`
+	Daemons []Daemon `json:"daemons"`
+	Lacking []string `json:"lacking"`
+}
+
+// Budget is the state of a budget, in budget tokens.
+type Budget struct {
+	Name        string `json:"name"`
+	Prepaid     int64  `json:"prepaid"`
+	Settled     int64  `json:"settled"`
+	Outstanding int64  `json:"outstanding"`
+	Available   int64  `json:"available"`
+}
+
+// Backend is what the API needs of the entry.
+type Backend interface {
+	Authorize(ctx context.Context, secret string) (Role, error)
+	Document() *config.Document
+	Patch(ctx context.Context, p config.Patch) (Accepted, error)
+	History(ctx context.Context, after uint64, limit int) ([]Change, error)
+	Status(ctx context.Context) Status
+	Budgets(ctx context.Context) ([]Budget, error)
+	Timeline(ctx context.Context, f timeline.Filter) []timeline.Event
+}
+
+// ErrorType names a kind of failure of the API.
+type ErrorType string
+
+// Types of errors that operators see.
+const (
+	Unauthorized ErrorType = "unauthorized"
+	Forbidden    ErrorType = "forbidden"
+	Malformed    ErrorType = "malformed"
+	Invalid      ErrorType = "invalid"
+	Conflict     ErrorType = "conflict"
+	NotFound     ErrorType = "not_found"
+	Unavailable  ErrorType = "unavailable"
+	Ambiguous    ErrorType = "ambiguous"
+	Internal     ErrorType = "internal"
+)
+
+// Error is a failure as the operator sees it. Details is the JSON form of a
+// config.ConflictError or config.InvalidError.
+type Error struct {
+	Status  int             `json:"-"`
+	Type    ErrorType       `json:"type"`
+	Message string          `json:"message"`
+	Details json.RawMessage `json:"details,omitempty"`
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s", e.Type, e.Message) }
+
+type errorBody struct {
+	Error *Error `json:"error"`
+}
+
+// RequestTimeout bounds one request of the API.
+const RequestTimeout = 10 * time.Second
