--- /dev/null
+++ b/table/client.go
@@ -0,0 +1,436 @@
+package table
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Limits that the service's API sets.
+const (
+	MaxTransactionBytes = 4 << 20 // all keys and values of a transaction
+	MaxPartitionBytes   = 2048
+	MaxSortBytes        = 1024
+	MaxIDBytes          = 36
+	maxBatchKeys        = 100
+)
+
+const (
+	// maxConnections bounds the client's connections to the service. One
+	// connection carries one request at a time.
+	maxConnections = 64
+	// maxTries bounds how often a transaction that collided with another one,
+	// or a read that returned only a part of the rows without progress, is
+	// sent again.
+	maxTries = 5
+)
+
+// Client is a Store in a table that is reached over the DynamoDB JSON API.
+type Client struct {
+	api       *dynamodb.Client
+	transport *http.Transport
+	table     string
+	timeout   time.Duration
+}
+
+var _ Store = (*Client)(nil)
+
+type options struct {
+	endpoint string
+	region   string
+	table    string
+	id       string
+	secret   string
+	timeout  time.Duration
+}
+
+// Option configures a Client.
+type Option func(*options)
+
+// WithEndpoint sets the base URL of the service. It is required.
+func WithEndpoint(url string) Option { return func(o *options) { o.endpoint = url } }
+
+// WithRegion sets the region that requests are signed for.
+func WithRegion(region string) Option { return func(o *options) { o.region = region } }
+
+// WithTableName sets the name of the table.
+func WithTableName(name string) Option { return func(o *options) { o.table = name } }
+
+// WithCredentials sets the access key that requests are signed with.
+func WithCredentials(id, secret string) Option {
+	return func(o *options) { o.id, o.secret = id, secret }
+}
+
+// WithTimeout bounds each HTTP request.
+func WithTimeout(d time.Duration) Option { return func(o *options) { o.timeout = d } }
+
+// New returns a client. It fails with *InvalidError when an option is missing
+// or out of range, and doesn't contact the service.
+func New(opts ...Option) (*Client, error) {
+	o := options{region: "local", table: "briarreach", id: "local", secret: "local", timeout: 2 * time.Second}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	switch {
+	case o.endpoint == "":
+		return nil, fmt.Errorf("table.New: %w", &InvalidError{Reason: "no endpoint"})
+	case o.table == "" || o.region == "" || o.id == "" || o.secret == "":
+		return nil, fmt.Errorf("table.New: %w", &InvalidError{Reason: "empty table name, region or credentials"})
+	case o.timeout <= 0:
+		return nil, fmt.Errorf("table.New: %w", &InvalidError{Reason: "time-out is not positive"})
+	}
+	dialer := &net.Dialer{Timeout: o.timeout, KeepAlive: 15 * time.Second}
+	httpClient := awshttp.NewBuildableClient().WithTransportOptions(func(t *http.Transport) {
+		t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: conn}, nil
+		}
+		t.Proxy = nil
+		t.MaxConnsPerHost = maxConnections
+		t.MaxIdleConns = maxConnections
+		t.MaxIdleConnsPerHost = maxConnections
+		t.IdleConnTimeout = 30 * time.Second
+		t.TLSHandshakeTimeout = o.timeout
+		t.ResponseHeaderTimeout = o.timeout
+		// HTTP/1.1 only: one silent HTTP/2 connection would hold up all
+		// requests, and a request's bytes could not be counted.
+		t.ForceAttemptHTTP2 = false
+		t.TLSNextProto = map[string]func(string, *tls.Conn) http.RoundTripper{}
+	}).Freeze()
+	c := &Client{table: o.table, timeout: o.timeout}
+	if h, ok := httpClient.(*http.Client); ok {
+		c.transport, _ = h.Transport.(*http.Transport)
+	}
+	c.api = dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String(o.endpoint),
+		Region:       o.region,
+		Credentials:  credentials.NewStaticCredentialsProvider(o.id, o.secret, ""),
+		HTTPClient:   httpClient,
+		Retryer:      aws.NopRetryer{},
+	})
+	return c, nil
+}
+
+// Close closes the idle connections. Calls in flight finish.
+func (c *Client) Close() error {
+	if c.transport != nil {
+		c.transport.CloseIdleConnections()
+	}
+	return nil
+}
+
+// Get reads rows. Each row is strongly consistent by itself; rows of one call
+// may be of different moments. It fails with *UnavailableError,
+// *ThrottledError or *InvalidError.
+func (c *Client) Get(ctx context.Context, keys ...Key) ([]Row, error) {
+	for _, k := range keys {
+		if err := k.validate(); err != nil {
+			return nil, fmt.Errorf("table.Client.Get: %w", err)
+		}
+	}
+	if len(keys) == 1 {
+		row, err := c.getOne(ctx, keys[0])
+		if err != nil {
+			return nil, fmt.Errorf("table.Client.Get: %w", err)
+		}
+		return []Row{row}, nil
+	}
+	found := make(map[Key]Row, len(keys))
+	var pending []Key // each key once: the service refuses repeated keys
+	for _, k := range keys {
+		if _, ok := found[k]; !ok {
+			found[k] = Row{Key: k}
+			pending = append(pending, k)
+		}
+	}
+	for len(pending) > 0 {
+		n := min(len(pending), maxBatchKeys)
+		if err := c.getBatch(ctx, pending[:n], found); err != nil {
+			return nil, fmt.Errorf("table.Client.Get: %w", err)
+		}
+		pending = pending[n:]
+	}
+	rows := make([]Row, len(keys))
+	for i, k := range keys {
+		rows[i] = found[k]
+	}
+	return rows, nil
+}
+
+func (c *Client) getOne(ctx context.Context, k Key) (Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	out, err := c.api.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName:      &c.table,
+		Key:            keyItem(k),
+		ConsistentRead: aws.Bool(true),
+	})
+	if err != nil {
+		return Row{}, readError(err)
+	}
+	if len(out.Item) == 0 {
+		return Row{Key: k}, nil
+	}
+	return rowOf(out.Item)
+}
+
+// getBatch reads up to maxBatchKeys keys into found, and asks again for the
+// keys that the service left out.
+func (c *Client) getBatch(ctx context.Context, keys []Key, found map[Key]Row) error {
+	pending := make([]map[string]types.AttributeValue, len(keys))
+	for i, k := range keys {
+		pending[i] = keyItem(k)
+	}
+	delays := newBackOff()
+	for tries := 0; ; {
+		out, err := c.batchRequest(ctx, pending)
+		if err != nil {
+			return readError(err)
+		}
+		for _, item := range out.Responses[c.table] {
+			row, err := rowOf(item)
+			if err != nil {
+				return err
+			}
+			found[row.Key] = row
+		}
+		left := out.UnprocessedKeys[c.table].Keys
+		if len(left) == 0 {
+			return nil
+		}
+		tries++
+		if len(left) < len(pending) {
+			tries = 0
+			delays.Reset()
+		}
+		if tries == maxTries {
+			return &ThrottledError{Err: &MalformedError{Reason: fmt.Sprintf("%d keys were not processed", len(left))}}
+		}
+		if tries > 0 {
+			if err := sleep(ctx, delays.NextBackOff()); err != nil {
+				return &UnavailableError{Err: err}
+			}
+		}
+		pending = left
+	}
+}
+
+func (c *Client) batchRequest(ctx context.Context, keys []map[string]types.AttributeValue) (*dynamodb.BatchGetItemOutput, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.api.BatchGetItem(ctx, &dynamodb.BatchGetItemInput{
+		RequestItems: map[string]types.KeysAndAttributes{
+			c.table: {Keys: keys, ConsistentRead: aws.Bool(true)},
+		},
+	})
+}
+
+// Query reads up to limit rows of a partition after a sort key, over as many
+// pages as needed. Each page is of its own moment. It fails with the errors of
+// Get.
+func (c *Client) Query(ctx context.Context, partition, after string, limit int) ([]Row, error) {
+	if err := validateQuery(partition, after, limit); err != nil {
+		return nil, fmt.Errorf("table.Client.Query: %w", err)
+	}
+	condition := "pk = :p"
+	values := map[string]types.AttributeValue{":p": &types.AttributeValueMemberS{Value: partition}}
+	if after != "" {
+		condition = "pk = :p AND sk > :s"
+		values[":s"] = &types.AttributeValueMemberS{Value: after}
+	}
+	var rows []Row
+	var start map[string]types.AttributeValue
+	for {
+		out, err := c.queryPage(ctx, &dynamodb.QueryInput{
+			TableName:                 &c.table,
+			ConsistentRead:            aws.Bool(true),
+			KeyConditionExpression:    &condition,
+			ExpressionAttributeValues: values,
+			ExclusiveStartKey:         start,
+			Limit:                     aws.Int32(int32(min(limit-len(rows), 1<<20))),
+		})
+		if err != nil {
+			return nil, fmt.Errorf("table.Client.Query: %w", readError(err))
+		}
+		for _, item := range out.Items {
+			row, err := rowOf(item)
+			if err != nil {
+				return nil, fmt.Errorf("table.Client.Query: %w", err)
+			}
+			rows = append(rows, row)
+		}
+		if len(out.LastEvaluatedKey) == 0 || len(rows) >= limit {
+			return rows, nil
+		}
+		start = out.LastEvaluatedKey
+	}
+}
+
+func (c *Client) queryPage(ctx context.Context, in *dynamodb.QueryInput) (*dynamodb.QueryOutput, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.api.Query(ctx, in)
+}
+
+// Commit applies a transaction. A transaction that the service cancelled
+// because it collided with another one in progress is sent again a few times;
+// if that doesn't help, the error is *ThrottledError. Nothing is sent again
+// after an ambiguous failure.
+func (c *Client) Commit(ctx context.Context, tx Transaction) error {
+	if err := tx.Validate(); err != nil {
+		return fmt.Errorf("table.Client.Commit: %w", err)
+	}
+	items, keys := c.items(tx)
+	if len(items) == 0 {
+		return nil
+	}
+	delays := newBackOff()
+	for tries := 1; ; tries++ {
+		err := c.commitOnce(ctx, tx.ID, items, keys)
+		var collision *collisionError
+		if !errors.As(err, &collision) {
+			if err != nil {
+				return fmt.Errorf("table.Client.Commit: %w", err)
+			}
+			return nil
+		}
+		if tries == maxTries || sleep(ctx, delays.NextBackOff()) != nil {
+			return fmt.Errorf("table.Client.Commit: %w", &ThrottledError{Err: collision})
+		}
+	}
+}
+
+func (c *Client) commitOnce(ctx context.Context, id string, items []types.TransactWriteItem, keys []Key) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	ctx, sent := traceWrites(ctx)
+	_, err := c.api.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{
+		TransactItems:      items,
+		ClientRequestToken: &id,
+	})
+	if err == nil {
+		return nil
+	}
+	return commitError(err, keys, sent.any())
+}
+
+// items returns the transaction in the form of the API and the key of each
+// item. A check that accepts every state is left out.
+func (c *Client) items(tx Transaction) ([]types.TransactWriteItem, []Key) {
+	items := make([]types.TransactWriteItem, 0, len(tx.Writes)+len(tx.Checks))
+	keys := make([]Key, 0, cap(items))
+	for _, w := range tx.Writes {
+		condition, values, next := condition(w.Expect)
+		keys = append(keys, w.Key)
+		if w.Value == nil {
+			items = append(items, types.TransactWriteItem{Delete: &types.Delete{
+				TableName:                 &c.table,
+				Key:                       keyItem(w.Key),
+				ConditionExpression:       condition,
+				ExpressionAttributeValues: values,
+			}})
+			continue
+		}
+		item := keyItem(w.Key)
+		item["ver"] = &types.AttributeValueMemberN{Value: strconv.FormatUint(next, 10)}
+		item["val"] = &types.AttributeValueMemberB{Value: w.Value}
+		items = append(items, types.TransactWriteItem{Put: &types.Put{
+			TableName:                 &c.table,
+			Item:                      item,
+			ConditionExpression:       condition,
+			ExpressionAttributeValues: values,
+		}})
+	}
+	for _, k := range tx.Checks {
+		condition, values, _ := condition(k.Expect)
+		if condition == nil {
+			continue
+		}
+		keys = append(keys, k.Key)
+		items = append(items, types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
+			TableName:                 &c.table,
+			Key:                       keyItem(k.Key),
+			ConditionExpression:       condition,
+			ExpressionAttributeValues: values,
+		}})
+	}
+	return items, keys
+}
+
+// condition returns the condition expression of an expectation, its values and
+// the version that a write gives the row.
+func condition(e Expect) (*string, map[string]types.AttributeValue, uint64) {
+	exact, ok := e.(Exactly)
+	switch {
+	case ok && exact.Version > 0:
+		return aws.String("ver = :v"), map[string]types.AttributeValue{
+			":v": &types.AttributeValueMemberN{Value: strconv.FormatUint(exact.Version, 10)},
+		}, exact.Version + 1
+	case e == Any{}:
+		return nil, nil, 1
+	default:
+		return aws.String("attribute_not_exists(pk)"), nil, 1
+	}
+}
+
+func keyItem(k Key) map[string]types.AttributeValue {
+	return map[string]types.AttributeValue{
+		"pk": &types.AttributeValueMemberS{Value: k.Partition},
+		"sk": &types.AttributeValueMemberS{Value: k.Sort},
+	}
+}
+
+// rowOf reads an item. A malformed item makes the service's answer unusable
+// and is reported as *UnavailableError.
+func rowOf(item map[string]types.AttributeValue) (Row, error) {
+	pk, ok1 := item["pk"].(*types.AttributeValueMemberS)
+	sk, ok2 := item["sk"].(*types.AttributeValueMemberS)
+	ver, ok3 := item["ver"].(*types.AttributeValueMemberN)
+	val, ok4 := item["val"].(*types.AttributeValueMemberB)
+	if !ok1 || !ok2 || !ok3 || !ok4 {
+		return Row{}, &UnavailableError{Err: &MalformedError{Reason: "an attribute of pk, sk, ver and val is missing or has another type"}}
+	}
+	version, err := strconv.ParseUint(ver.Value, 10, 64)
+	if err != nil || version == 0 {
+		return Row{}, &UnavailableError{Err: &MalformedError{Reason: fmt.Sprintf("ver is %q", ver.Value)}}
+	}
+	value := val.Value
+	if value == nil {
+		value = []byte{}
+	}
+	return Row{Key: Key{Partition: pk.Value, Sort: sk.Value}, Version: version, Value: value}, nil
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 10 * time.Millisecond
+	b.MaxInterval = 200 * time.Millisecond
+	b.RandomizationFactor = 0.5
+	return b
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/table/validate.go
@@ -0,0 +1,65 @@
+package table
+
+import "fmt"
+
+// Validate reports with *InvalidError what the service would refuse in the
+// transaction.
+func (tx Transaction) Validate() error {
+	if tx.ID == "" || len(tx.ID) > MaxIDBytes {
+		return &InvalidError{Reason: fmt.Sprintf("transaction id has %d bytes, accepted are 1 to %d", len(tx.ID), MaxIDBytes)}
+	}
+	items := len(tx.Writes) + len(tx.Checks)
+	if items == 0 || items > MaxItems {
+		return &InvalidError{Reason: fmt.Sprintf("transaction has %d items, accepted are 1 to %d", items, MaxItems)}
+	}
+	seen := make(map[Key]struct{}, items)
+	size := 0
+	item := func(k Key, e Expect) error {
+		if err := k.validate(); err != nil {
+			return err
+		}
+		if e == nil {
+			return &InvalidError{Reason: "no expectation for row " + k.String()}
+		}
+		if _, ok := seen[k]; ok {
+			return &InvalidError{Reason: "row " + k.String() + " is in the transaction twice"}
+		}
+		seen[k] = struct{}{}
+		size += len(k.Partition) + len(k.Sort)
+		return nil
+	}
+	for _, w := range tx.Writes {
+		if err := item(w.Key, w.Expect); err != nil {
+			return err
+		}
+		if len(w.Value) > MaxValueBytes {
+			return &InvalidError{Reason: fmt.Sprintf("value of row %s has %d bytes, accepted are %d", w.Key, len(w.Value), MaxValueBytes)}
+		}
+		size += len(w.Value)
+	}
+	for _, c := range tx.Checks {
+		if err := item(c.Key, c.Expect); err != nil {
+			return err
+		}
+	}
+	if size > MaxTransactionBytes {
+		return &InvalidError{Reason: fmt.Sprintf("transaction has %d bytes, accepted are %d", size, MaxTransactionBytes)}
+	}
+	return nil
+}
+
+func (k Key) validate() error {
+	if k.Partition == "" || len(k.Partition) > MaxPartitionBytes || k.Sort == "" || len(k.Sort) > MaxSortBytes {
+		return &InvalidError{Reason: fmt.Sprintf("key has a partition of %d and a sort key of %d bytes, accepted are 1 to %d and 1 to %d",
+			len(k.Partition), len(k.Sort), MaxPartitionBytes, MaxSortBytes)}
+	}
+	return nil
+}
+
+func validateQuery(partition, after string, limit int) error {
+	if partition == "" || len(partition) > MaxPartitionBytes || len(after) > MaxSortBytes || limit < 1 {
+		return &InvalidError{Reason: fmt.Sprintf("query of a partition of %d bytes after a sort key of %d bytes with limit %d",
+			len(partition), len(after), limit)}
+	}
+	return nil
+}
