--- /dev/null
+++ b/peer/authority.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// backdate allows for clocks of processes that run behind the issuer's.
+const backdate = 5 * time.Minute
+
+// authorityValidity is how long an authority's own certificate is valid.
+const authorityValidity = 10 * 365 * 24 * time.Hour
+
+// Authority is the fleet's certificate authority.
+type Authority struct {
+	clock       clockwork.Clock
+	certificate *x509.Certificate
+	key         crypto.Signer
+	pem         Issued
+}
+
+// Issued is a certificate with its key and the certificate of its authority,
+// in PEM.
+type Issued struct {
+	Authority   []byte
+	Certificate []byte
+	Key         []byte
+}
+
+// AuthorityOption configures an Authority.
+type AuthorityOption func(*Authority)
+
+// WithAuthorityClock sets the clock from which validity starts.
+func WithAuthorityClock(clock clockwork.Clock) AuthorityOption {
+	return func(a *Authority) { a.clock = clock }
+}
+
+// NewAuthority creates an authority with a new key.
+func NewAuthority(opts ...AuthorityOption) (*Authority, error) {
+	a := &Authority{clock: clockwork.NewRealClock()}
+	for _, opt := range opts {
+		opt(a)
+	}
+	issued, err := a.sign(&x509.Certificate{
+		Subject:               pkix.Name{CommonName: "briarreach fleet authority"},
+		KeyUsage:              x509.KeyUsageCertSign,
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		MaxPathLenZero:        true,
+	}, authorityValidity)
+	if err != nil {
+		return nil, fmt.Errorf("peer.NewAuthority: %w", err)
+	}
+	return ParseAuthority(issued.Certificate, issued.Key, opts...)
+}
+
+// ParseAuthority reads an authority's certificate and key from PEM.
+func ParseAuthority(cert, key []byte, opts ...AuthorityOption) (*Authority, error) {
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		return nil, fmt.Errorf("peer.ParseAuthority: %w", &CredentialsError{Reason: "certificate and key", Err: err})
+	}
+	signer, ok := pair.PrivateKey.(crypto.Signer)
+	if !ok || !pair.Leaf.IsCA {
+		return nil, fmt.Errorf("peer.ParseAuthority: %w", &CredentialsError{Reason: "not an authority"})
+	}
+	a := &Authority{
+		clock:       clockwork.NewRealClock(),
+		certificate: pair.Leaf,
+		key:         signer,
+		pem:         Issued{Authority: cert, Certificate: cert, Key: key},
+	}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a, nil
+}
+
+// PEM returns the authority's certificate and key.
+func (a *Authority) PEM() (cert, key []byte) { return a.pem.Certificate, a.pem.Key }
+
+// Issue creates a key and a certificate for a process that is reached at the
+// given addresses, valid from now.
+func (a *Authority) Issue(process string, role Role, ips []netip.Addr, validity time.Duration) (Issued, error) {
+	template := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: process, OrganizationalUnit: []string{string(role)}},
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	for _, ip := range ips {
+		template.IPAddresses = append(template.IPAddresses, net.IP(ip.Unmap().AsSlice()))
+	}
+	if _, _, err := identify(template); err != nil {
+		return Issued{}, fmt.Errorf("peer.Authority.Issue: %w", err)
+	}
+	issued, err := a.sign(template, validity)
+	if err != nil {
+		return Issued{}, fmt.Errorf("peer.Authority.Issue: %w", err)
+	}
+	return issued, nil
+}
+
+// sign creates a key and the certificate for it, signed by itself when the
+// authority has no key yet.
+func (a *Authority) sign(template *x509.Certificate, validity time.Duration) (Issued, error) {
+	fail := func(reason string, err error) (Issued, error) {
+		return Issued{}, &CredentialsError{Reason: reason, Err: err}
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return fail("generate a key", err)
+	}
+	now := a.clock.Now()
+	template.NotBefore, template.NotAfter = now.Add(-backdate), now.Add(validity)
+	if template.SerialNumber, err = rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127)); err != nil {
+		return fail("generate a serial number", err)
+	}
+	parent, signer := a.certificate, a.key
+	if signer == nil {
+		parent, signer = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
+	if err != nil {
+		return fail("create a certificate", err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return fail("encode a key", err)
+	}
+	return Issued{
+		Authority:   a.pem.Certificate,
+		Certificate: encodePEM("CERTIFICATE", der),
+		Key:         encodePEM("PRIVATE KEY", private),
+	}, nil
+}
+
+// Credentials returns the issued certificate as credentials in memory.
+func (i Issued) Credentials() (*Credentials, error) {
+	return NewCredentials(i.Authority, i.Certificate, i.Key)
+}
+
+// Write writes the files that LoadCredentials reads. Each file is replaced
+// whole; the key file is readable by its owner only.
+func (i Issued) Write(caFile, certFile, keyFile string) error {
+	for _, f := range []struct {
+		name    string
+		content []byte
+		mode    os.FileMode
+	}{{caFile, i.Authority, 0o644}, {keyFile, i.Key, 0o600}, {certFile, i.Certificate, 0o644}} {
+		if err := replace(f.name, f.content, f.mode); err != nil {
+			return fmt.Errorf("peer.Issued.Write: %w", &CredentialsError{Reason: "write", Err: err})
+		}
+	}
+	return nil
+}
+
+func replace(name string, content []byte, mode os.FileMode) error {
+	next := name + ".new"
+	if err := os.WriteFile(next, content, mode); err != nil {
+		return err
+	}
+	return os.Rename(next, name)
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,230 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxMessageBytes bounds the encoded form of a message. The largest message is
+// a Dispatch with a body of 4 MiB.
+const MaxMessageBytes = 8 << 20
+
+// maxElements bounds the elements of one list, since a decoded element can be
+// much larger than its encoded form. 8 MiB hold about 33,000 UnbilledUsage, the
+// smallest element of a long list.
+const maxElements = 1 << 16
+
+// maxPooledBytes is the largest encoding buffer kept for reuse.
+const maxPooledBytes = 64 << 10
+
+var encoder, decoder = func() (cbor.UserBufferEncMode, cbor.DecMode) {
+	enc, err := cbor.EncOptions{
+		Sort:          cbor.SortNone,
+		Time:          cbor.TimeRFC3339NanoUTC,
+		TagsMd:        cbor.TagsForbidden,
+		NilContainers: cbor.NilContainerAsNull,
+	}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	dec, err := cbor.DecOptions{
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxArrayElements:  maxElements,
+		MaxMapPairs:       maxElements,
+		MaxNestedLevels:   8,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+}()
+
+// outgoing and incoming are the array [kind, body].
+type outgoing struct {
+	_    struct{} `cbor:",toarray"`
+	Kind string
+	Body Message
+}
+
+type incoming struct {
+	_    struct{} `cbor:",toarray"`
+	Kind string
+	Body view
+}
+
+// view refers to the bytes of an item in the decoder's input. It is valid only
+// until the input is overwritten.
+type view []byte
+
+// UnmarshalCBOR keeps a reference to b instead of a copy.
+func (v *view) UnmarshalCBOR(b []byte) error {
+	*v = b
+	return nil
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+func release(b *bytes.Buffer) {
+	if b.Cap() <= maxPooledBytes {
+		b.Reset()
+		buffers.Put(b)
+	}
+}
+
+// Encode returns the encoded form of a message.
+func Encode(m Message) ([]byte, error) {
+	var b bytes.Buffer
+	if err := encode(&b, m); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+func encode(b *bytes.Buffer, m Message) error {
+	kind := Kind(m)
+	if kind == "" {
+		return &ProtocolError{Reason: fmt.Sprintf("%T has no kind", m)}
+	}
+	if err := encoder.MarshalToBuffer(&outgoing{Kind: kind, Body: m}, b); err != nil {
+		return &ProtocolError{Kind: kind, Reason: "cannot be encoded", Err: err}
+	}
+	if b.Len() > MaxMessageBytes {
+		return &ProtocolError{Kind: kind, Reason: fmt.Sprintf("%d bytes are more than %d", b.Len(), MaxMessageBytes)}
+	}
+	return nil
+}
+
+// Decode decodes the first message in data and returns the bytes after it. The
+// error is io.ErrUnexpectedEOF when data holds only a part of the message, and
+// a *ProtocolError otherwise. The message does not refer to data.
+func Decode(data []byte) (Message, []byte, error) {
+	var in incoming
+	rest, err := decoder.UnmarshalFirst(data, &in)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return nil, data, io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, nil, &ProtocolError{Reason: "malformed", Err: err}
+	}
+	if n := len(data) - len(rest); n > MaxMessageBytes {
+		return nil, nil, &ProtocolError{Reason: fmt.Sprintf("%d bytes are more than %d", n, MaxMessageBytes)}
+	}
+	decode, ok := kinds[in.Kind]
+	if !ok {
+		return nil, nil, &ProtocolError{Kind: in.Kind, Reason: "unknown kind"}
+	}
+	m, err := decode(in.Body)
+	if err != nil {
+		return nil, nil, &ProtocolError{Kind: in.Kind, Reason: "malformed body", Err: err}
+	}
+	return m, rest, nil
+}
+
+func decodeBody[T Message](body []byte) (Message, error) {
+	var m T
+	if err := decoder.Unmarshal(body, &m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// kinds has a decoder for each kind that Kind returns.
+var kinds = map[string]func([]byte) (Message, error){
+	"hello":           decodeBody[Hello],
+	"dispatch":        decodeBody[Dispatch],
+	"refusal":         decodeBody[Refusal],
+	"head":            decodeBody[Head],
+	"frame":           decodeBody[Frame],
+	"final":           decodeBody[Final],
+	"credit":          decodeBody[Credit],
+	"heartbeat":       decodeBody[Heartbeat],
+	"resume":          decodeBody[Resume],
+	"cancel":          decodeBody[Cancel],
+	"usage_ack":       decodeBody[UsageAck],
+	"take_usage":      decodeBody[TakeUsage],
+	"report_usage":    decodeBody[ReportUsage],
+	"fence_holder":    decodeBody[FenceHolder],
+	"fence_result":    decodeBody[FenceResult],
+	"resolve_attempt": decodeBody[ResolveAttempt],
+	"attempt_result":  decodeBody[AttemptResult],
+	"load":            decodeBody[Load],
+	"config_number":   decodeBody[ConfigNumber],
+	"fetch_config":    decodeBody[FetchConfig],
+	"config_document": decodeBody[ConfigDocument],
+	"recall":          decodeBody[Recall],
+	"recalled":        decodeBody[Recalled],
+	"fetch_events":    decodeBody[FetchEvents],
+	"events":          decodeBody[Events],
+	"status_request":  decodeBody[StatusRequest],
+	"status":          decodeBody[Status],
+}
+
+// Kind returns the name of a message's type on the wire, or "" for nil and for
+// pointers to messages.
+func Kind(m Message) string {
+	switch m.(type) {
+	case Hello:
+		return "hello"
+	case Dispatch:
+		return "dispatch"
+	case Refusal:
+		return "refusal"
+	case Head:
+		return "head"
+	case Frame:
+		return "frame"
+	case Final:
+		return "final"
+	case Credit:
+		return "credit"
+	case Heartbeat:
+		return "heartbeat"
+	case Resume:
+		return "resume"
+	case Cancel:
+		return "cancel"
+	case UsageAck:
+		return "usage_ack"
+	case TakeUsage:
+		return "take_usage"
+	case ReportUsage:
+		return "report_usage"
+	case FenceHolder:
+		return "fence_holder"
+	case FenceResult:
+		return "fence_result"
+	case ResolveAttempt:
+		return "resolve_attempt"
+	case AttemptResult:
+		return "attempt_result"
+	case Load:
+		return "load"
+	case ConfigNumber:
+		return "config_number"
+	case FetchConfig:
+		return "fetch_config"
+	case ConfigDocument:
+		return "config_document"
+	case Recall:
+		return "recall"
+	case Recalled:
+		return "recalled"
+	case FetchEvents:
+		return "fetch_events"
+	case Events:
+		return "events"
+	case StatusRequest:
+		return "status_request"
+	case Status:
+		return "status"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/peer/endpoint.go
@@ -0,0 +1,592 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	// maxStreams bounds the streams that the other process may have open on a
+	// connection. It is above the requests in flight of one entry.
+	maxStreams = 20_000
+
+	// A stream's receive window covers an answer's credit of 16 KiB many times,
+	// so that only the credit limits an answer, and lets a Dispatch of 4 MiB
+	// arrive in few round trips.
+	initialStreamWindow = 256 << 10
+	maxStreamWindow     = 1 << 20
+
+	// A connection's receive window is above the 48 MiB of credit that a process
+	// grants at most, so that streams whose readers are stalled leave room for
+	// the others.
+	connectionWindow = 64 << 20
+
+	// A connection on which nothing is received for silenceTimeout is closed. An
+	// idle connection receives a packet every keepAlive, so that two of them may
+	// be lost. silenceTimeout and one watchInterval stay below the 2 s in which
+	// a silent path must be found.
+	keepAlive      = 500 * time.Millisecond
+	silenceTimeout = 1500 * time.Millisecond
+	watchInterval  = 200 * time.Millisecond
+
+	// idleTimeout closes a connection that the watch has not closed, because
+	// this process itself was paused.
+	idleTimeout = 4 * time.Second
+
+	// unusedTimeout closes a dialled connection without streams, for example to a
+	// target that has left the configuration.
+	unusedTimeout = time.Minute
+
+	// maxConnections is above the entries and agents that one process talks to
+	// at the size of two years (330 entries).
+	maxConnections = 4096
+
+	// handshakeTimeout leaves room for one lost packet in each flight.
+	handshakeTimeout = 2 * time.Second
+
+	// writeTimeout bounds Send when the other process takes no data.
+	writeTimeout = 2 * time.Second
+
+	// lingerTimeout bounds how long an answered stream waits for the other
+	// process to end its direction.
+	lingerTimeout = 2 * time.Second
+)
+
+// Error codes of the application on connections and streams.
+const (
+	codeNone     = 0
+	codeClosed   = 1 // the endpoint is closed
+	codeSilent   = 2 // nothing was received
+	codeAborted  = 3 // the stream was aborted
+	codeProtocol = 4 // a message was malformed
+	codeRefused  = 5 // the stream was refused unread
+)
+
+// Handler serves one stream that another process opened. The stream ends when
+// the handler returns: what was sent is delivered, and the rest of what the
+// other process sends is discarded. ctx ends when the stream is aborted by
+// either side or its connection closes.
+type Handler func(ctx context.Context, s *Stream)
+
+// Endpoint dials and accepts connections on one UDP socket.
+type Endpoint struct {
+	listen      netip.AddrPort
+	credentials *Credentials
+	handler     func(context.Context, *Stream)
+	clock       clockwork.Clock
+	log         log.Interface
+
+	socket    *net.UDPConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	cancel    context.CancelFunc
+	ctx       context.Context
+	running   sync.WaitGroup
+
+	mu         sync.Mutex
+	closing    bool
+	generation uint64
+	dialled    map[netip.AddrPort]*connection
+	live       map[*connection]struct{}
+	streams    int           // open streams of all connections
+	idle       chan struct{} // closed when closing and streams is 0
+}
+
+// Option configures an Endpoint.
+type Option func(*Endpoint)
+
+// WithListen sets the local address. The default is any port of 127.0.0.1.
+func WithListen(a netip.AddrPort) Option { return func(e *Endpoint) { e.listen = a } }
+
+// WithCredentials sets the process's credentials, which are required.
+func WithCredentials(c *Credentials) Option { return func(e *Endpoint) { e.credentials = c } }
+
+// WithHandler accepts connections and serves each of their streams with h in a
+// goroutine of its own. Without it, the endpoint only dials.
+func WithHandler(h func(ctx context.Context, s *Stream)) Option {
+	return func(e *Endpoint) { e.handler = h }
+}
+
+// WithClock sets the clock of deadlines, of the watch for silent connections
+// and of the validity of certificates.
+func WithClock(c clockwork.Clock) Option { return func(e *Endpoint) { e.clock = c } }
+
+// WithLog sets where connections and their failures are logged.
+func WithLog(l log.Interface) Option { return func(e *Endpoint) { e.log = l } }
+
+// New opens the socket and starts to accept connections.
+func New(opts ...Option) (*Endpoint, error) {
+	e := &Endpoint{
+		listen:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0),
+		clock:   clockwork.NewRealClock(),
+		log:     &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
+		dialled: map[netip.AddrPort]*connection{},
+		live:    map[*connection]struct{}{},
+		idle:    make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	if e.credentials == nil {
+		return nil, fmt.Errorf("peer.New: %w", &CredentialsError{Reason: "none given"})
+	}
+	key, err := e.credentials.resetKey()
+	if err != nil {
+		return nil, fmt.Errorf("peer.New: %w", err)
+	}
+	if e.socket, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.listen)); err != nil {
+		return nil, fmt.Errorf("peer.New: %w", err)
+	}
+	e.transport = &quic.Transport{Conn: e.socket, StatelessResetKey: key}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	if e.handler != nil {
+		if e.listener, err = e.transport.Listen(e.credentials.server(e.clock.Now), config(maxStreams)); err != nil {
+			e.cancel()
+			return nil, fmt.Errorf("peer.New: %w", errors.Join(err, e.transport.Close(), e.socket.Close()))
+		}
+		e.running.Go(e.accept)
+	}
+	ticker := e.clock.NewTicker(watchInterval)
+	e.running.Go(func() {
+		defer ticker.Stop()
+		last := e.clock.Now()
+		for {
+			select {
+			case <-e.ctx.Done():
+				return
+			case <-ticker.Chan():
+				now := e.clock.Now()
+				e.watch(now, now.Sub(last) > 2*watchInterval)
+				last = now
+			}
+		}
+	})
+	return e, nil
+}
+
+// config returns the settings of a connection on which the other process may
+// open the given number of streams, or none if it is negative.
+func config(streams int64) *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIdleTimeout:                 idleTimeout,
+		KeepAlivePeriod:                keepAlive,
+		InitialStreamReceiveWindow:     initialStreamWindow,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
+		MaxConnectionReceiveWindow:     connectionWindow,
+		MaxIncomingStreams:             streams,
+		MaxIncomingUniStreams:          -1,
+		Allow0RTT:                      false,
+	}
+}
+
+// Addr returns the local address of the socket.
+func (e *Endpoint) Addr() netip.AddrPort { return addrPort(e.socket.LocalAddr()) }
+
+func addrPort(a net.Addr) netip.AddrPort {
+	if u, ok := a.(*net.UDPAddr); ok {
+		p := u.AddrPort()
+		return netip.AddrPortFrom(p.Addr().Unmap(), p.Port())
+	}
+	return netip.AddrPort{}
+}
+
+// Open opens a stream to the process at the address, on the connection that
+// exists or on a new one. The caller ends the stream with Abort. The error is
+// a *DialError.
+func (e *Endpoint) Open(ctx context.Context, address netip.AddrPort) (*Stream, error) {
+	for attempt := 0; ; attempt++ {
+		s, err := e.open(ctx, address)
+		if err == nil {
+			return s, nil
+		}
+		// A connection that closed before a stream was opened on it has carried
+		// nothing of the exchange, so one more dial is safe.
+		if attempt == 0 && ctx.Err() == nil && errors.As(err, new(*staleError)) {
+			continue
+		}
+		return nil, fmt.Errorf("peer.Endpoint.Open: %w", &DialError{Address: address, Err: err})
+	}
+}
+
+// staleError says that a connection closed between its choice and its use.
+type staleError struct{ err error }
+
+func (e *staleError) Error() string { return fmt.Sprintf("connection is closed: %v", e.err) }
+
+func (e *staleError) Unwrap() error { return e.err }
+
+func (e *Endpoint) open(ctx context.Context, address netip.AddrPort) (*Stream, error) {
+	c, err := e.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	qs, err := c.quic.OpenStreamSync(ctx)
+	if err != nil {
+		e.leave(c)
+		if c.quic.Context().Err() != nil {
+			e.Drop(address, c.generation)
+			return nil, &staleError{err: err}
+		}
+		return nil, err
+	}
+	return newStream(e, c, qs), nil
+}
+
+// connect returns a connection to the address on which the caller has joined.
+func (e *Endpoint) connect(ctx context.Context, address netip.AddrPort) (*connection, error) {
+	e.mu.Lock()
+	if e.closing {
+		e.mu.Unlock()
+		return nil, &ClosedError{}
+	}
+	c := e.dialled[address]
+	if c == nil || c.over() {
+		e.generation++
+		c = &connection{address: address, generation: e.generation, ready: make(chan struct{}), dialled: true}
+		e.dialled[address] = c
+		e.running.Go(func() { e.dial(c) })
+	}
+	c.streams++
+	e.streams++
+	e.mu.Unlock()
+	select {
+	case <-c.ready:
+		if c.err != nil {
+			e.leave(c)
+			return nil, c.err
+		}
+		return c, nil
+	case <-ctx.Done():
+		e.leave(c)
+		return nil, ctx.Err()
+	}
+}
+
+// dial is not bound to the context of the Open that caused it, since others
+// wait for the same connection.
+func (e *Endpoint) dial(c *connection) {
+	defer close(c.ready)
+	ctx, cancel := context.WithTimeout(e.ctx, 2*handshakeTimeout)
+	defer cancel()
+	tls := e.credentials.config(e.clock.Now)
+	tls.ServerName = c.address.Addr().Unmap().WithZone("").String()
+	conn, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(c.address), tls, config(-1))
+	if err == nil {
+		err = c.identify(conn)
+	}
+	if err != nil {
+		c.err = err
+		e.log.WithFields(log.Fields{"address": c.address.String()}).WithError(err).Warn("peer_dial_failed")
+		e.Drop(c.address, c.generation)
+		return
+	}
+	e.add(c)
+}
+
+func (e *Endpoint) accept() {
+	for {
+		conn, err := e.listener.Accept(e.ctx)
+		if err != nil {
+			return
+		}
+		c := &connection{address: addrPort(conn.RemoteAddr()), ready: make(chan struct{})}
+		close(c.ready)
+		if err := c.identify(conn); err != nil {
+			continue
+		}
+		e.mu.Lock()
+		e.generation++
+		c.generation = e.generation
+		e.mu.Unlock()
+		e.add(c)
+		e.running.Go(func() { e.serve(c) })
+	}
+}
+
+// serve runs the handler on each stream that the other process opens.
+func (e *Endpoint) serve(c *connection) {
+	for {
+		qs, err := c.quic.AcceptStream(e.ctx)
+		if err != nil {
+			return
+		}
+		if !e.join(c) {
+			qs.CancelRead(codeRefused)
+			qs.CancelWrite(codeRefused)
+			continue
+		}
+		s := newStream(e, c, qs)
+		e.running.Go(func() {
+			defer s.Abort()
+			e.handler(s.ctx, s)
+			s.linger()
+		})
+	}
+}
+
+// watch closes the connections on which nothing was received for
+// silenceTimeout. The close reaches the other process when only the direction
+// to this one is silent. After a pause of this process (late), what was
+// received during it has not been read yet, so every connection gets a new
+// start.
+func (e *Endpoint) watch(now time.Time, late bool) {
+	e.mu.Lock()
+	var silent, unused []*connection
+	for c := range e.live {
+		if c.dialled && c.streams == 0 && !c.dropped {
+			if c.unused.IsZero() {
+				c.unused = now
+			} else if now.Sub(c.unused) >= unusedTimeout {
+				c.drop(e)
+				unused = append(unused, c)
+				continue
+			}
+		} else {
+			c.unused = time.Time{}
+		}
+		if received := c.quic.ConnectionStats().PacketsReceived; received != c.received || late || c.heard.IsZero() {
+			c.received, c.heard = received, now
+		} else if now.Sub(c.heard) >= silenceTimeout {
+			silent = append(silent, c)
+		}
+	}
+	e.mu.Unlock()
+	for _, c := range unused {
+		c.close()
+	}
+	for _, c := range silent {
+		e.log.WithFields(c.fields()).Warn("peer_connection_silent")
+		_ = c.quic.CloseWithError(codeSilent, "nothing received")
+	}
+}
+
+// add registers an open connection until it closes.
+func (e *Endpoint) add(c *connection) {
+	e.mu.Lock()
+	refused := e.closing || len(e.live) >= maxConnections
+	if !refused {
+		e.live[c] = struct{}{}
+	}
+	e.mu.Unlock()
+	if refused {
+		_ = c.quic.CloseWithError(codeRefused, "closing or too many connections")
+		return
+	}
+	e.log.WithFields(c.fields()).Info("peer_connected")
+	context.AfterFunc(c.quic.Context(), func() {
+		e.mu.Lock()
+		delete(e.live, c)
+		if e.dialled[c.address] == c {
+			delete(e.dialled, c.address)
+		}
+		e.mu.Unlock()
+		e.log.WithFields(c.fields()).WithError(context.Cause(c.quic.Context())).Info("peer_disconnected")
+	})
+}
+
+// join counts a stream of the connection, unless the endpoint is closing.
+func (e *Endpoint) join(c *connection) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closing {
+		return false
+	}
+	c.streams++
+	e.streams++
+	return true
+}
+
+// leave ends what join or connect counted. A dropped connection is closed with
+// its last stream.
+func (e *Endpoint) leave(c *connection) {
+	e.mu.Lock()
+	c.streams--
+	e.streams--
+	last := c.dropped && c.streams == 0
+	if e.closing && e.streams == 0 {
+		close(e.idle)
+	}
+	e.mu.Unlock()
+	if last {
+		c.close()
+	}
+}
+
+// Drop makes the next Open to the address dial anew, if the connection that
+// Open uses now is the one of the given generation. Streams on the dropped
+// connection go on; it is closed with the last of them.
+func (e *Endpoint) Drop(address netip.AddrPort, generation uint64) {
+	e.mu.Lock()
+	c := e.dialled[address]
+	if c == nil || c.generation != generation {
+		e.mu.Unlock()
+		return
+	}
+	c.drop(e)
+	unused := c.streams == 0
+	e.mu.Unlock()
+	if unused {
+		c.close()
+	}
+}
+
+// Call sends one message on a new stream and returns the one message that
+// answers it. ctx bounds the exchange.
+func (e *Endpoint) Call(ctx context.Context, address netip.AddrPort, request Message) (Message, error) {
+	s, err := e.Open(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("peer.Endpoint.Call: %w", err)
+	}
+	defer s.Abort()
+	defer context.AfterFunc(ctx, s.Abort)()
+	var answer Message
+	if err = s.Send(request); err == nil {
+		answer, err = s.Receive()
+	}
+	switch {
+	case err == nil:
+		_ = s.CloseSend() // tells the other process that the answer has arrived
+		return answer, nil
+	case ctx.Err() != nil:
+		return nil, fmt.Errorf("peer.Endpoint.Call: %w", s.failed(ctx.Err()))
+	default:
+		return nil, fmt.Errorf("peer.Endpoint.Call: %w", err)
+	}
+}
+
+// Shutdown refuses new streams, waits until the open ones have ended or ctx is
+// done, and closes the endpoint.
+func (e *Endpoint) Shutdown(ctx context.Context) error {
+	e.mu.Lock()
+	e.beginClose()
+	e.mu.Unlock()
+	select {
+	case <-e.idle:
+	case <-ctx.Done():
+	}
+	return e.Close()
+}
+
+func (e *Endpoint) beginClose() {
+	if !e.closing {
+		e.closing = true
+		if e.streams == 0 {
+			close(e.idle)
+		}
+	}
+}
+
+// Close closes all connections at once and waits for the handlers to return.
+func (e *Endpoint) Close() error {
+	e.mu.Lock()
+	e.beginClose()
+	live := make([]*connection, 0, len(e.live))
+	for c := range e.live {
+		live = append(live, c)
+	}
+	e.mu.Unlock()
+	e.cancel()
+	for _, c := range live {
+		_ = c.quic.CloseWithError(codeClosed, "closed")
+	}
+	var err error
+	if e.listener != nil {
+		err = e.listener.Close()
+	}
+	e.running.Wait()
+	err = errors.Join(err, e.transport.Close())
+	if closed := e.socket.Close(); !errors.Is(closed, net.ErrClosed) {
+		err = errors.Join(err, closed)
+	}
+	if err != nil {
+		return fmt.Errorf("peer.Endpoint.Close: %w", err)
+	}
+	return nil
+}
+
+// connection is one QUIC connection. The endpoint's mutex guards what changes
+// after ready is closed.
+type connection struct {
+	address    netip.AddrPort
+	generation uint64
+	dialled    bool
+
+	ready   chan struct{} // closed when quic or err is set
+	err     error
+	quic    *quic.Conn
+	process string
+	role    Role
+
+	streams  int
+	dropped  bool
+	received uint64    // packets at the last watch
+	heard    time.Time // when received grew last
+	unused   time.Time // since when a dialled connection has had no stream
+}
+
+// identify takes over an open connection, or closes it when its certificate
+// does not state a process.
+func (c *connection) identify(conn *quic.Conn) error {
+	var err error
+	certs := conn.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		err = &CredentialsError{Reason: "no certificate"}
+	} else {
+		c.process, c.role, err = identify(certs[0])
+	}
+	if err != nil {
+		_ = conn.CloseWithError(codeRefused, "certificate")
+		return err
+	}
+	c.quic = conn
+	return nil
+}
+
+// drop keeps Open from using the connection again. The caller holds the
+// endpoint's mutex.
+func (c *connection) drop(e *Endpoint) {
+	c.dropped = true
+	if e.dialled[c.address] == c {
+		delete(e.dialled, c.address)
+	}
+}
+
+// over reports whether the connection has failed or closed.
+func (c *connection) over() bool {
+	select {
+	case <-c.ready:
+		return c.err != nil || c.quic.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+// close closes the connection if it was ever open.
+func (c *connection) close() {
+	select {
+	case <-c.ready:
+		if c.quic != nil {
+			_ = c.quic.CloseWithError(codeNone, "unused")
+		}
+	default:
+	}
+}
+
+func (c *connection) fields() log.Fields {
+	return log.Fields{
+		"address": c.address.String(), "process": c.process, "role": string(c.role),
+		"generation": c.generation, "dialled": c.dialled,
+	}
+}
--- /dev/null
+++ b/stream/limiter.go
@@ -0,0 +1,45 @@
+package stream
+
+import "sync/atomic"
+
+// Limiter bounds the bytes that all streams of a process hold together. It is
+// safe for concurrent use.
+type Limiter struct {
+	max  int64
+	used atomic.Int64
+}
+
+// NewLimiter returns a limiter of max bytes.
+func NewLimiter(limit int64) *Limiter { return &Limiter{max: limit} }
+
+// Acquire takes n bytes, or none with a *FullError.
+func (l *Limiter) Acquire(n int64) error {
+	if l.AcquireUpTo(n, n) < n {
+		return &FullError{Wanted: n, Used: l.used.Load(), Max: l.max}
+	}
+	return nil
+}
+
+// AcquireUpTo takes as many bytes as there are, at most n, and none if there
+// are fewer than least.
+func (l *Limiter) AcquireUpTo(n, least int64) int64 {
+	for {
+		used := l.used.Load()
+		got := min(n, l.max-used)
+		if got <= 0 || got < least {
+			return 0
+		}
+		if l.used.CompareAndSwap(used, used+got) {
+			return got
+		}
+	}
+}
+
+// Release gives back n bytes.
+func (l *Limiter) Release(n int64) { l.used.Add(-n) }
+
+// Used returns the bytes taken.
+func (l *Limiter) Used() int64 { return l.used.Load() }
+
+// Max returns the bound.
+func (l *Limiter) Max() int64 { return l.max }
