--- /dev/null
+++ b/config/apply.go
@@ -0,0 +1,400 @@
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"briarreach/ledger"
+)
+
+// Effects are the changes outside the document that a patch makes in the same
+// transaction.
+type Effects struct {
+	Records []ledger.Record // in the order of the operations
+	Keys    []KeyChange
+}
+
+// KeyChange writes the row of a key, or deletes it if Row is nil.
+type KeyChange struct {
+	Hash string
+	Row  *KeyRow
+}
+
+// New returns the empty document with number 0. It panics if shards is below 1.
+func New(shards int) *Document {
+	d := &Document{Shards: shards}
+	d.fill()
+	if err := d.Validate(); err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// fill replaces absent maps.
+func (d *Document) fill() {
+	if d.Workspaces == nil {
+		d.Workspaces = map[string]Workspace{}
+	}
+	if d.Models == nil {
+		d.Models = map[string]Model{}
+	}
+	if d.Services == nil {
+		d.Services = map[string]Service{}
+	}
+	if d.Targets == nil {
+		d.Targets = map[string]Target{}
+	}
+	if d.Moves == nil {
+		d.Moves = map[string]Move{}
+	}
+}
+
+// clone copies the maps; their values are never changed in place.
+func (d *Document) clone() *Document {
+	next := *d
+	next.Workspaces = maps.Clone(d.Workspaces)
+	next.Models = maps.Clone(d.Models)
+	next.Services = maps.Clone(d.Services)
+	next.Targets = maps.Clone(d.Targets)
+	next.Moves = maps.Clone(d.Moves)
+	next.fill()
+	return &next
+}
+
+// Apply returns the document that the patch produces, with the next number. d
+// is not changed. now is the accepting entry's time. It fails with
+// *ConflictError, whose Since the caller fills, or *InvalidError.
+//
+// Operations apply in their order. The rules of the document are checked on
+// the result only, so that one patch may replace the last target of a version.
+func (d *Document) Apply(p Patch, now time.Time) (*Document, Effects, error) {
+	if err := p.Validate(); err != nil {
+		return nil, Effects{}, fmt.Errorf("config.Apply: %w", err)
+	}
+	if p.Base != d.Number {
+		return nil, Effects{}, fmt.Errorf("config.Apply: %w", &ConflictError{Base: p.Base, Current: d.Number})
+	}
+	next, effects, err := d.applyAll(p, p.Operations, now)
+	if err != nil {
+		return nil, Effects{}, fmt.Errorf("config.Apply: %w", err)
+	}
+	if err := d.checkResult(next); err != nil {
+		return nil, Effects{}, fmt.Errorf("config.Apply: %w", d.blame(p, err, now))
+	}
+	return next, effects, nil
+}
+
+// checkResult checks the resulting document, and that no version that had
+// traffic has lost its last target.
+func (d *Document) checkResult(next *Document) error {
+	return first(d.checkLastTargets(next), next.Validate())
+}
+
+// checkLastTargets compares with the earlier document because a new model may
+// be without targets, but one that is in use may not become so.
+func (d *Document) checkLastTargets(next *Document) error {
+	for _, subject := range slices.Sorted(maps.Keys(next.subjects())) {
+		before, _ := d.CurrentVersion(subject)
+		after, _ := next.CurrentVersion(subject)
+		if d.Serving(subject, before) == 0 || next.Serving(subject, after) > 0 {
+			continue
+		}
+		if before != after {
+			return fault("subjects."+subject, VersionWithoutTarget, "no target that is not draining has version %q of %q", after, subject)
+		}
+		return fault("subjects."+subject, LastTarget, "version %q of %q gets traffic and would have no target", after, subject)
+	}
+	for _, name := range slices.Sorted(maps.Keys(next.Moves)) {
+		m := next.Moves[name]
+		if _, existed := d.Moves[name]; !existed || m.State != MoveRunning {
+			continue
+		}
+		if next.Serving(m.Subject, m.To) == 0 {
+			return fault("moves."+name, LastTarget, "move %q is running and version %q of %q would have no target; cancel the move first", name, m.To, m.Subject)
+		}
+	}
+	return nil
+}
+
+func (d *Document) subjects() map[string]struct{} {
+	names := make(map[string]struct{}, len(d.Models)+len(d.Services))
+	for name := range d.Models {
+		names[name] = struct{}{}
+	}
+	for name := range d.Services {
+		names[name] = struct{}{}
+	}
+	return names
+}
+
+// blame finds the operation from which on the fault is present, by applying
+// the patch one operation at a time.
+func (d *Document) blame(p Patch, cause error, now time.Time) error {
+	var invalid *InvalidError
+	if !errors.As(cause, &invalid) {
+		return cause
+	}
+	blamed := *invalid
+	for i := len(p.Operations); i > 0; i-- {
+		next, _, err := d.applyAll(p, p.Operations[:i], now)
+		var found *InvalidError
+		if err != nil || !errors.As(d.checkResult(next), &found) || found.Path != invalid.Path {
+			break
+		}
+		blamed.Operation = i - 1
+	}
+	return &blamed
+}
+
+// change is a patch in progress.
+type change struct {
+	*Document
+	patch   Patch
+	now     time.Time
+	index   int
+	effects Effects
+	put     map[string]int // operation that wrote a name, by kind and name
+}
+
+func (d *Document) applyAll(p Patch, operations []Operation, now time.Time) (*Document, Effects, error) {
+	c := &change{Document: d.clone(), patch: p, now: now.UTC(), put: map[string]int{}}
+	c.Number++
+	for i, op := range operations {
+		c.index = i
+		if err := c.apply(op); err != nil {
+			var invalid *InvalidError
+			if errors.As(err, &invalid) {
+				invalid.Operation = i
+			}
+			return nil, Effects{}, err
+		}
+	}
+	return c.Document, c.effects, nil
+}
+
+func (c *change) apply(op Operation) error {
+	switch op := op.(type) {
+	case PutWorkspace:
+		if err := first(op.Validate(), c.once("workspace", op.Workspace.Name, "workspace.name")); err != nil {
+			return err
+		}
+		c.Workspaces[op.Workspace.Name] = op.Workspace
+	case RemoveWorkspace:
+		if err := first(op.Validate(), known("name", "workspace", op.Name, c.Workspaces)); err != nil {
+			return err
+		}
+		delete(c.Workspaces, op.Name)
+	case OpenBudget:
+		if err := first(op.Validate(), known("workspace", "workspace", op.Workspace, c.Workspaces), c.once("budget", op.Budget, "budget")); err != nil {
+			return err
+		}
+		c.effects.Records = append(c.effects.Records, ledger.OpenBudget{Budget: op.Budget, Prepaid: op.Prepaid, PatchID: c.recordID()})
+	case TopUp:
+		if err := op.Validate(); err != nil {
+			return err
+		}
+		c.effects.Records = append(c.effects.Records, ledger.TopUp{Budget: op.Budget, Amount: op.Amount, PatchID: c.recordID()})
+	case PutKey:
+		if err := first(op.Validate(), c.once("key", op.Hash, "hash")); err != nil {
+			return err
+		}
+		if op.Operator == "" {
+			if err := known("workspace", "workspace", op.Workspace, c.Workspaces); err != nil {
+				return err
+			}
+		}
+		c.changeKey(op.Hash, &KeyRow{Workspace: op.Workspace, Budget: op.Budget, Operator: op.Operator, Number: c.Number})
+	case RevokeKey:
+		if err := first(op.Validate(), c.once("key", op.Hash, "hash")); err != nil {
+			return err
+		}
+		c.changeKey(op.Hash, nil)
+	case PutModel:
+		op.Defaults()
+		if err := first(op.Validate(), c.once("subject", op.Model.Name, "model.name")); err != nil {
+			return err
+		}
+		c.Models[op.Model.Name] = op.Model
+	case PutService:
+		op.Defaults()
+		if err := first(op.Validate(), c.once("subject", op.Service.Name, "service.name")); err != nil {
+			return err
+		}
+		c.Services[op.Service.Name] = op.Service
+	case PutTarget:
+		op.Defaults()
+		if err := first(op.Validate(), c.once("target", op.Target.Name, "target.name")); err != nil {
+			return err
+		}
+		// A registration must not end a drain that another operator started.
+		op.Target.Draining = op.Target.Draining || c.Targets[op.Target.Name].Draining
+		c.Targets[op.Target.Name] = op.Target
+	case RemoveTarget:
+		if err := first(op.Validate(), known("name", "target", op.Name, c.Targets)); err != nil {
+			return err
+		}
+		delete(c.Targets, op.Name)
+	case DrainTarget:
+		return first(op.Validate(), c.setDraining(op.Name, true))
+	case UndrainTarget:
+		return first(op.Validate(), c.setDraining(op.Name, false))
+	case StartMove, ChangeDeadline, CancelMove, SetShare, FinishMove, RollBackMove:
+		return c.applyMove(op)
+	default:
+		return fault("op", BadValue, "unknown operation %T", op)
+	}
+	return nil
+}
+
+func (c *change) applyMove(op Operation) error {
+	switch op := op.(type) {
+	case StartMove:
+		if err := op.Validate(); err != nil {
+			return err
+		}
+		if old, ok := c.Moves[op.Move]; ok {
+			return fault("move", DuplicateName, "move %q exists and is %s", op.Move, old.State)
+		}
+		if !op.Deadline.After(c.now) {
+			return fault("deadline", DeadlinePast, "%s is not in the future", op.Deadline.Format(time.RFC3339))
+		}
+		c.forgetMoves()
+		c.Moves[op.Move] = Move{
+			Name: op.Move, Subject: op.Subject, From: op.From, To: op.To,
+			Started: c.now, Deadline: op.Deadline.UTC(), State: MoveRunning,
+		}
+	case ChangeDeadline:
+		m, err := c.runningMove(op, op.Move)
+		if err != nil {
+			return err
+		}
+		if !op.Deadline.After(c.now) {
+			return fault("deadline", DeadlinePast, "%s is not in the future", op.Deadline.Format(time.RFC3339))
+		}
+		m.Deadline = op.Deadline.UTC()
+		c.Moves[m.Name] = m
+	case CancelMove:
+		m, err := c.runningMove(op, op.Move)
+		if err != nil {
+			return err
+		}
+		c.endMove(m, MoveCancelled, 0, m.Evidence)
+	case SetShare:
+		m, err := c.runningMove(op, op.Move)
+		if err != nil {
+			return err
+		}
+		m.Share, m.Evidence = op.Share, op.Evidence
+		c.Moves[m.Name] = m
+	case FinishMove:
+		m, err := c.runningMove(op, op.Move)
+		if err != nil {
+			return err
+		}
+		c.setVersion(m.Subject, m.To)
+		c.endMove(m, MoveDone, FullShare, op.Evidence)
+	case RollBackMove:
+		m, err := c.runningMove(op, op.Move)
+		if err != nil {
+			return err
+		}
+		c.endMove(m, MoveRolledBack, 0, op.Evidence)
+	}
+	return nil
+}
+
+func (c *change) runningMove(op interface{ Validate() error }, name string) (Move, error) {
+	if err := first(op.Validate(), known("move", "move", name, c.Moves)); err != nil {
+		return Move{}, err
+	}
+	m := c.Moves[name]
+	if m.State != MoveRunning {
+		return Move{}, fault("move", MoveEnded, "move %q ended at %s and is %s", name, m.Ended.Format(time.RFC3339), m.State)
+	}
+	return m, nil
+}
+
+func (c *change) endMove(m Move, state MoveState, share int64, evidence string) {
+	m.State, m.Share, m.Evidence, m.Ended = state, share, evidence, c.now
+	c.Moves[m.Name] = m
+}
+
+func (c *change) setVersion(subject, version string) {
+	if m, ok := c.Models[subject]; ok {
+		m.Version = version
+		c.Models[subject] = m
+	}
+	if s, ok := c.Services[subject]; ok {
+		s.Version = version
+		c.Services[subject] = s
+	}
+}
+
+// forgetMoves removes the ended moves beyond the newest MaxEndedMoves.
+func (c *change) forgetMoves() {
+	var ended []Move
+	for _, m := range c.Moves {
+		if m.State != MoveRunning {
+			ended = append(ended, m)
+		}
+	}
+	if len(ended) < MaxEndedMoves {
+		return
+	}
+	slices.SortFunc(ended, func(a, b Move) int {
+		return cmp.Or(b.Ended.Compare(a.Ended), cmp.Compare(a.Name, b.Name))
+	})
+	for _, m := range ended[MaxEndedMoves-1:] {
+		delete(c.Moves, m.Name)
+	}
+}
+
+func (c *change) setDraining(name string, draining bool) error {
+	if err := known("name", "target", name, c.Targets); err != nil {
+		return err
+	}
+	t := c.Targets[name]
+	t.Draining = draining
+	c.Targets[name] = t
+	return nil
+}
+
+func (c *change) changeKey(hash string, row *KeyRow) {
+	c.effects.Keys = append(c.effects.Keys, KeyChange{Hash: hash, Row: row})
+	c.KeysNumber = c.Number
+}
+
+// recordID identifies the ledger record of one operation, since a patch may
+// top up a budget twice.
+func (c *change) recordID() string { return fmt.Sprintf("%s/%d", c.patch.ID, c.index) }
+
+// once refuses a second write of a name in one patch.
+func (c *change) once(kind, name, path string) error {
+	key := kind + "/" + name
+	if i, ok := c.put[key]; ok {
+		return fault(path, DuplicateName, "operations[%d] writes the same %s", i, kind)
+	}
+	c.put[key] = c.index
+	return nil
+}
+
+func known[T any](path, kind, name string, values map[string]T) error {
+	if _, ok := values[name]; !ok {
+		return fault(path, UnknownName, "there is no %s %q", kind, name)
+	}
+	return nil
+}
+
+// ByController reports whether only the controller of moves may write the
+// operation.
+func ByController(op Operation) bool {
+	switch op.(type) {
+	case SetShare, FinishMove, RollBackMove:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/config/errors.go
@@ -0,0 +1,89 @@
+package config
+
+import "fmt"
+
+// Reason says why a patch is invalid, for programs.
+type Reason string
+
+// Reasons of an InvalidError.
+const (
+	BadValue             Reason = "bad_value"
+	BadName              Reason = "bad_name"
+	DuplicateName        Reason = "duplicate_name"
+	UnknownName          Reason = "unknown_name"
+	NegativeAmount       Reason = "negative_amount"
+	DeadlinePast         Reason = "deadline_past"
+	MoveEnded            Reason = "move_ended"
+	MoveRunningReason    Reason = "move_running"
+	OverlappingMove      Reason = "overlapping_move"
+	VersionWithoutTarget Reason = "version_without_target"
+	LastTarget           Reason = "last_target"
+	TooLarge             Reason = "too_large"
+)
+
+// InvalidError reports a patch that can't be accepted. Operation is the index
+// of the operation that causes the fault, or -1 if the fault is in the patch
+// as a whole. Path names the field, for example "target.agent".
+type InvalidError struct {
+	Operation int    `json:"operation"`
+	Path      string `json:"path"`
+	Reason    Reason `json:"reason"`
+	Detail    string `json:"detail"`
+}
+
+func (e *InvalidError) Error() string {
+	where := e.Path
+	if e.Operation >= 0 {
+		where = fmt.Sprintf("operations[%d].%s", e.Operation, e.Path)
+	}
+	return fmt.Sprintf("invalid patch: %s: %s (%s)", where, e.Detail, e.Reason)
+}
+
+// ConflictError reports a patch that was made against a number that is not the
+// current one. Since holds the patches accepted after Base, as far as they are
+// still stored.
+type ConflictError struct {
+	Base    uint64  `json:"base"`
+	Current uint64  `json:"current"`
+	Since   []Patch `json:"since"`
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("patch is made against number %d, the current number is %d", e.Base, e.Current)
+}
+
+// DecodeError reports malformed JSON, an unknown field or an unknown
+// operation. Path is the position in the input, for example
+// "operations[2].target.agent".
+type DecodeError struct {
+	Path   string
+	Reason string
+}
+
+func (e *DecodeError) Error() string {
+	if e.Path == "" {
+		return "malformed configuration: " + e.Reason
+	}
+	return fmt.Sprintf("malformed configuration: %s: %s", e.Path, e.Reason)
+}
+
+// SizeError reports a document, patch or row above its size bound.
+type SizeError struct {
+	What  string
+	Limit int
+}
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("%s is larger than %d bytes", e.What, e.Limit)
+}
+
+// ReusedIDError reports a patch id that was accepted before with other
+// operations.
+type ReusedIDError struct {
+	ID     string
+	Number uint64 // number that the first patch produced
+}
+
+func (e *ReusedIDError) Error() string {
+	return fmt.Sprintf("patch id %s was used for other operations, which produced number %d", e.ID, e.Number)
+}
