--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,221 @@
+// Package engine is the client of a model engine: OpenAI chat completions over
+// HTTP with server-sent events, and orders.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"briarreach/roundtrip"
+)
+
+// The errors of an exchange. See package roundtrip.
+type (
+	NotSentError   = roundtrip.NotSentError
+	AmbiguousError = roundtrip.AmbiguousError
+	StatusError    = roundtrip.StatusError
+	URLError       = roundtrip.URLError
+)
+
+// BodyError reports a request body that is not a JSON object. Nothing was
+// sent.
+type BodyError struct{ Err error }
+
+func (e *BodyError) Error() string { return fmt.Sprintf("request body: %v", e.Err) }
+
+func (e *BodyError) Unwrap() error { return e.Err }
+
+// Request is a chat completions request. Body is its JSON object; the client
+// sets stream and stream_options.include_usage. A Priority other than 0 is
+// sent as the field "priority" with the opposite sign, since engines that have
+// the field (vLLM) run lower values first.
+type Request struct {
+	Body      []byte
+	Priority  int
+	RequestID string
+}
+
+// Order tells an engine to load a version or to change its role.
+type Order struct {
+	Kind          string `json:"kind"`
+	Version       string `json:"version"`
+	FencingNumber uint64 `json:"fencing_number"`
+}
+
+// FencedError reports that the engine refused an order because it has seen a
+// higher fencing number.
+type FencedError struct{ FencingNumber uint64 }
+
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("order with fencing number %d refused: the engine has seen a higher one", e.FencingNumber)
+}
+
+// Client is safe for concurrent use. It holds no connections between requests.
+type Client struct {
+	endpoint *roundtrip.Endpoint
+	options  options
+}
+
+type options struct {
+	limits   roundtrip.Limits
+	silence  time.Duration
+	maxEvent int
+}
+
+// Option changes a client.
+type Option func(*options)
+
+// WithConnectTimeout bounds the time to connect. The default is 1 s.
+func WithConnectTimeout(d time.Duration) Option { return func(o *options) { o.limits.Connect = d } }
+
+// WithHeaderTimeout bounds the time until the engine's response starts, which
+// includes the time that the request waits in the engine. The default is 30 s.
+func WithHeaderTimeout(d time.Duration) Option { return func(o *options) { o.limits.Header = d } }
+
+// WithSilenceTimeout bounds the time that one call of Next waits for the
+// engine. The default is 30 s.
+func WithSilenceTimeout(d time.Duration) Option { return func(o *options) { o.silence = d } }
+
+// WithMaxEventSize bounds one server-sent event, in bytes. The default is
+// 256 KiB.
+func WithMaxEventSize(n int) Option { return func(o *options) { o.maxEvent = n } }
+
+// WithReceiveBuffer sets the socket's receive buffer in bytes, which bounds how
+// far the engine runs ahead of Next. The default is 8 KiB; Linux doubles it for
+// its own bookkeeping.
+func WithReceiveBuffer(n int) Option { return func(o *options) { o.limits.ReceiveBuffer = n } }
+
+// New returns a client of the engine at the URL (http://address:port[/path]).
+func New(url string, opts ...Option) (*Client, error) {
+	o := options{
+		limits: roundtrip.Limits{
+			Connect:       time.Second,
+			Write:         5 * time.Second,
+			Header:        30 * time.Second,
+			BufferSize:    4 << 10,
+			ReceiveBuffer: 8 << 10,
+		},
+		silence:  30 * time.Second,
+		maxEvent: 256 << 10,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	endpoint, err := roundtrip.New(url, o.limits)
+	if err != nil {
+		return nil, fmt.Errorf("engine.New: %w", err)
+	}
+	return &Client{endpoint: endpoint, options: o}, nil
+}
+
+// maxErrorBody bounds what is kept of the body of an error response.
+const maxErrorBody = 16 << 10
+
+// Stream sends the request and returns its response when the engine has
+// accepted it. Errors: *BodyError, *NotSentError, *AmbiguousError, and
+// *StatusError for any status but 200. Cancelling ctx cancels the engine's
+// stream at any time.
+func (c *Client) Stream(ctx context.Context, r Request) (*Response, error) {
+	body, err := streamingBody(r)
+	if err != nil {
+		return nil, fmt.Errorf("engine.Stream: %w", err)
+	}
+	request := c.request(fasthttp.MethodPost, "/v1/chat/completions")
+	request.Header.SetContentType("application/json")
+	request.Header.Set("Accept", "text/event-stream")
+	if r.RequestID != "" {
+		request.Header.Set("X-Request-Id", r.RequestID)
+	}
+	request.SetBodyRaw(body)
+	exchange, err := c.endpoint.Do(ctx, request)
+	if err != nil {
+		return nil, fmt.Errorf("engine.Stream: %w", err)
+	}
+	if err := expect(exchange, fasthttp.StatusOK); err != nil {
+		return nil, fmt.Errorf("engine.Stream: %w", err)
+	}
+	return newResponse(exchange, c.options), nil
+}
+
+// Order sends an order. Errors: *NotSentError, *AmbiguousError, *FencedError
+// for status 409, and *StatusError for any other status but 2xx.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("engine.Order: %w", err)
+	}
+	request := c.request(fasthttp.MethodPost, "/orders")
+	request.Header.SetContentType("application/json")
+	request.SetBodyRaw(body)
+	exchange, err := c.endpoint.Do(ctx, request)
+	if err != nil {
+		return fmt.Errorf("engine.Order: %w", err)
+	}
+	if exchange.Response.StatusCode() == fasthttp.StatusConflict {
+		exchange.Close()
+		return fmt.Errorf("engine.Order: %w", &FencedError{o.FencingNumber})
+	}
+	if err := expect(exchange, 0); err != nil {
+		return fmt.Errorf("engine.Order: %w", err)
+	}
+	exchange.Close()
+	return nil
+}
+
+func (c *Client) request(method, path string) *fasthttp.Request {
+	request := fasthttp.AcquireRequest()
+	request.Header.SetMethod(method)
+	request.SetRequestURI(c.endpoint.Base + path)
+	return request
+}
+
+// expect closes the exchange and returns *StatusError unless the response has
+// the status; 0 stands for any of 2xx.
+func expect(x *roundtrip.Exchange, status int) error {
+	got := x.Response.StatusCode()
+	if got == status || status == 0 && got/100 == 2 {
+		return nil
+	}
+	defer x.Close()
+	// The status is the error; what can be read of the body explains it.
+	body, _ := x.ReadAll(maxErrorBody)
+	return &StatusError{Status: got, ContentType: string(x.Response.Header.ContentType()), Body: body}
+}
+
+// streamingBody returns the body with the fields that the client sets.
+func streamingBody(r Request) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
+		return nil, &BodyError{err}
+	}
+	if fields == nil {
+		fields = map[string]json.RawMessage{}
+	}
+	streamOptions := map[string]json.RawMessage{}
+	if raw, ok := fields["stream_options"]; ok {
+		if err := json.Unmarshal(raw, &streamOptions); err != nil {
+			return nil, &BodyError{err}
+		}
+	}
+	if streamOptions == nil { // "stream_options": null
+		streamOptions = map[string]json.RawMessage{}
+	}
+	streamOptions["include_usage"] = json.RawMessage("true")
+	raw, err := json.Marshal(streamOptions)
+	if err != nil {
+		return nil, &BodyError{err}
+	}
+	fields["stream"], fields["stream_options"] = json.RawMessage("true"), raw
+	if r.Priority != 0 {
+		fields["priority"] = fmt.Appendf(nil, "%d", -r.Priority)
+	}
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, &BodyError{err}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/roundtrip/roundtrip.go
@@ -0,0 +1,233 @@
+// Package roundtrip makes one HTTP exchange with a target, without retries,
+// and tells by the type of an error whether the request may have run.
+package roundtrip
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// NotSentError reports that no byte of the request left the process: the
+// request did not run.
+type NotSentError struct{ Err error }
+
+func (e *NotSentError) Error() string { return fmt.Sprintf("request not sent: %v", e.Err) }
+
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// AmbiguousError reports a failure after the request was sent, at least in
+// part, and before its response: the request may have run.
+type AmbiguousError struct{ Err error }
+
+func (e *AmbiguousError) Error() string { return fmt.Sprintf("request may have run: %v", e.Err) }
+
+func (e *AmbiguousError) Unwrap() error { return e.Err }
+
+// StatusError reports that the target answered with another status than
+// expected. Body is its beginning.
+type StatusError struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("target answered with status %d: %.200s", e.Status, e.Body)
+}
+
+// URLError reports a target URL that cannot be used.
+type URLError struct {
+	URL string
+	Err error
+}
+
+func (e *URLError) Error() string {
+	return fmt.Sprintf("target URL %q: http://host:port[/path] is accepted: %v", e.URL, e.Err)
+}
+
+func (e *URLError) Unwrap() error { return e.Err }
+
+type schemeError struct{ scheme string }
+
+func (e *schemeError) Error() string { return fmt.Sprintf("scheme %q", e.scheme) }
+
+// Limits bound an exchange. Header bounds the time from the last byte of the
+// request to the response's header. The header and the read buffer are at most
+// BufferSize bytes. ReceiveBuffer is the socket's receive buffer in bytes; 0
+// leaves it to the system.
+type Limits struct {
+	Connect, Write, Header time.Duration
+	BufferSize             int
+	ReceiveBuffer          int
+}
+
+// Endpoint is the parsed URL of a target.
+type Endpoint struct {
+	Address string // host:port
+	Base    string // URL without a final slash
+	limits  Limits
+}
+
+// New parses the URL of a target, an http URL with a port.
+func New(target string, limits Limits) (*Endpoint, error) {
+	u, err := url.Parse(target)
+	if err != nil {
+		return nil, &URLError{URL: target, Err: err}
+	}
+	if u.Scheme != "http" {
+		return nil, &URLError{URL: target, Err: &schemeError{u.Scheme}}
+	}
+	if _, _, err := net.SplitHostPort(u.Host); err != nil {
+		return nil, &URLError{URL: target, Err: err}
+	}
+	base := strings.TrimRight("http://"+u.Host+u.EscapedPath(), "/")
+	return &Endpoint{Address: u.Host, Base: base, limits: limits}, nil
+}
+
+// Exchange is a response whose body has not been read. Close must be called.
+type Exchange struct {
+	Response *fasthttp.Response
+	request  *fasthttp.Request
+	conn     *conn
+	stop     func() bool
+	once     sync.Once
+}
+
+// Do sends the request on a connection of its own and returns when the header
+// of the response has arrived. Cancelling ctx closes the connection, before
+// and after the header.
+//
+// Each exchange has its own connection for two reasons: an idle connection
+// that the target has just closed would make a request that never ran look as
+// if it might have, and a closed connection is what tells an engine to stop. The
+// agent is beside its target, so a connection costs some tens of microseconds.
+//
+// Do takes over the request and releases it.
+func (e *Endpoint) Do(ctx context.Context, request *fasthttp.Request) (*Exchange, error) {
+	x := &Exchange{request: request, Response: fasthttp.AcquireResponse()}
+	if err := ctx.Err(); err != nil {
+		x.Close()
+		return nil, &NotSentError{Err: err}
+	}
+	request.SetConnectionClose()
+	client := &fasthttp.HostClient{
+		Addr:                          e.Address,
+		NoDefaultUserAgentHeader:      true,
+		MaxConns:                      1,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		ReadBufferSize:                e.limits.BufferSize,
+		WriteBufferSize:               4 << 10,
+		ReadTimeout:                   e.limits.Header,
+		WriteTimeout:                  e.limits.Write,
+		StreamResponseBody:            true,
+		DisablePathNormalizing:        true,
+		DisableHeaderNamesNormalizing: false,
+		Dial: func(address string) (net.Conn, error) {
+			dialer := net.Dialer{Timeout: e.limits.Connect}
+			c, err := dialer.DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			if e.limits.ReceiveBuffer > 0 {
+				// Best effort: a larger buffer only delays the back pressure.
+				_ = c.(*net.TCPConn).SetReadBuffer(e.limits.ReceiveBuffer)
+			}
+			x.conn = &conn{Conn: c}
+			x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+			return x.conn, nil
+		},
+	}
+	if err := client.Do(request, x.Response); err != nil {
+		sent := x.conn != nil && x.conn.written.Load() > 0
+		x.Close()
+		if ctx.Err() != nil {
+			err = fmt.Errorf("%w: %w", ctx.Err(), err)
+		}
+		if sent {
+			return nil, &AmbiguousError{Err: err}
+		}
+		return nil, &NotSentError{Err: err}
+	}
+	return x, nil
+}
+
+// SetReadDeadline bounds the next reads of the body.
+func (x *Exchange) SetReadDeadline(t time.Time) error {
+	if err := x.conn.SetReadDeadline(t); err != nil {
+		return fmt.Errorf("roundtrip.SetReadDeadline: %w", err)
+	}
+	return nil
+}
+
+// Read reads from the body.
+func (x *Exchange) Read(p []byte) (int, error) {
+	if stream := x.Response.BodyStream(); stream != nil {
+		return stream.Read(p)
+	}
+	return 0, net.ErrClosed
+}
+
+// Interrupt closes the connection, which ends a Read in another goroutine.
+func (x *Exchange) Interrupt() {
+	if x.conn != nil {
+		_ = x.conn.Close()
+	}
+}
+
+// Close closes the connection and releases the buffers. It must not be called
+// while a Read is in progress; Interrupt may.
+func (x *Exchange) Close() {
+	x.once.Do(func() {
+		if x.stop != nil {
+			x.stop()
+		}
+		x.Interrupt()
+		// The connection is closed, so there is nothing left to report.
+		_ = x.Response.CloseBodyStream()
+		fasthttp.ReleaseResponse(x.Response)
+		fasthttp.ReleaseRequest(x.request)
+		x.Response, x.request = nil, nil
+	})
+}
+
+// TooLargeError reports a response body of more than Limit bytes.
+type TooLargeError struct{ Limit int }
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("response body of more than %d bytes", e.Limit)
+}
+
+// ReadAll reads the rest of the body, or fails with *TooLargeError when it has
+// more than limit bytes.
+func (x *Exchange) ReadAll(limit int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(x, int64(limit)+1))
+	switch {
+	case len(body) > limit:
+		return body[:limit], &TooLargeError{limit}
+	case err != nil:
+		return body, fmt.Errorf("roundtrip.ReadAll: %w", err)
+	}
+	return body, nil
+}
+
+// conn counts the bytes that the system has accepted.
+type conn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,165 @@
+// Package service is the client of a plain service over HTTP.
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"briarreach/roundtrip"
+)
+
+// The errors of an exchange. See package roundtrip.
+type (
+	NotSentError   = roundtrip.NotSentError
+	AmbiguousError = roundtrip.AmbiguousError
+	StatusError    = roundtrip.StatusError
+	URLError       = roundtrip.URLError
+	TooLargeError  = roundtrip.TooLargeError
+)
+
+// RequestError reports a request that cannot be sent: a path that does not
+// start with "/", or a method or header value with invalid characters.
+type RequestError struct{ Field, Value string }
+
+func (e *RequestError) Error() string { return fmt.Sprintf("invalid %s %q", e.Field, e.Value) }
+
+// Request is one call. Path may have a query. An empty Method means GET.
+type Request struct {
+	Method, Path   string
+	Body           []byte
+	ContentType    string
+	IdempotencyKey string
+	RequestID      string
+}
+
+// Response is the answer of the service, whatever its status.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Client is safe for concurrent use. It holds no connections between calls.
+type Client struct {
+	endpoint *roundtrip.Endpoint
+	options  options
+}
+
+type options struct {
+	limits  roundtrip.Limits
+	maxBody int
+}
+
+// Option changes a client.
+type Option func(*options)
+
+// WithConnectTimeout bounds the time to connect. The default is 1 s.
+func WithConnectTimeout(d time.Duration) Option { return func(o *options) { o.limits.Connect = d } }
+
+// WithTimeout bounds the time from the end of the request to the end of the
+// response. The default is 30 s.
+func WithTimeout(d time.Duration) Option { return func(o *options) { o.limits.Header = d } }
+
+// WithMaxBody bounds the body of a response, in bytes. The default is 1 MiB.
+func WithMaxBody(n int) Option { return func(o *options) { o.maxBody = n } }
+
+// New returns a client of the service at the URL (http://address:port[/path]).
+func New(url string, opts ...Option) (*Client, error) {
+	o := options{
+		limits: roundtrip.Limits{
+			Connect:    time.Second,
+			Write:      5 * time.Second,
+			Header:     30 * time.Second,
+			BufferSize: 8 << 10,
+		},
+		maxBody: 1 << 20,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	endpoint, err := roundtrip.New(url, o.limits)
+	if err != nil {
+		return nil, fmt.Errorf("service.New: %w", err)
+	}
+	return &Client{endpoint: endpoint, options: o}, nil
+}
+
+// Call sends the request once and returns the service's answer, which may have
+// any status. Errors: *RequestError, *NotSentError (the call did not run),
+// *AmbiguousError (it may have run), and *TooLargeError (it ran; the response
+// has the status and the beginning of the body).
+func (c *Client) Call(ctx context.Context, r Request) (Response, error) {
+	if err := validate(r); err != nil {
+		return Response{}, fmt.Errorf("service.Call: %w", err)
+	}
+	request := fasthttp.AcquireRequest()
+	if r.Method != "" {
+		request.Header.SetMethod(r.Method)
+	}
+	request.SetRequestURI(c.endpoint.Base + r.Path)
+	request.URI().DisablePathNormalizing = true
+	if r.ContentType != "" {
+		request.Header.SetContentType(r.ContentType)
+	}
+	if r.IdempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	if r.RequestID != "" {
+		request.Header.Set("X-Request-Id", r.RequestID)
+	}
+	if len(r.Body) > 0 {
+		request.SetBodyRaw(r.Body)
+	}
+	exchange, err := c.endpoint.Do(ctx, request)
+	if err != nil {
+		return Response{}, fmt.Errorf("service.Call: %w", err)
+	}
+	defer exchange.Close()
+	response := Response{
+		Status:      exchange.Response.StatusCode(),
+		ContentType: string(exchange.Response.Header.ContentType()),
+	}
+	response.Body, err = exchange.ReadAll(c.options.maxBody)
+	if tooLarge := (*TooLargeError)(nil); err != nil && !errors.As(err, &tooLarge) {
+		// The status alone is not an answer that can be passed on.
+		err = &AmbiguousError{Err: err}
+	}
+	if err != nil {
+		return response, fmt.Errorf("service.Call: %w", err)
+	}
+	return response, nil
+}
+
+// validate rejects what could change the request line or the headers.
+func validate(r Request) error {
+	if len(r.Path) == 0 || r.Path[0] != '/' || !printable(r.Path, false) {
+		return &RequestError{"path", r.Path}
+	}
+	for _, f := range []struct {
+		name, value string
+		space       bool
+	}{
+		{"method", r.Method, false},
+		{"content type", r.ContentType, true},
+		{"idempotency key", r.IdempotencyKey, true},
+		{"request id", r.RequestID, true},
+	} {
+		if !printable(f.value, f.space) {
+			return &RequestError{f.name, f.value}
+		}
+	}
+	return nil
+}
+
+func printable(s string, space bool) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] >= 0x7f || s[i] == ' ' && !space {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/target/cache.go
@@ -0,0 +1,94 @@
+package target
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockSize is the number of prompt bytes of one block.
+const BlockSize = 1 << 10
+
+// maxBlocks bounds the work per request for long prompts.
+const maxBlocks = 64
+
+// PrefixHashes returns one hash for each of the first 64 full blocks of 1 KiB:
+// the xxHash64 of the prompt from its start to the end of the block.
+func PrefixHashes(prompt []byte) []uint64 {
+	n := min(len(prompt)/BlockSize, maxBlocks)
+	if n == 0 {
+		return nil
+	}
+	hashes := make([]uint64, n)
+	digest := xxhash.New()
+	for i := range hashes {
+		_, _ = digest.Write(prompt[i*BlockSize : (i+1)*BlockSize])
+		hashes[i] = digest.Sum64()
+	}
+	return hashes
+}
+
+// cache is what an entry takes for cached at a target: a direct-mapped table
+// of atomic words, each the upper 48 bits of a hash and the second of its last
+// use modulo 2^16. A collision forgets the older block. It is allocated on
+// first use.
+type cache struct {
+	table atomic.Pointer[[]atomic.Uint64]
+}
+
+const (
+	tagMask  = ^uint64(1<<16 - 1)
+	timeMask = uint64(1<<16 - 1)
+)
+
+func (c *cache) add(blocks []uint64, size int, now time.Time) {
+	if size < 1 || len(blocks) == 0 {
+		return
+	}
+	table := c.table.Load()
+	if table == nil {
+		fresh := make([]atomic.Uint64, size)
+		if c.table.CompareAndSwap(nil, &fresh) {
+			table = &fresh
+		} else {
+			table = c.table.Load()
+		}
+	}
+	second := uint64(now.Unix()) & timeMask
+	for _, b := range blocks {
+		slot := &(*table)[b%uint64(len(*table))]
+		if word := b&tagMask | second; slot.Load() != word {
+			slot.Store(word)
+		}
+	}
+}
+
+func (c *cache) remove(blocks []uint64) {
+	table := c.table.Load()
+	if table == nil {
+		return
+	}
+	for _, b := range blocks {
+		slot := &(*table)[b%uint64(len(*table))]
+		if word := slot.Load(); word&tagMask == b&tagMask {
+			slot.CompareAndSwap(word, 0)
+		}
+	}
+}
+
+// leading returns the number of leading blocks that are taken for cached.
+func (c *cache) leading(blocks []uint64, age time.Duration, now time.Time) int {
+	table := c.table.Load()
+	if table == nil {
+		return 0
+	}
+	second, limit := uint64(now.Unix()), uint64(age/time.Second)
+	for i, b := range blocks {
+		word := (*table)[b%uint64(len(*table))].Load()
+		if word == 0 || word&tagMask != b&tagMask || (second-word)&timeMask > limit {
+			return i
+		}
+	}
+	return len(blocks)
+}
--- /dev/null
+++ b/target/pool.go
@@ -0,0 +1,391 @@
+// Package target chooses, at an entry, the target of a request. It takes time
+// and randomness as arguments and starts no goroutine.
+package target
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"briarreach/config"
+	"briarreach/peer"
+)
+
+// Request is what the choice depends on. Version "" accepts every version.
+// Prefix is the result of PrefixHashes, Tokens the tokens that the request may
+// hold, Exclude the names of targets that were tried before.
+type Request struct {
+	Subject string // name of the model or service
+	Version string
+	Prefix  []uint64
+	Tokens  int64
+	Exclude []string
+}
+
+// Choice is a chosen target. Affinity says that prefix affinity decided, and
+// CachedBlocks how many leading blocks of the prompt the entry takes for
+// cached there.
+type Choice struct {
+	Target       config.Target
+	Affinity     bool
+	CachedBlocks int
+}
+
+// Reason says why there is no target.
+type Reason string
+
+// Reasons for the lack of a target.
+const (
+	NoTargets Reason = "no_targets" // none is configured
+	Leaving   Reason = "leaving"    // all are leaving
+	Excluded  Reason = "excluded"   // all that are left were tried before
+	Ejected   Reason = "ejected"    // all that are left are ejected
+)
+
+// NoTargetError reports that no target can take the request. Nothing was sent.
+type NoTargetError struct {
+	Subject, Version string
+	Reason           Reason
+}
+
+func (e *NoTargetError) Error() string {
+	return fmt.Sprintf("target: no target for %s version %q: %s", e.Subject, e.Version, e.Reason)
+}
+
+// Outcome is how a request ended as far as the target's health is concerned.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	Succeeded Outcome = iota
+	Failed            // counts towards ejection
+	Neutral           // refused, cancelled by the caller, and so on
+)
+
+// Pool holds the targets of an entry. It is safe for concurrent use: Choose,
+// Begin and End read an immutable snapshot and atomic counters.
+type Pool struct {
+	options  options
+	snapshot atomic.Pointer[snapshot]
+	mu       sync.Mutex // serialises writers of the snapshot, and ejections
+}
+
+type options struct {
+	bound       float64
+	cacheBlocks int
+	cacheAge    time.Duration
+	ejection    bool
+	affinity    bool
+}
+
+// Option changes a pool.
+type Option func(*options)
+
+// WithLoadBound sets the load, as a multiple of the mean, above which prefix
+// affinity does not apply to a target. The default is 1.25.
+func WithLoadBound(bound float64) Option { return func(o *options) { o.bound = bound } }
+
+// WithCacheBlocks sets the number of prompt blocks that the pool remembers for
+// each target. The default is 4096 (32 KiB of memory).
+func WithCacheBlocks(blocks int) Option { return func(o *options) { o.cacheBlocks = blocks } }
+
+// WithoutEjection keeps failing targets among the candidates.
+func WithoutEjection() Option { return func(o *options) { o.ejection = false } }
+
+// WithoutAffinity chooses by load only.
+func WithoutAffinity() Option { return func(o *options) { o.affinity = false } }
+
+// snapshot is immutable but for the counters in the states.
+type snapshot struct {
+	states map[string]*state
+	groups map[group][]*state // candidates, without leaving targets
+	known  map[group]bool     // groups with a configured target
+}
+
+type group struct{ subject, version string }
+
+// New returns a pool without targets.
+func New(opts ...Option) *Pool {
+	p := &Pool{options: options{
+		bound:       1.25,
+		cacheBlocks: 4096,
+		cacheAge:    10 * time.Minute,
+		ejection:    true,
+		affinity:    true,
+	}}
+	for _, opt := range opts {
+		opt(&p.options)
+	}
+	p.snapshot.Store(&snapshot{})
+	return p
+}
+
+// Update takes over the targets of a document. Targets that are still in the
+// document keep their counters; a target with another agent, VM or version is
+// a new one.
+func (p *Pool) Update(document *config.Document) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.snapshot.Load()
+	states := make(map[string]*state, len(document.Targets))
+	for name, t := range document.Targets {
+		previous := old.states[name]
+		if previous == nil {
+			states[name] = newState(t)
+			continue
+		}
+		states[name] = previous.with(t)
+	}
+	p.publish(states)
+}
+
+// publish builds and stores the snapshot. The caller holds the mutex.
+func (p *Pool) publish(states map[string]*state) {
+	s := &snapshot{states: states, groups: map[group][]*state{}, known: map[group]bool{}}
+	names := make([]string, 0, len(states))
+	for name := range states {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		st := states[name]
+		subject := st.target.Model
+		if subject == "" {
+			subject = st.target.Service
+		}
+		for _, g := range []group{{subject, st.target.Version}, {subject, ""}} {
+			s.known[g] = true
+			if !st.leaving() {
+				s.groups[g] = append(s.groups[g], st)
+			}
+		}
+	}
+	for g, candidates := range s.groups {
+		if g.version != "" {
+			limitEjected(candidates)
+		}
+	}
+	p.snapshot.Store(s)
+}
+
+// leavingHold is the time for which a load report that says "not leaving"
+// does not end a notice to leave: it may have been sent before the notice and
+// have arrived after it on another stream.
+const leavingHold = 5 * time.Second
+
+// Report takes over a target's load. Reports of unknown targets are ignored.
+func (p *Pool) Report(r peer.LoadReport, now time.Time) {
+	st := p.snapshot.Load().states[r.Target]
+	if st == nil {
+		return
+	}
+	st.report.Store(&report{
+		running:   int64(r.Running + r.Queued),
+		held:      r.HeldTokens,
+		inFlight:  st.counters.inFlight.Load(),
+		ownTokens: st.counters.tokens.Load(),
+	})
+	if r.Leaving == (st.notice.Load() != 0) && !r.Leaving {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	noticed := st.notice.Load()
+	switch {
+	case r.Leaving:
+		st.notice.Store(now.UnixNano())
+	case noticed != 0 && now.Sub(time.Unix(0, noticed)) >= leavingHold:
+		st.notice.Store(0)
+	default:
+		return
+	}
+	if r.Leaving && noticed != 0 {
+		return
+	}
+	p.publish(p.snapshot.Load().states)
+}
+
+// Leaving marks a target as leaving, as the VM list or a refusal says. It
+// stays so until Returned, or until the configuration gives the target another
+// agent or VM.
+func (p *Pool) Leaving(name string, now time.Time) { p.mark(name, now.UnixNano()) }
+
+// Returned ends a mark made by Leaving.
+func (p *Pool) Returned(name string) { p.mark(name, 0) }
+
+func (p *Pool) mark(name string, at int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.snapshot.Load()
+	st := s.states[name]
+	if st == nil || (st.listed.Load() != 0) == (at != 0) {
+		return
+	}
+	st.listed.Store(at)
+	p.publish(s.states)
+}
+
+// Choose returns a target for the request, or *NoTargetError.
+func (p *Pool) Choose(r Request, now time.Time, random *rand.Rand) (Choice, error) {
+	s := p.snapshot.Load()
+	g := group{r.Subject, r.Version}
+	candidates := s.groups[g]
+	if len(candidates) == 0 {
+		reason := NoTargets
+		if s.known[g] {
+			reason = Leaving
+		}
+		return Choice{}, &NoTargetError{r.Subject, r.Version, reason}
+	}
+	at := now.UnixNano()
+	if p.options.affinity && len(r.Prefix) > 0 {
+		if st, blocks := p.chooseByPrefix(candidates, r, now); st != nil {
+			st.expectCached(r.Prefix, p.options, now)
+			return Choice{Target: st.target, Affinity: true, CachedBlocks: blocks}, nil
+		}
+	}
+	st := chooseByLoad(candidates, r, at, random)
+	if st == nil {
+		reason := Ejected
+		if slices.ContainsFunc(r.Exclude, func(name string) bool { return s.states[name] != nil }) {
+			reason = Excluded
+		}
+		return Choice{}, &NoTargetError{r.Subject, r.Version, reason}
+	}
+	if p.options.affinity && len(r.Prefix) > 0 {
+		st.expectCached(r.Prefix, p.options, now)
+	}
+	return Choice{Target: st.target}, nil
+}
+
+// chooseByLoad takes the less loaded of two random candidates. A candidate
+// that returns from ejection is accepted with the probability of its weight.
+func chooseByLoad(candidates []*state, r Request, at int64, random *rand.Rand) *state {
+	var first *state
+	// With at most a third of the candidates ejected and few excluded, a draw
+	// is accepted in at least about half of the cases.
+	for range 16 {
+		st := candidates[random.Intn(len(candidates))]
+		if st == first || slices.Contains(r.Exclude, st.target.Name) {
+			continue
+		}
+		if weight := st.weight(at); weight < 1 && random.Float64() >= weight {
+			continue
+		}
+		if first == nil {
+			first = st
+			continue
+		}
+		if st.load(r.Tokens) < first.load(r.Tokens) {
+			return st
+		}
+		return first
+	}
+	if first != nil {
+		return first
+	}
+	// Few candidates are left: take the least loaded one of all.
+	best, lowest := (*state)(nil), math.Inf(1)
+	for _, st := range candidates {
+		weight := st.weight(at)
+		if weight == 0 || slices.Contains(r.Exclude, st.target.Name) {
+			continue
+		}
+		if load := st.load(r.Tokens) / weight; best == nil || load < lowest {
+			best, lowest = st, load
+		}
+	}
+	return best
+}
+
+// chooseByPrefix is rendezvous hashing with bounded loads (Mirrokni, Thorup,
+// Zadimoghaddam 2018) on the first block of the prompt. Among the candidates
+// within the bound, the one with the most cached leading blocks goes first.
+func (p *Pool) chooseByPrefix(candidates []*state, r Request, now time.Time) (*state, int) {
+	at := now.UnixNano()
+	sum, weights := 0.0, 0.0
+	for _, st := range candidates {
+		if weight := st.weight(at); weight > 0 {
+			sum += st.load(0)
+			weights += weight
+		}
+	}
+	if weights == 0 {
+		return nil, 0
+	}
+	var best *state
+	bestBlocks, bestScore := -1, uint64(0)
+	for _, st := range candidates {
+		weight := st.weight(at)
+		if weight == 0 || slices.Contains(r.Exclude, st.target.Name) {
+			continue
+		}
+		// The bound counts the new request, so that an idle fleet accepts it.
+		one := st.unit()
+		if st.load(0)+one > p.options.bound*(sum+one)/weights*weight+one*weight {
+			continue
+		}
+		blocks := st.cachedBlocks(r.Prefix, p.options, now)
+		if blocks < bestBlocks {
+			continue
+		}
+		score := mix(r.Prefix[0] ^ st.hash)
+		if blocks > bestBlocks || score > bestScore {
+			best, bestBlocks, bestScore = st, blocks, score
+		}
+	}
+	return best, max(bestBlocks, 0)
+}
+
+// Begin counts a request that is sent to a target.
+func (p *Pool) Begin(target string, tokens int64) {
+	if st := p.snapshot.Load().states[target]; st != nil {
+		st.counters.inFlight.Add(1)
+		st.counters.tokens.Add(tokens)
+	}
+}
+
+// End counts the end of a request. Every Begin needs one End with the same
+// tokens.
+func (p *Pool) End(target string, tokens int64, outcome Outcome, _ time.Duration, now time.Time) {
+	st := p.snapshot.Load().states[target]
+	if st == nil {
+		return
+	}
+	st.counters.inFlight.Add(-1)
+	st.counters.tokens.Add(-tokens)
+	if p.options.ejection && st.health.observe(outcome, now) {
+		p.eject(st, now)
+	}
+}
+
+// Cached records that a target has cached prompt blocks.
+func (p *Pool) Cached(target string, blocks []uint64, now time.Time) {
+	if st := p.snapshot.Load().states[target]; st != nil {
+		st.cache.add(blocks, p.options.cacheBlocks, now)
+	}
+}
+
+// Evicted records that a target no longer has the prompt blocks.
+func (p *Pool) Evicted(target string, blocks []uint64, _ time.Time) {
+	if st := p.snapshot.Load().states[target]; st != nil {
+		st.cache.remove(blocks)
+	}
+}
+
+// mix is the finalizer of SplitMix64 (Steele, Lea, Flood 2014).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
