--- a/engine/client.go
+++ b/engine/client.go
@@ -13,12 +13,15 @@
 	"briarreach/roundtrip"
 )
 
-// The errors of an exchange. See package roundtrip.
 type (
-	NotSentError   = roundtrip.NotSentError
+	// NotSentError reports that the request did not run.
+	NotSentError = roundtrip.NotSentError
+	// AmbiguousError reports that the request may have run.
 	AmbiguousError = roundtrip.AmbiguousError
-	StatusError    = roundtrip.StatusError
-	URLError       = roundtrip.URLError
+	// StatusError reports an unexpected status.
+	StatusError = roundtrip.StatusError
+	// URLError reports a target URL that cannot be used.
+	URLError = roundtrip.URLError
 )
 
 // BodyError reports a request body that is not a JSON object. Nothing was
--- a/engine/response.go
+++ b/engine/response.go
@@ -59,11 +59,11 @@
 
 func (e *FormatError) Unwrap() error { return e.Err }
 
-// EngineError is an error that the engine sent in the stream. The request ran,
+// ReportedError is an error that the engine sent in the stream. The request ran,
 // at least in part.
-type EngineError struct{ Raw []byte }
+type ReportedError struct{ Raw []byte }
 
-func (e *EngineError) Error() string { return fmt.Sprintf("engine error in stream: %.200s", e.Raw) }
+func (e *ReportedError) Error() string { return fmt.Sprintf("engine error in stream: %.200s", e.Raw) }
 
 // EventSizeError reports an event above the size limit.
 type EventSizeError struct{ Limit int }
@@ -88,7 +88,7 @@
 
 // Next returns the next event, or io.EOF after "[DONE]". It reads from the
 // engine only when it has no event left, and at most one buffer of 4 KiB ahead.
-// Other errors: *IncompleteError, *FormatError, *EngineError, and
+// Other errors: *IncompleteError, *FormatError, *ReportedError, and
 // *ClosedError after Close.
 func (r *Response) Next() (Event, error) {
 	r.reading.Lock()
@@ -231,7 +231,7 @@
 		return nil, &FormatError{Data: data[:min(len(data), 80)], Err: err}
 	}
 	if len(c.Error) > 0 && string(c.Error) != "null" {
-		return nil, &EngineError{Raw: data}
+		return nil, &ReportedError{Raw: data}
 	}
 	if len(c.Choices) == 0 {
 		if c.Usage == nil {
--- a/service/client.go
+++ b/service/client.go
@@ -12,13 +12,15 @@
 	"briarreach/roundtrip"
 )
 
-// The errors of an exchange. See package roundtrip.
 type (
-	NotSentError   = roundtrip.NotSentError
+	// NotSentError reports that the request did not run.
+	NotSentError = roundtrip.NotSentError
+	// AmbiguousError reports that the request may have run.
 	AmbiguousError = roundtrip.AmbiguousError
-	StatusError    = roundtrip.StatusError
-	URLError       = roundtrip.URLError
-	TooLargeError  = roundtrip.TooLargeError
+	// URLError reports a target URL that cannot be used.
+	URLError = roundtrip.URLError
+	// TooLargeError reports a response above the size limit; the call ran.
+	TooLargeError = roundtrip.TooLargeError
 )
 
 // RequestError reports a request that cannot be sent: a path that does not
