--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	"briarreach/peer"
 	"briarreach/service"
 	"briarreach/settings"
+	"briarreach/stream"
 	"briarreach/table"
 	"briarreach/timeline"
 )
@@ -47,6 +48,9 @@
 	clockMargin = 5 * time.Second
 	// maxStoredResponse bounds the response that a claim keeps.
 	maxStoredResponse = 16 << 10
+	// tailRetention is how long an ended answer waits for an entry that
+	// resumes it.
+	tailRetention = time.Minute
 	// usageAckTimeout bounds the wait for outstanding bills at shutdown.
 	usageAckTimeout = 5 * time.Second
 )
@@ -63,7 +67,7 @@
 	engine   *engine.Client
 	service  *service.Client
 	started  time.Time
-	budget   *bufferLimit
+	buffers  *stream.Limiter
 
 	mu         sync.Mutex
 	admission  *admission.Controller
@@ -83,22 +87,6 @@
 	done    chan struct{}
 }
 
-// bufferLimit counts the answer bytes reserved for tails.
-type bufferLimit struct {
-	max  int64
-	used atomic.Int64
-}
-
-func (b *bufferLimit) take(n int64) bool {
-	if b.used.Add(n) > b.max {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *bufferLimit) give(n int64) { b.used.Add(-n) }
-
 // Option changes a default of New.
 type Option func(*options)
 
@@ -199,7 +187,7 @@
 	a := &Agent{
 		settings: s, clock: clock, log: l, events: events, metrics: set, endpoint: endpoint,
 		follower: follower, engine: engineClient, service: serviceClient, started: clock.Now(),
-		budget:     &bufferLimit{max: int64(s.Agent.MaxBufferedBytes)},
+		buffers:    stream.NewLimiter(int64(s.Agent.MaxBufferedBytes)),
 		admission:  admission.New(admission.Capacity{}),
 		attempts:   map[string]*attempt{},
 		refused:    map[string]time.Time{},
@@ -328,7 +316,7 @@
 		defer a.mu.Unlock()
 		return float64(len(a.unbilled))
 	})
-	a.metrics.NewGauge("briarreach_agent_buffered_bytes", func() float64 { return float64(a.budget.used.Load()) })
+	a.metrics.NewGauge("briarreach_agent_buffered_bytes", func() float64 { return float64(a.buffers.Used()) })
 	a.metrics.NewGauge("briarreach_agent_config_number", func() float64 { return float64(a.follower.Number()) })
 }
 
@@ -350,6 +338,16 @@
 			a.forgotten = oldest.ended
 		}
 	}
+	for i := len(a.ended) - 1; i >= 0; i-- {
+		at := a.ended[i]
+		if at.released {
+			continue
+		}
+		if at.isConsumed() || now.Sub(at.ended) > tailRetention {
+			at.released = true
+			at.release()
+		}
+	}
 	for id, at := range a.refused {
 		if now.Sub(at) >= attemptRetention {
 			delete(a.refused, id)
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -9,9 +9,9 @@
 	"briarreach/stream"
 )
 
-// tailBytes bounds the answer bytes that an attempt holds until the entry has
-// consumed them.
-const defaultTailBytes = 16 << 10
+// bufferRetry is how often a writer tries again when the process-wide bound on
+// buffered bytes is reached.
+const bufferRetry = 10 * time.Millisecond
 
 // attempt is one run of a request at the target.
 type attempt struct {
@@ -36,10 +36,12 @@
 	tokens    int64
 	progress  time.Time // last time the entry consumed bytes
 	response  []byte    // whole body of a call that may not be repeated
-	ended     time.Time
+
+	ended    time.Time // guarded by the agent's lock, as is released
+	released bool
 }
 
-func newAttempt(parent context.Context, d peer.Dispatch, tail int, now time.Time) *attempt {
+func newAttempt(parent context.Context, d peer.Dispatch, tail int, buffers *stream.Limiter, now time.Time) *attempt {
 	ctx, cancel := context.WithDeadline(parent, d.Deadline)
 	a := &attempt{
 		dispatch: d,
@@ -50,7 +52,7 @@
 		cancel:   cancel,
 		ready:    make(chan struct{}, 1),
 		space:    make(chan struct{}, 1),
-		sender:   stream.NewSender(tail),
+		sender:   stream.NewSender(tail, stream.WithLimiter(buffers)),
 		progress: now,
 	}
 	_ = a.sender.Acknowledge(0, d.Credit)
@@ -84,21 +86,36 @@
 		return err
 	}
 	a.progress = now
-	if a.sender.Done() && a.final != nil {
-		a.consumed = true
-	}
+	a.releaseIfConsumed()
 	signal(a.ready)
 	signal(a.space)
 	return nil
 }
 
+// releaseIfConsumed gives the buffers back when the entry has the whole answer.
+// The caller holds the lock.
+func (a *attempt) releaseIfConsumed() {
+	if a.final != nil && a.finalSent && a.sender.Buffered() == 0 && !a.consumed {
+		a.consumed = true
+		a.sender.Close()
+	}
+}
+
+// release gives the buffers back; the answer can't be resumed after it.
+func (a *attempt) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.consumed = true
+	a.sender.Close()
+}
+
 // write keeps data for the entry and waits while the tail is full. It fails
 // when the attempt is cancelled or the reader makes no progress for stall.
 func (a *attempt) write(data []byte, stall time.Duration) error {
 	for {
 		a.mu.Lock()
 		n := a.sender.Write(data)
-		progress := a.progress
+		progress, limited := a.progress, a.sender.Free() > 0
 		a.mu.Unlock()
 		data = data[n:]
 		if n > 0 {
@@ -111,6 +128,9 @@
 		if left <= 0 {
 			return &StalledError{After: stall}
 		}
+		if limited {
+			left = min(left, bufferRetry)
+		}
 		timer := time.NewTimer(left)
 		select {
 		case <-a.space:
@@ -130,12 +150,11 @@
 	signal(a.ready)
 }
 
-func (a *attempt) setFinal(f peer.Final, now time.Time) {
+func (a *attempt) setFinal(f peer.Final) {
 	a.mu.Lock()
 	a.sender.Finish()
 	f.Length, f.Checksum = a.sender.Length(), a.sender.Checksum()
 	a.final = &f
-	a.ended = now
 	a.mu.Unlock()
 	close(a.finished)
 	a.cancel()
@@ -166,8 +185,9 @@
 		frame.Tokens = a.tokens
 		return frame, false
 	}
-	if a.final != nil && !a.finalSent && a.sender.Sent() {
+	if a.final != nil && !a.finalSent && a.sender.Done() {
 		a.finalSent = true
+		a.releaseIfConsumed()
 		return *a.final, false
 	}
 	return nil, a.finalSent
@@ -188,3 +208,9 @@
 		return false
 	}
 }
+
+func (a *attempt) isConsumed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.consumed
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -191,13 +191,13 @@
 		a.admit(ticket)
 	}
 	final.Load = a.loadLocked()
+	at.ended = now
 	a.ended = append(a.ended, at)
 	a.mu.Unlock()
-	a.budget.give(int64(a.settings.Agent.StreamWindow))
 	a.count(`briarreach_agent_attempts_total{outcome="` + string(final.Outcome) + `"}`)
 	a.events.Record(timeline.Event{Kind: "attempt_" + string(final.Outcome), Request: d.RequestID, Workspace: d.Workspace,
 		Target: d.Target, ConfigNumber: d.ConfigNumber, Detail: final.Reason})
-	at.setFinal(final, now)
+	at.setFinal(final)
 }
 
 func reasonOf(err error) string {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -117,7 +117,7 @@
 		return nil, a.refusal(d, "usage_backlog", peer.NotRun)
 	case !d.Deadline.After(now):
 		return nil, a.refusal(d, "deadline_passed", peer.NotRun)
-	case !a.budget.take(int64(a.settings.Agent.StreamWindow)):
+	case a.buffers.Used()+int64(a.settings.Agent.StreamWindow) > a.buffers.Max():
 		return nil, a.refusal(d, "buffers_full", peer.NotRun)
 	}
 	a.admission.SetCapacity(admission.Capacity{MaxConcurrent: registered.MaxConcurrent, MaxTokens: registered.MaxTokens})
@@ -125,10 +125,9 @@
 		Attempt: d.Attempt, Priority: d.Priority, Deadline: d.Deadline, Tokens: d.PromptTokens + d.MaxTokens,
 	}, now)
 	if refused, ok := decision.(admission.Refused); ok {
-		a.budget.give(int64(a.settings.Agent.StreamWindow))
 		return nil, a.refusal(d, string(refused.Reason), peer.NotRun)
 	}
-	at := newAttempt(a.context, d, a.settings.Agent.StreamWindow, now)
+	at := newAttempt(a.context, d, a.settings.Agent.StreamWindow, a.buffers, now)
 	a.attempts[d.Attempt] = at
 	if _, ok := decision.(admission.Admitted); ok {
 		close(at.admitted)
--- a/peer/message.go
+++ b/peer/message.go
@@ -133,10 +133,12 @@
 		Clock       timeline.Stamp `cbor:"clock"`
 	}
 
-	// Frame carries bytes of the answer from Offset on.
+	// Frame carries bytes of the answer from Offset on. Tokens is the number
+	// of tokens generated so far, for the bill if the agent is lost.
 	Frame struct {
 		Offset int64  `cbor:"offset"`
 		Data   []byte `cbor:"data"`
+		Tokens int64  `cbor:"tokens,omitempty"`
 	}
 
 	// Final ends an answer. Length and Checksum (xxHash64) cover the whole
