--- /dev/null
+++ b/journal/store_test.go
@@ -0,0 +1,201 @@
+package journal_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"briarreach/table"
+)
+
+type fault int
+
+const (
+	none fault = iota
+	conflicting
+	unavailable
+	throttled
+	ambiguousApplied
+	ambiguousNotApplied
+	ambiguousDelayed // applied before the next call
+)
+
+var errInjected = errors.New("injected")
+
+// memoryStore is a table.Store in memory with faults.
+type memoryStore struct {
+	mu      sync.Mutex
+	rows    map[string]map[string]table.Row
+	seen    map[string]bool
+	delayed []table.Transaction
+	// onCommit and onRead choose the fault of a call; they may be nil.
+	onCommit             func(table.Transaction) fault
+	onRead               func() fault
+	commits, reads, rowN int
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{rows: map[string]map[string]table.Row{}, seen: map[string]bool{}}
+}
+
+// randomFaults fails the given share of calls. It is safe under the store's lock.
+func (m *memoryStore) randomFaults(r *rand.Rand, share float64) {
+	m.onCommit = func(table.Transaction) fault {
+		if r.Float64() < share {
+			return fault(1 + r.IntN(int(ambiguousDelayed)))
+		}
+		return none
+	}
+	m.onRead = func() fault {
+		if r.Float64() < share/2 {
+			return unavailable
+		}
+		return none
+	}
+}
+
+func (m *memoryStore) read() error {
+	m.reads++
+	m.applyDelayed()
+	if m.onRead != nil && m.onRead() != none {
+		return &table.UnavailableError{Err: errInjected}
+	}
+	return nil
+}
+
+func (m *memoryStore) Get(_ context.Context, keys ...table.Key) ([]table.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.read(); err != nil {
+		return nil, err
+	}
+	rows := make([]table.Row, len(keys))
+	for i, k := range keys {
+		rows[i] = m.rows[k.Partition][k.Sort]
+		rows[i].Key = k
+	}
+	return rows, nil
+}
+
+func (m *memoryStore) Query(_ context.Context, partition, after string, limit int) ([]table.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.read(); err != nil {
+		return nil, err
+	}
+	var rows []table.Row
+	for sort, row := range m.rows[partition] {
+		if sort > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b table.Row) int {
+		if a.Sort < b.Sort {
+			return -1
+		}
+		return 1
+	})
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (m *memoryStore) Commit(_ context.Context, tx table.Transaction) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commits++
+	f := none
+	if m.onCommit != nil {
+		f = m.onCommit(tx)
+	}
+	if f != ambiguousDelayed {
+		m.applyDelayed()
+	}
+	switch f {
+	case conflicting:
+		return &table.ConflictError{Keys: []table.Key{tx.Writes[len(tx.Writes)-1].Key}}
+	case unavailable:
+		return &table.UnavailableError{Err: errInjected}
+	case throttled:
+		return &table.ThrottledError{Err: errInjected}
+	case ambiguousNotApplied:
+		return &table.AmbiguousError{Err: errInjected}
+	case ambiguousDelayed:
+		m.delayed = append(m.delayed, tx)
+		return &table.AmbiguousError{Err: errInjected}
+	case ambiguousApplied:
+		_ = m.apply(tx)
+		return &table.AmbiguousError{Err: errInjected}
+	default:
+		return m.apply(tx)
+	}
+}
+
+func (m *memoryStore) applyDelayed() {
+	for _, tx := range m.delayed {
+		_ = m.apply(tx)
+	}
+	m.delayed = nil
+}
+
+func (m *memoryStore) apply(tx table.Transaction) error {
+	if n := len(tx.Writes) + len(tx.Checks); n == 0 || n > table.MaxItems {
+		return &table.InvalidError{Reason: "rows"}
+	}
+	if m.seen[tx.ID] {
+		return nil
+	}
+	var conflicts []table.Key
+	keys := map[table.Key]bool{}
+	check := func(k table.Key, e table.Expect) error {
+		if keys[k] {
+			return &table.InvalidError{Reason: "row twice: " + k.String()}
+		}
+		keys[k] = true
+		version := m.rows[k.Partition][k.Sort].Version
+		switch e := e.(type) {
+		case table.Absent:
+			if version != 0 {
+				conflicts = append(conflicts, k)
+			}
+		case table.Exactly:
+			if version != e.Version {
+				conflicts = append(conflicts, k)
+			}
+		}
+		return nil
+	}
+	for _, w := range tx.Writes {
+		if len(w.Value) > table.MaxValueBytes {
+			return &table.InvalidError{Reason: "value"}
+		}
+		if err := check(w.Key, w.Expect); err != nil {
+			return err
+		}
+	}
+	for _, c := range tx.Checks {
+		if err := check(c.Key, c.Expect); err != nil {
+			return err
+		}
+	}
+	if len(conflicts) > 0 {
+		return &table.ConflictError{Keys: conflicts}
+	}
+	m.seen[tx.ID] = true
+	for _, w := range tx.Writes {
+		m.rowN++
+		if w.Value == nil {
+			delete(m.rows[w.Partition], w.Sort)
+			continue
+		}
+		if m.rows[w.Partition] == nil {
+			m.rows[w.Partition] = map[string]table.Row{}
+		}
+		version := uint64(1)
+		if _, ok := w.Expect.(table.Exactly); ok {
+			version += m.rows[w.Partition][w.Sort].Version
+		}
+		m.rows[w.Partition][w.Sort] = table.Row{Key: w.Key, Version: version, Value: w.Value}
+	}
+	return nil
+}
--- /dev/null
+++ b/ledger/encoding.go
@@ -0,0 +1,246 @@
+package ledger
+
+import (
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// modes returns the encoder and decoder. Encoding is deterministic: map keys
+// are sorted, times are RFC 3339 in UTC.
+var modes = sync.OnceValues(func() (cbor.EncMode, cbor.DecMode) {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339NanoUTC
+	enc, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	dec, err := cbor.DecOptions{MaxArrayElements: 16 << 20, MaxMapPairs: 16 << 20}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+})
+
+type wireBatch struct {
+	Writer  string       `cbor:"writer"`
+	BatchID string       `cbor:"batch_id"`
+	At      time.Time    `cbor:"at"`
+	Records []wireRecord `cbor:"records"`
+}
+
+type wireRecord struct {
+	_    struct{} `cbor:",toarray"`
+	Kind string
+	Body cbor.RawMessage
+}
+
+func kindOf(r Record) string {
+	switch r.(type) {
+	case OpenBudget:
+		return "open_budget"
+	case TopUp:
+		return "top_up"
+	case Draw:
+		return "draw"
+	case Bill:
+		return "bill"
+	case Return:
+		return "return"
+	case Fence:
+		return "fence"
+	case Release:
+		return "release"
+	default:
+		return ""
+	}
+}
+
+func decodeRecord(w wireRecord) (Record, error) {
+	switch w.Kind {
+	case "open_budget":
+		return decodeBody[OpenBudget](w.Body)
+	case "top_up":
+		return decodeBody[TopUp](w.Body)
+	case "draw":
+		return decodeBody[Draw](w.Body)
+	case "bill":
+		return decodeBody[Bill](w.Body)
+	case "return":
+		return decodeBody[Return](w.Body)
+	case "fence":
+		return decodeBody[Fence](w.Body)
+	case "release":
+		return decodeBody[Release](w.Body)
+	default:
+		return nil, &UnknownKindError{w.Kind}
+	}
+}
+
+func decodeBody[R Record](raw []byte) (Record, error) {
+	_, dec := modes()
+	var r R
+	if err := dec.Unmarshal(raw, &r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// EncodeBatch returns the batch as CBOR. Each record is an array of its kind
+// and its fields.
+func EncodeBatch(b Batch) ([]byte, error) {
+	enc, _ := modes()
+	w := wireBatch{Writer: b.Writer, BatchID: b.BatchID, At: b.At, Records: make([]wireRecord, len(b.Records))}
+	for i, r := range b.Records {
+		kind := kindOf(r)
+		if kind == "" {
+			return nil, fmt.Errorf("ledger.EncodeBatch: %w", &UnknownKindError{fmt.Sprintf("%T", r)})
+		}
+		body, err := enc.Marshal(r)
+		if err != nil {
+			return nil, fmt.Errorf("ledger.EncodeBatch: %w", err)
+		}
+		w.Records[i] = wireRecord{Kind: kind, Body: body}
+	}
+	return enc.Marshal(w)
+}
+
+// DecodeBatch is the inverse of EncodeBatch. It fails with *DecodeError.
+func DecodeBatch(raw []byte) (Batch, error) {
+	_, dec := modes()
+	var w wireBatch
+	if err := dec.Unmarshal(raw, &w); err != nil {
+		return Batch{}, fmt.Errorf("ledger.DecodeBatch: %w", &DecodeError{err})
+	}
+	b := Batch{Writer: w.Writer, BatchID: w.BatchID, At: w.At, Records: make([]Record, len(w.Records))}
+	for i, r := range w.Records {
+		record, err := decodeRecord(r)
+		if err != nil {
+			return Batch{}, fmt.Errorf("ledger.DecodeBatch: %w", &DecodeError{err})
+		}
+		b.Records[i] = record
+	}
+	return b, nil
+}
+
+type (
+	wireState struct {
+		Window  int64            `cbor:"window_ms"`
+		Now     int64            `cbor:"now_ms"`
+		Budgets []wireAccount    `cbor:"budgets"`
+		Fenced  map[string]int64 `cbor:"fenced"`
+		Bills   []wireBill       `cbor:"bills"`
+		Grants  []wireID         `cbor:"grants"`
+		Returns []wireID         `cbor:"returns"`
+		Patches []wirePatch      `cbor:"patches"`
+	}
+	wireAccount struct {
+		Name        string           `cbor:"name"`
+		PatchID     string           `cbor:"patch_id"`
+		Prepaid     int64            `cbor:"prepaid"`
+		Settled     int64            `cbor:"settled"`
+		Outstanding map[string]int64 `cbor:"outstanding"`
+	}
+	// The identifiers are arrays: a snapshot holds thousands of them.
+	wireBill struct {
+		_        struct{} `cbor:",toarray"`
+		Identity Identity
+		Budget   uint64 // index in Budgets
+		Attempt  string
+		Last     string
+		Cost     int64
+		At       int64
+		Logged   int64
+		Repeats  int
+	}
+	wireID struct {
+		_      struct{} `cbor:",toarray"`
+		ID     string
+		Amount int64
+		Logged int64
+	}
+	wirePatch struct {
+		_       struct{} `cbor:",toarray"`
+		PatchID string
+		Budget  string
+		Amount  int64
+		Logged  int64
+	}
+)
+
+// EncodeState returns the state as CBOR. Equal states give equal bytes.
+func EncodeState(s *State) ([]byte, error) {
+	enc, _ := modes()
+	w := wireState{Window: s.window, Now: s.now, Fenced: s.fenced}
+	index := map[string]uint64{}
+	for _, name := range s.Budgets() {
+		a := s.budgets[name]
+		index[name] = uint64(len(w.Budgets))
+		w.Budgets = append(w.Budgets, wireAccount{name, a.patchID, a.prepaid, a.settled, a.outstanding})
+	}
+	for i, id := range s.billOrder.keys {
+		// An identity that was billed again after the window is listed twice;
+		// only its latest bill is remembered.
+		if b := s.bills[id]; b.logged == s.billOrder.at[i] {
+			w.Bills = append(w.Bills, wireBill{Identity: id, Budget: index[b.budget], Attempt: b.attempt, Last: b.last,
+				Cost: b.cost, At: b.at, Logged: b.logged, Repeats: b.repeats})
+		}
+	}
+	for _, id := range s.grantOrder.keys {
+		w.Grants = append(w.Grants, wireID{ID: id, Amount: s.grants[id].amount, Logged: s.grants[id].logged})
+	}
+	for _, id := range s.returnOrder.keys {
+		w.Returns = append(w.Returns, wireID{ID: id, Amount: s.returns[id].amount, Logged: s.returns[id].logged})
+	}
+	for _, k := range s.patchOrder.keys {
+		w.Patches = append(w.Patches, wirePatch{PatchID: k.PatchID, Budget: k.Budget, Amount: s.patches[k].amount, Logged: s.patches[k].logged})
+	}
+	return enc.Marshal(w)
+}
+
+// DecodeState is the inverse of EncodeState. It fails with *DecodeError.
+func DecodeState(raw []byte) (*State, error) {
+	_, dec := modes()
+	var w wireState
+	if err := dec.Unmarshal(raw, &w); err != nil {
+		return nil, fmt.Errorf("ledger.DecodeState: %w", &DecodeError{err})
+	}
+	s := NewState()
+	s.window, s.now = w.Window, w.Now
+	maps.Copy(s.fenced, w.Fenced)
+	for _, a := range w.Budgets {
+		held := int64(0)
+		for _, amount := range a.Outstanding {
+			held += amount
+		}
+		if a.Outstanding == nil {
+			a.Outstanding = map[string]int64{}
+		}
+		s.budgets[a.Name] = &account{a.PatchID, a.Prepaid, a.Settled, held, a.Outstanding}
+	}
+	s.billOrder.grow(len(w.Bills))
+	for _, b := range w.Bills {
+		if b.Budget >= uint64(len(w.Budgets)) {
+			return nil, fmt.Errorf("ledger.DecodeState: %w", &DecodeError{&UnknownBudgetError{fmt.Sprint(b.Budget)}})
+		}
+		s.bills[b.Identity] = &billed{w.Budgets[b.Budget].Name, b.Attempt, b.Last, b.Cost, b.At, b.Logged, b.Repeats}
+		s.billOrder.push(b.Identity, b.Logged)
+	}
+	for _, g := range w.Grants {
+		s.grants[g.ID] = identified{g.Amount, g.Logged}
+		s.grantOrder.push(g.ID, g.Logged)
+	}
+	for _, g := range w.Returns {
+		s.returns[g.ID] = identified{g.Amount, g.Logged}
+		s.returnOrder.push(g.ID, g.Logged)
+	}
+	for _, p := range w.Patches {
+		k := patchKey{p.PatchID, p.Budget}
+		s.patches[k] = identified{p.Amount, p.Logged}
+		s.patchOrder.push(k, p.Logged)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/ledger/state.go
@@ -0,0 +1,459 @@
+package ledger
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxAdvance limits how far one batch moves the log time. After a platform
+	// outage every entry flushes bills that are as old as the outage; without
+	// the limit the first batch would make the bills of the others expire.
+	maxAdvance = 5 * time.Second
+
+	// patchWindow is how long top-ups are remembered: operators' tools retry
+	// for hours, not days.
+	patchWindow = 24 * time.Hour
+
+	// fenceWindow is how long a fenced holder without outstanding amounts is
+	// remembered. Its fence row in the table service stays.
+	fenceWindow = 7 * 24 * time.Hour
+
+	// maxNameBytes limits identifiers, so that a batch of many records fits in
+	// a row.
+	maxNameBytes = 256
+)
+
+// Option changes a State made by NewState.
+type Option func(*State)
+
+// WithBillWindow sets the log time for which bills, draws and returns are
+// remembered. The default is 15 minutes.
+func WithBillWindow(d time.Duration) Option {
+	return func(s *State) { s.window = d.Milliseconds() }
+}
+
+// State is the state of one shard. It is not safe for concurrent use.
+type State struct {
+	window  int64 // milliseconds
+	now     int64 // log time, Unix milliseconds
+	budgets map[string]*account
+	fenced  map[string]int64 // log time of the fence by holder
+
+	bills   map[Identity]*billed
+	grants  map[string]identified // by draw id
+	returns map[string]identified // by return id
+	patches map[patchKey]identified
+
+	// Identifiers in the order in which they expire.
+	billOrder   queue[Identity]
+	grantOrder  queue[string]
+	returnOrder queue[string]
+	patchOrder  queue[patchKey]
+}
+
+type account struct {
+	patchID     string
+	prepaid     int64
+	settled     int64
+	held        int64 // sum of outstanding
+	outstanding map[string]int64
+}
+
+func (a *account) available() int64 { return a.prepaid - a.settled - a.held }
+
+func (a *account) take(holder string, amount int64) {
+	if amount == 0 {
+		return
+	}
+	a.held -= amount
+	if a.outstanding[holder] -= amount; a.outstanding[holder] == 0 {
+		delete(a.outstanding, holder)
+	}
+}
+
+type billed struct {
+	budget, attempt, last string
+	cost                  int64
+	at                    int64 // the bill's own time
+	logged                int64 // log time
+	repeats               int
+}
+
+type identified struct{ amount, logged int64 }
+
+type patchKey struct{ PatchID, Budget string }
+
+// Balance is the state of one budget in budget tokens.
+type Balance struct {
+	Prepaid, Settled int64
+	Outstanding      map[string]int64 // by holder
+}
+
+// Available is what no holder has been granted.
+func (b Balance) Available() int64 {
+	free := b.Prepaid - b.Settled
+	for _, amount := range b.Outstanding {
+		free -= amount
+	}
+	return free
+}
+
+// BillInfo is what is remembered of the bill that counts for an identity.
+type BillInfo struct {
+	Budget, Attempt string
+	Cost            int64
+	At              time.Time
+	// Repeats counts the later attempts that were billed as duplicates.
+	Repeats int
+}
+
+// NewState returns an empty shard.
+func NewState(opts ...Option) *State {
+	s := &State{
+		window:  (15 * time.Minute).Milliseconds(),
+		budgets: map[string]*account{},
+		fenced:  map[string]int64{},
+		bills:   map[Identity]*billed{},
+		grants:  map[string]identified{},
+		returns: map[string]identified{},
+		patches: map[patchKey]identified{},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Apply applies the records of the batch in order. The results depend on
+// nothing but the batches applied before.
+func (s *State) Apply(b Batch) []Result {
+	s.advance(b.At)
+	results := make([]Result, len(b.Records))
+	for i, r := range b.Records {
+		results[i] = s.apply(r, b.At)
+	}
+	return results
+}
+
+func (s *State) advance(at time.Time) {
+	next := at.UnixMilli()
+	if s.now != 0 {
+		next = min(next, s.now+maxAdvance.Milliseconds())
+	}
+	if next <= s.now {
+		return
+	}
+	s.now = next
+	expire(&s.billOrder, s.now-s.window, func(id Identity, logged int64) {
+		if b := s.bills[id]; b != nil && b.logged == logged {
+			delete(s.bills, id)
+		}
+	})
+	expire(&s.grantOrder, s.now-s.window, func(id string, _ int64) { delete(s.grants, id) })
+	expire(&s.returnOrder, s.now-s.window, func(id string, _ int64) { delete(s.returns, id) })
+	expire(&s.patchOrder, s.now-patchWindow.Milliseconds(), func(k patchKey, _ int64) { delete(s.patches, k) })
+}
+
+func (s *State) apply(r Record, at time.Time) Result {
+	if err := Validate(r); err != nil {
+		return Refused{err}
+	}
+	switch r := r.(type) {
+	case OpenBudget:
+		return s.open(r)
+	case TopUp:
+		return s.topUp(r)
+	case Draw:
+		return s.draw(r)
+	case Bill:
+		// A clock that runs ahead must not make a repeat look like a request
+		// after the window.
+		if r.At.IsZero() || r.At.After(at) {
+			r.At = at
+		}
+		return s.bill(r)
+	case Return:
+		return s.giveBack(r)
+	case Fence:
+		return s.fence(r)
+	case Release:
+		return s.release(r)
+	default:
+		return Refused{&InvalidRecordError{"kind", "is unknown"}}
+	}
+}
+
+// Validate reports a value out of range as *InvalidRecordError.
+func Validate(r Record) error {
+	name := func(field, v string) error {
+		if v == "" {
+			return &InvalidRecordError{field, "is empty"}
+		}
+		if len(v) > maxNameBytes {
+			return &InvalidRecordError{field, "is too long"}
+		}
+		return nil
+	}
+	amount := func(field string, v, least int64) error {
+		if v < least {
+			return &InvalidRecordError{field, "is too small"}
+		}
+		return nil
+	}
+	switch r := r.(type) {
+	case OpenBudget:
+		return first(name("budget", r.Budget), name("patch_id", r.PatchID), amount("prepaid", r.Prepaid, 0))
+	case TopUp:
+		return first(name("budget", r.Budget), name("patch_id", r.PatchID), amount("amount", r.Amount, 1))
+	case Draw:
+		return first(name("draw_id", r.DrawID), name("budget", r.Budget), name("holder", r.Holder),
+			amount("min", r.Min, 0), amount("max", r.Max, max(r.Min, 1)))
+	case Bill:
+		if len(r.Attempt) > maxNameBytes || len(r.Outcome) > maxNameBytes {
+			return &InvalidRecordError{"attempt or outcome", "is too long"}
+		}
+		return first(name("budget", r.Budget), name("holder", r.Holder), amount("cost", r.Cost, 0),
+			amount("prompt_tokens", r.PromptTokens, 0), amount("completion_tokens", r.CompletionTokens, 0))
+	case Return:
+		return first(name("return_id", r.ReturnID), name("budget", r.Budget), name("holder", r.Holder), amount("amount", r.Amount, 1))
+	case Fence:
+		return name("holder", r.Holder)
+	case Release:
+		for _, held := range r.Held {
+			if err := amount("held", held, 0); err != nil {
+				return err
+			}
+		}
+		return name("holder", r.Holder)
+	default:
+		return &InvalidRecordError{"kind", "is unknown"}
+	}
+}
+
+func first(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *State) open(r OpenBudget) Result {
+	if a, ok := s.budgets[r.Budget]; ok {
+		if a.patchID != r.PatchID {
+			return Refused{&BudgetExistsError{r.Budget, a.patchID}}
+		}
+		return Opened{Prepaid: a.prepaid, Duplicate: true}
+	}
+	s.budgets[r.Budget] = &account{patchID: r.PatchID, prepaid: r.Prepaid, outstanding: map[string]int64{}}
+	return Opened{Prepaid: r.Prepaid}
+}
+
+func (s *State) topUp(r TopUp) Result {
+	a, ok := s.budgets[r.Budget]
+	if !ok {
+		return Refused{&UnknownBudgetError{r.Budget}}
+	}
+	key := patchKey{r.PatchID, r.Budget}
+	if _, ok := s.patches[key]; ok {
+		return ToppedUp{Prepaid: a.prepaid, Duplicate: true}
+	}
+	if a.prepaid > math.MaxInt64-r.Amount {
+		return Refused{&InvalidRecordError{"amount", "overflows the prepaid amount"}}
+	}
+	a.prepaid += r.Amount
+	s.patches[key] = identified{r.Amount, s.now}
+	s.patchOrder.push(key, s.now)
+	return ToppedUp{Prepaid: a.prepaid}
+}
+
+func (s *State) draw(r Draw) Result {
+	a, ok := s.budgets[r.Budget]
+	if !ok {
+		return Refused{&UnknownBudgetError{r.Budget}}
+	}
+	if g, ok := s.grants[r.DrawID]; ok {
+		return Drawn{Granted: g.amount, Available: a.available(), Duplicate: true}
+	}
+	if _, ok := s.fenced[r.Holder]; ok {
+		return Refused{&FencedError{r.Holder}}
+	}
+	granted := min(r.Max, a.available())
+	if granted < r.Min {
+		granted = 0
+	}
+	if granted > 0 {
+		a.outstanding[r.Holder] += granted
+		a.held += granted
+	}
+	s.grants[r.DrawID] = identified{granted, s.now}
+	s.grantOrder.push(r.DrawID, s.now)
+	return Drawn{Granted: granted, Available: a.available()}
+}
+
+func (s *State) bill(r Bill) Result {
+	a, ok := s.budgets[r.Budget]
+	if !ok {
+		return Refused{&UnknownBudgetError{r.Budget}}
+	}
+	at := r.At.UnixMilli()
+	if b, ok := s.bills[r.Identity]; ok && (b.attempt == r.Attempt || at-b.at < s.window) {
+		if r.Attempt != b.attempt && r.Attempt != b.last {
+			b.repeats, b.last = b.repeats+1, r.Attempt
+		}
+		return Billed{Cost: b.cost, First: b.attempt, Duplicate: true}
+	}
+	if oldest := s.now - s.window; at < oldest {
+		return Refused{&ExpiredBillError{r.Identity, r.At, time.UnixMilli(oldest).UTC()}}
+	}
+	if have := a.outstanding[r.Holder]; r.Cost > have {
+		return Refused{&OverdrawnError{r.Budget, r.Holder, r.Cost, have}}
+	}
+	a.take(r.Holder, r.Cost)
+	a.settled += r.Cost
+	s.bills[r.Identity] = &billed{budget: r.Budget, attempt: r.Attempt, cost: r.Cost, at: at, logged: s.now}
+	s.billOrder.push(r.Identity, s.now)
+	return Billed{Cost: r.Cost, First: r.Attempt}
+}
+
+func (s *State) giveBack(r Return) Result {
+	a, ok := s.budgets[r.Budget]
+	if !ok {
+		return Refused{&UnknownBudgetError{r.Budget}}
+	}
+	if g, ok := s.returns[r.ReturnID]; ok {
+		return Returned{Amount: g.amount, Duplicate: true}
+	}
+	if have := a.outstanding[r.Holder]; r.Amount > have {
+		return Refused{&OverdrawnError{r.Budget, r.Holder, r.Amount, have}}
+	}
+	a.take(r.Holder, r.Amount)
+	s.returns[r.ReturnID] = identified{r.Amount, s.now}
+	s.returnOrder.push(r.ReturnID, s.now)
+	return Returned{Amount: r.Amount}
+}
+
+func (s *State) fence(r Fence) Result {
+	if _, ok := s.fenced[r.Holder]; !ok {
+		s.forgetFences()
+		s.fenced[r.Holder] = s.now
+	}
+	return Fenced{Outstanding: s.Outstanding(r.Holder)}
+}
+
+// forgetFences removes holders fenced longer than fenceWindow ago that have
+// nothing outstanding.
+func (s *State) forgetFences() {
+	for holder, at := range s.fenced {
+		if at < s.now-fenceWindow.Milliseconds() && len(s.Outstanding(holder)) == 0 {
+			delete(s.fenced, holder)
+		}
+	}
+}
+
+func (s *State) release(r Release) Result {
+	if _, ok := s.fenced[r.Holder]; !ok {
+		return Refused{&NotFencedError{r.Holder}}
+	}
+	returned := map[string]int64{}
+	for budget, have := range s.Outstanding(r.Holder) {
+		if back := have - r.Held[budget]; back > 0 {
+			s.budgets[budget].take(r.Holder, back)
+			returned[budget] = back
+		}
+	}
+	return Released{Returned: returned}
+}
+
+// Outstanding returns the outstanding amounts of the holder by budget.
+func (s *State) Outstanding(holder string) map[string]int64 {
+	sums := map[string]int64{}
+	for name, a := range s.budgets {
+		if amount := a.outstanding[holder]; amount > 0 {
+			sums[name] = amount
+		}
+	}
+	return sums
+}
+
+// Budget returns the balance of a budget.
+func (s *State) Budget(name string) (Balance, bool) {
+	a, ok := s.budgets[name]
+	if !ok {
+		return Balance{}, false
+	}
+	return Balance{Prepaid: a.prepaid, Settled: a.settled, Outstanding: maps.Clone(a.outstanding)}, true
+}
+
+// Available returns what no holder has been granted of a budget.
+func (s *State) Available(name string) (int64, bool) {
+	a, ok := s.budgets[name]
+	if !ok {
+		return 0, false
+	}
+	return a.available(), true
+}
+
+// Budgets returns the names of the budgets, sorted.
+func (s *State) Budgets() []string { return slices.Sorted(maps.Keys(s.budgets)) }
+
+// Holders returns the outstanding amounts by holder and budget.
+func (s *State) Holders() map[string]map[string]int64 {
+	holders := map[string]map[string]int64{}
+	for name, a := range s.budgets {
+		for holder, amount := range a.outstanding {
+			if holders[holder] == nil {
+				holders[holder] = map[string]int64{}
+			}
+			holders[holder][name] = amount
+		}
+	}
+	return holders
+}
+
+// BillOf returns the bill that counts for the identity, while it is remembered.
+func (s *State) BillOf(id Identity) (BillInfo, bool) {
+	b, ok := s.bills[id]
+	if !ok {
+		return BillInfo{}, false
+	}
+	return BillInfo{Budget: b.budget, Attempt: b.attempt, Cost: b.cost, At: time.UnixMilli(b.at).UTC(), Repeats: b.repeats}, true
+}
+
+// Fenced reports whether the holder is fenced in this shard.
+func (s *State) Fenced(holder string) bool {
+	_, ok := s.fenced[holder]
+	return ok
+}
+
+// Now returns the log time.
+func (s *State) Now() time.Time { return time.UnixMilli(s.now).UTC() }
+
+// Clone returns an independent copy.
+func (s *State) Clone() *State {
+	c := *s
+	c.budgets = make(map[string]*account, len(s.budgets))
+	for name, a := range s.budgets {
+		b := *a
+		b.outstanding = maps.Clone(a.outstanding)
+		c.budgets[name] = &b
+	}
+	c.bills = make(map[Identity]*billed, len(s.bills))
+	for id, b := range s.bills {
+		copied := *b
+		c.bills[id] = &copied
+	}
+	c.fenced = maps.Clone(s.fenced)
+	c.grants = maps.Clone(s.grants)
+	c.returns = maps.Clone(s.returns)
+	c.patches = maps.Clone(s.patches)
+	c.billOrder = s.billOrder.clone()
+	c.grantOrder = s.grantOrder.clone()
+	c.returnOrder = s.returnOrder.clone()
+	c.patchOrder = s.patchOrder.clone()
+	return &c
+}
