--- a/agent/agent.go
+++ b/agent/agent.go
@@ -122,10 +122,22 @@
 	return a, nil
 }
 
-// handler lets the endpoint be made before the agent that serves its streams.
+// handler lets the endpoint and the follower be made before the agent that
+// they call.
 type handler struct {
-	set   chan struct{}
-	serve func(context.Context, *peer.Stream)
+	set      chan struct{}
+	serve    func(context.Context, *peer.Stream)
+	onChange func()
+}
+
+// configured tells the agent of a new document. A document that comes before
+// the agent is made needs no call.
+func (h *handler) configured(*config.Document) {
+	select {
+	case <-h.set:
+		h.onChange()
+	default:
+	}
 }
 
 func (h *handler) handle(ctx context.Context, s *peer.Stream) {
@@ -163,9 +175,10 @@
 			return peer.New(peer.WithListen(s.Agent.PeerAddress), peer.WithCredentials(credentials),
 				peer.WithHandler(h.handle), peer.WithClock(clock), peer.WithLog(l))
 		},
-		func(store table.Store, endpoint *peer.Endpoint, clock clockwork.Clock, l log.Interface) *configsync.Follower {
+		func(store table.Store, endpoint *peer.Endpoint, h *handler, clock clockwork.Clock, l log.Interface) *configsync.Follower {
 			return configsync.New(store, configsync.WithClock(clock), configsync.WithLog(l),
 				configsync.WithInterval(s.Agent.ConfigInterval.Duration),
+				configsync.WithOnChange(h.configured),
 				configsync.WithPeers(endpoint, func() []netip.AddrPort { return s.Agent.Entries }))
 		},
 		func() (*engine.Client, error) { return engine.New(s.Agent.TargetURL) },
@@ -200,7 +213,7 @@
 	}
 	a.forgotten = a.started
 	a.registerMetrics()
-	h.serve = a.serve
+	h.serve, h.onChange = a.serve, a.notifyLoad
 	close(h.set)
 	go func() {
 		defer close(a.done)
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -324,12 +324,12 @@
 
 func (a *Agent) loadLocked() peer.LoadReport {
 	document := a.follower.Current()
-	registered, known := a.registered(document)
+	registered, _ := a.registered(document)
 	l := a.admission.Load()
 	report := peer.LoadReport{
 		Target: a.settings.Agent.Target, Version: registered.Version, Running: l.Running, Queued: l.Queued,
 		HeldTokens: l.HeldTokens, MaxConcurrent: l.Limit, MaxTokens: registered.MaxTokens,
-		Leaving: a.leaving || registered.Draining || !known,
+		Leaving: a.leaving || registered.Draining,
 	}
 	if document != nil {
 		report.ConfigNumber = document.Number
--- /dev/null
+++ b/cmd/briarreach/daemon.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/urfave/cli/v3"
+
+	"briarreach/agent"
+	"briarreach/entry"
+	"briarreach/settings"
+)
+
+// drainTimeout bounds a graceful shutdown.
+const drainTimeout = 10 * time.Minute
+
+const entryUsage = `Runs an entry with the given settings until SIGTERM, then finishes the open
+requests, writes their bills, returns the grants and exits.
+
+Example:
+   briarreach entry --settings examples/entry-1.toml`
+
+const agentUsage = `Runs the agent beside a target with the given settings until SIGTERM, then
+refuses new work, finishes the running work and exits.
+
+Example:
+   briarreach agent --settings examples/agent-engine-1.toml`
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "settings `FILE` in TOML", Required: true}
+}
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name: "entry", Usage: "run an entry", Description: entryUsage,
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, logger, err := loadSettings(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if s.Entry == nil {
+				return &UsageError{Reason: "the settings have no table [entry]"}
+			}
+			e, err := entry.New(s, entry.WithLog(logger))
+			if err != nil {
+				return err
+			}
+			return untilSignal(ctx, e.Close)
+		},
+	}
+}
+
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name: "agent", Usage: "run the agent beside a target", Description: agentUsage,
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, logger, err := loadSettings(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if s.Agent == nil {
+				return &UsageError{Reason: "the settings have no table [agent]"}
+			}
+			a, err := agent.New(s, agent.WithLog(logger))
+			if err != nil {
+				return err
+			}
+			return untilSignal(ctx, a.Close)
+		},
+	}
+}
+
+// untilSignal waits for a signal and then closes the process gracefully.
+func untilSignal(ctx context.Context, closeAll func(context.Context) error) error {
+	<-ctx.Done()
+	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	return closeAll(drain)
+}
+
+func loadSettings(path string) (*settings.Settings, log.Interface, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, nil, &UsageError{Reason: err.Error()}
+	}
+	level, err := log.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, nil, &UsageError{Reason: err.Error()}
+	}
+	logger := &log.Logger{Level: level, Handler: json.New(os.Stderr)}
+	if s.Log.Format == "logfmt" {
+		logger.Handler = logfmt.New(os.Stderr)
+	}
+	return s, logger, nil
+}
+
+func checkConfigCommand() *cli.Command {
+	return &cli.Command{
+		Name: "check-config", Usage: "check a settings file",
+		Description: "Reads a settings file and reports every fault with file, line, key and the accepted range.\n\n" +
+			"Example:\n   briarreach check-config --settings examples/entry-1.toml",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if _, _, err := loadSettings(c.String("settings")); err != nil {
+				return err
+			}
+			_, err := c.Root().Writer.Write([]byte("settings are valid\n"))
+			return err
+		},
+	}
+}
--- a/cmd/briarreach/main.go
+++ b/cmd/briarreach/main.go
@@ -2,4 +2,93 @@
 // commands.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"briarreach/operator"
+)
+
+// Exit codes, also in docs/operators.md.
+const (
+	exitFailed      = 1 // any other failure
+	exitUsage       = 2 // wrong flags, settings or patch
+	exitConflict    = 3 // the configuration has changed meanwhile
+	exitUnavailable = 4 // the entry or the platform can't be reached
+	exitUnknown     = 5 // the outcome is unknown; submit the same patch again
+	exitForbidden   = 6 // the key is unknown or may not do this
+	exitTimeout     = 7 // waited in vain
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	app := &cli.Command{
+		Name:  "briarreach",
+		Usage: "a router fleet for prepaid token budgets",
+		Commands: []*cli.Command{
+			demoCommand(), entryCommand(), agentCommand(), standinCommand(),
+			initCommand(), keysCommand(), checkConfigCommand(),
+			configCommand(), workspaceCommand(), budgetCommand(), targetCommand(), moveCommand(), drainCommand(),
+			timelineCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "briarreach:", err)
+		stop()
+		os.Exit(exitCode(err))
+	}
+}
+
+// UsageError reports a command that was called wrongly.
+type UsageError struct{ Reason string }
+
+func (e *UsageError) Error() string { return e.Reason }
+
+// WaitError reports that a change or a move did not end in the given time.
+type WaitError struct{ What string }
+
+func (e *WaitError) Error() string { return e.What + " did not end in the given time" }
+
+func exitCode(err error) int {
+	var usage *UsageError
+	var wait *WaitError
+	var fault *operator.Error
+	var transport *operator.TransportError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &wait):
+		return exitTimeout
+	case errors.As(err, &transport):
+		return exitUnavailable
+	case errors.As(err, &fault):
+		return exitCodeOf(fault.Type)
+	default:
+		return exitFailed
+	}
+}
+
+func exitCodeOf(kind operator.ErrorType) int {
+	switch kind {
+	case operator.Conflict:
+		return exitConflict
+	case operator.Invalid, operator.Malformed, operator.NotFound:
+		return exitUsage
+	case operator.Unavailable:
+		return exitUnavailable
+	case operator.Ambiguous:
+		return exitUnknown
+	case operator.Unauthorized, operator.Forbidden:
+		return exitForbidden
+	default:
+		return exitFailed
+	}
+}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -37,8 +37,7 @@
 	first    time.Time
 	err      error
 
-	settle  sync.Once
-	closing sync.Mutex // guards s between Read and Close
+	settle sync.Once
 }
 
 func newAnswer(e *Entry, x *exchange, t try, s *peer.Stream) *answer {
@@ -185,25 +184,19 @@
 		s.Abort()
 		return err
 	}
-	a.closing.Lock()
 	a.s = s
-	a.closing.Unlock()
 	return nil
 }
 
 // Close ends the answer. If the caller left before the end, the attempt is
 // cancelled and billed at what it generated.
 func (a *answer) Close() error {
-	a.closing.Lock()
-	s := a.s
-	a.closing.Unlock()
 	if a.final == nil && a.err == nil {
-		_ = s.Send(peer.Cancel{Attempt: a.t.attempt})
+		_ = a.s.Send(peer.Cancel{Attempt: a.t.attempt})
 		a.awaitFinal()
 	}
 	a.settleOnce()
-	_ = s.CloseSend()
-	s.Abort()
+	_ = a.s.CloseSend()
 	return nil
 }
 
--- a/entry/backend.go
+++ b/entry/backend.go
@@ -15,6 +15,7 @@
 
 	"briarreach/config"
 	"briarreach/configsync"
+	"briarreach/journal"
 	"briarreach/ledger"
 	"briarreach/operator"
 	"briarreach/peer"
@@ -137,17 +138,12 @@
 	if j == nil {
 		return &operator.Error{Status: 503, Type: operator.Unavailable, Message: "the ledger is not open yet"}
 	}
-	results, err := j.Transact(ctx, tx, records)
-	if err != nil {
-		return err
-	}
-	for i, result := range results {
-		if refused, ok := result.(ledger.Refused); ok {
-			return &config.InvalidError{Operation: i, Path: "budget", Reason: config.BadValue, Detail: refused.Err.Error()}
-		}
-		e.observeRecord(records[i], result)
+	_, err := j.Transact(ctx, tx, records)
+	var refused *journal.RefusedError
+	if errors.As(err, &refused) {
+		return &config.InvalidError{Operation: -1, Path: "budget", Reason: config.BadValue, Detail: refused.Error()}
 	}
-	return nil
+	return err
 }
 
 // documentAt returns the document that the head row names.
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -53,7 +53,7 @@
 		if d := e.follower.Current(); d != nil {
 			j, err := journal.New(e.store, d.Shards, journal.WithClock(e.clock), journal.WithWriter(e.holder),
 				journal.WithFlushInterval(e.settings.Entry.FlushInterval.Duration), journal.WithLog(e.log),
-				journal.WithMaxPending(maxPending))
+				journal.WithMaxPending(maxPending), journal.WithObserver(e.observeRecord))
 			if err == nil {
 				e.journal.Store(j)
 				break
@@ -88,11 +88,9 @@
 		}
 		if j := e.journal.Load(); j != nil {
 			if draw, ok := e.wallet.Want(name, amount, now); ok {
-				result, submitErr := j.SubmitNow(ctx, name, draw)
-				if submitErr != nil {
+				if _, submitErr := j.SubmitNow(ctx, name, draw); submitErr != nil {
 					return reservation, errors.Join(err, submitErr)
 				}
-				_ = result
 				continue
 			}
 		}
@@ -111,12 +109,10 @@
 }
 
 func (e *Entry) submit(j *journal.Journal, record ledger.Record) {
-	err := j.Submit(record, budgetOf(record), func(result ledger.Result, err error) {
+	err := j.Submit(record, budgetOf(record), func(_ ledger.Result, err error) {
 		if err != nil {
 			e.log.WithError(err).Warn("record not written to the ledger")
-			return
 		}
-		e.observeRecord(record, result)
 	})
 	if err != nil {
 		e.log.WithError(err).Warn("record not written to the ledger")
@@ -192,9 +188,6 @@
 			e.log.WithError(err).WithField("request_id", request).Warn("bill not written")
 			return
 		}
-		if u.Holder == e.holder {
-			e.observeRecord(record, result)
-		}
 		e.billed(u, request, result)
 		e.acks.add(agent, u.Attempt)
 	})
@@ -219,9 +212,7 @@
 }
 
 // settleRefused gives the reservation of a request back that gave no answer.
-// If the request may have run, the agent's usage report decides what is
-// billed; the reservation is then held until the bill window for that usage
-// would otherwise be spent twice.
+// The reservations of tries that may have run are held apart.
 func (e *Entry) settleRefused(x *exchange, _ *caller.Error) {
 	if x.claim != nil {
 		x.claim.afterRefusal()
@@ -233,6 +224,20 @@
 	x.reservation.Cancel()
 }
 
+// reserveAgain reserves for a retry whose first reservation is held because
+// the earlier try may have run.
+func (e *Entry) reserveAgain(ctx context.Context, x *exchange) *caller.Error {
+	if x.reserved || x.cost.reserved == 0 {
+		return nil
+	}
+	reservation, err := e.reserve(ctx, x.key.Budget, x.cost.reserved)
+	if err != nil {
+		return refuseBudget(err)
+	}
+	x.reservation, x.reserved = reservation, true
+	return nil
+}
+
 // acknowledgements collects attempts whose bills are durable, by agent.
 type acknowledgements struct {
 	mu      sync.Mutex
@@ -294,31 +299,3 @@
 	}
 	return s.CloseSend()
 }
-
-// takeUsageLoop bills what other entries left unbilled.
-func (e *Entry) takeUsageLoop() {
-	ticker := e.clock.NewTicker(usageInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-e.context.Done():
-			return
-		case <-ticker.Chan():
-		}
-		if e.journal.Load() == nil {
-			continue
-		}
-		for _, agent := range e.agents.addresses() {
-			ctx, cancel := context.WithTimeout(e.context, openTimeout)
-			answer, err := e.endpoint.Call(ctx, agent, peer.TakeUsage{OlderThan: usageInterval})
-			cancel()
-			report, ok := answer.(peer.ReportUsage)
-			if err != nil || !ok {
-				continue
-			}
-			for _, u := range report.Usages {
-				e.submitBill(agent, u, "")
-			}
-		}
-	}
-}
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -220,4 +220,6 @@
 // random is a source that may be used by many requests at once.
 type random struct{}
 
+func (random) Int63() int64   { return rand.Int64() }
 func (random) Uint64() uint64 { return rand.Uint64() }
+func (random) Seed(int64)     {}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -15,5 +15,5 @@
 type claimHandle struct{}
 
 func (*claimHandle) beforeDispatch(context.Context, try) *caller.Error { return nil }
-func (*claimHandle) afterAnswer(*answer)                                {}
-func (*claimHandle) afterRefusal()                                      {}
+func (*claimHandle) afterAnswer(*answer)                               {}
+func (*claimHandle) afterRefusal()                                     {}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"math/rand"
 	"net/http"
 	"slices"
 	"time"
@@ -55,6 +55,10 @@
 		if n > 0 && !e.mayRetry(x, &history) {
 			break
 		}
+		if refusal := e.reserveAgain(ctx, x); refusal != nil {
+			history.last = refusal
+			break
+		}
 		t, refusal := e.choose(x, &history)
 		if refusal != nil {
 			if history.last == nil {
@@ -185,6 +189,7 @@
 	if execution != peer.NotRun {
 		h.execution = execution
 		h.oldOnly = true
+		e.held.hold(x, t, e.clock.Now())
 	}
 	h.last = caller.Fail(status, kind, execution, "target %s: %v", t.target.Name, err)
 	h.last.RetryAfter = time.Second
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,7 @@
 	moves    *moves
 	agents   *agents
 	acks     *acknowledgements
+	held     *heldReservations
 	holder   string
 	started  time.Time
 	filters  []filter
@@ -164,6 +165,7 @@
 		store: store, endpoint: endpoint, pool: pool, retries: &target.RetryBudget{},
 		holder: holder, started: clock.Now(), drawn: newBroadcast(),
 		acks:    newAcknowledgements(),
+		held:    newHeldReservations(),
 		context: ctx, cancel: cancel,
 	}
 	e.wallet = budget.New(holder, budget.WithHorizon(s.Entry.DrawHorizon.Duration), budget.WithHolders(e.liveHolders))
