--- /dev/null
+++ b/move/controller.go
@@ -0,0 +1,248 @@
+package move
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"briarreach/config"
+)
+
+// Action is what the controller writes to the configuration. It is one of
+// SetShare, Finish and RollBack.
+type Action interface{ action() }
+
+type (
+	// SetShare sets the share of the new version in parts per million.
+	SetShare struct {
+		PPM      int64
+		Evidence Evidence
+	}
+	// Finish makes the new version the current one.
+	Finish struct{ Evidence Evidence }
+	// RollBack gives all traffic back to the old version.
+	RollBack struct{ Evidence Evidence }
+)
+
+func (SetShare) action() {}
+func (Finish) action()   {}
+func (RollBack) action() {}
+
+const (
+	// controllerAlpha is the probability that the controller takes back a
+	// version that is as good as the old one.
+	controllerAlpha = 0.005
+	// holdAlpha is the probability that it stops raising the share of such a
+	// version for a time.
+	holdAlpha = 0.2
+	// testedRequests is the number of requests to the new version after which
+	// a route counts as tested.
+	testedRequests = 60
+	// maxEntries bounds the guards whose sums the controller keeps.
+	maxEntries = 1024
+)
+
+// Controller decides the share and the outcome of one move from the digests
+// of all guards. It keeps no state that the document and the guards do not
+// have: a new controller continues from both. It is not safe for concurrent
+// use.
+type Controller struct {
+	move    config.Move
+	plan    Plan
+	cells   map[cellKey]*fleetCell
+	entries map[string]*entryState
+	stop    *Evidence // of a guard
+
+	changed time.Time     // when the share was last seen to change
+	decided time.Time     // time of the last Decide
+	held    time.Duration // time for which suspicion held the share
+}
+
+type fleetCell struct {
+	old, new Counts
+	pending  [metrics]ratios // digests since the last Decide
+	tests    [metrics]test
+}
+
+type entryState struct {
+	start  string
+	number uint64
+	cells  map[cellKey]Cell
+}
+
+// Option changes a Controller.
+type Option func(*Controller)
+
+// New returns the controller of a running move at its state in the document.
+func New(m config.Move, opts ...Option) *Controller {
+	c := &Controller{move: m, cells: map[cellKey]*fleetCell{}, entries: map[string]*entryState{}}
+	c.plan = Plan{Started: m.Started, Deadline: m.Deadline}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Update takes the move's state from a newer document.
+func (c *Controller) Update(m config.Move, now time.Time) {
+	if m.Share != c.move.Share {
+		c.changed = now
+	}
+	c.move = m
+	c.plan = Plan{Started: m.Started, Deadline: m.Deadline}
+}
+
+// Observe adds the digest of a guard. Digests that arrive out of order, or of
+// another move, are ignored.
+func (c *Controller) Observe(o Observation, now time.Time) {
+	if o.Move != c.move.Name {
+		return
+	}
+	if o.Stopped && o.Reason != nil && c.stop == nil {
+		c.stop = o.Reason
+	}
+	entry := c.entries[o.Entry]
+	if entry == nil || entry.start != o.Start {
+		if entry == nil && len(c.entries) >= maxEntries {
+			return
+		}
+		entry = &entryState{start: o.Start, cells: map[cellKey]Cell{}}
+		c.entries[o.Entry] = entry
+	}
+	if o.Number <= entry.number {
+		return
+	}
+	entry.number = o.Number
+	for _, cell := range o.Cells {
+		key := cellKey{cell.Route, cell.Level}
+		if fleet := c.cell(key, now); fleet != nil {
+			fleet.add(cell, entry.cells[key])
+			entry.cells[key] = cell
+		}
+	}
+}
+
+func (c *Controller) cell(key cellKey, now time.Time) *fleetCell {
+	cell := c.cells[key]
+	if cell == nil && len(c.cells) < maxCells {
+		cell = &fleetCell{}
+		for m := range cell.tests {
+			cell.tests[m] = newTest(now)
+		}
+		c.cells[key] = cell
+	}
+	return cell
+}
+
+// add adds the difference between two digests of one guard.
+func (f *fleetCell) add(now, before Cell) {
+	f.old.add(now.Old.sub(before.Old))
+	f.new.add(now.New.sub(before.New))
+	for m := range f.pending {
+		for i := range f.pending[m] {
+			if i >= len(now.Ratios[m]) {
+				continue // a guard of another release
+			}
+			difference := float64(now.Ratios[m][i])
+			if i < len(before.Ratios[m]) {
+				difference -= float64(before.Ratios[m][i])
+			}
+			f.pending[m][i] += difference
+		}
+	}
+}
+
+// Decide returns the action that is due, or none. An action is returned again
+// until Update shows its effect.
+func (c *Controller) Decide(now time.Time) []Action {
+	if c.move.State != config.MoveRunning {
+		return nil
+	}
+	if c.changed.IsZero() {
+		c.changed = now
+	}
+	elapsed := time.Duration(0)
+	if !c.decided.IsZero() {
+		elapsed = max(0, now.Sub(c.decided))
+	}
+	c.decided = now
+	for _, cell := range c.cells {
+		for m := range cell.tests {
+			cell.tests[m].add(cell.pending[m], now, c.plan.Duration())
+			cell.pending[m] = ratios{}
+		}
+	}
+	evidence := c.Evidence()
+	if c.stop != nil {
+		return []Action{RollBack{Evidence: *c.stop}}
+	}
+	if evidence.Value > evidence.Limit {
+		return []Action{RollBack{Evidence: evidence}}
+	}
+	if now.Sub(c.changed) < c.plan.Hold() && c.move.Share > 0 {
+		return nil
+	}
+	// Suspicion holds the share, but not for so long that a good version with a
+	// sparse route would miss its deadline.
+	if evidence.Value > limit(holdAlpha) && c.held < c.plan.Duration()/10 {
+		c.held += elapsed
+		return nil
+	}
+	tested := c.tested()
+	if c.move.Share >= config.FullShare-heldBack {
+		if c.plan.Finish(now, tested) {
+			return []Action{Finish{Evidence: evidence}}
+		}
+		return nil
+	}
+	if share := c.next(c.plan.Share(now, tested)); share > c.move.Share {
+		return []Action{SetShare{PPM: share, Evidence: evidence}}
+	}
+	return nil
+}
+
+// next bounds a step to the share of the plan's next step, also if the
+// controller is late.
+func (c *Controller) next(planned int64) int64 {
+	for _, s := range steps {
+		if s.share > c.move.Share {
+			return min(s.share, planned)
+		}
+	}
+	return planned
+}
+
+// tested reports whether every route was tested.
+func (c *Controller) tested() bool {
+	if len(c.cells) == 0 {
+		return false
+	}
+	requests := map[string]int64{}
+	for key, cell := range c.cells {
+		requests[key.route] += cell.new.Requests
+	}
+	for _, n := range requests {
+		if n < testedRequests {
+			return false
+		}
+	}
+	return true
+}
+
+// Evidence returns the comparison that speaks most against the new version.
+func (c *Controller) Evidence() Evidence {
+	e := Evidence{Move: c.move.Name, From: c.move.From, To: c.move.To, Level: AnyLevel, Value: math.Inf(-1), Limit: limit(controllerAlpha)}
+	for _, key := range slices.SortedFunc(maps.Keys(c.cells), cellKey.compare) {
+		cell := c.cells[key]
+		for m := range cell.tests {
+			if value := cell.tests[m].value(); value > e.Value {
+				e.Route, e.Level, e.Metric, e.Value, e.Old, e.New = key.route, key.level, Metric(m), value, cell.old, cell.new
+			}
+		}
+	}
+	if math.IsInf(e.Value, -1) {
+		e.Value = 0 // no request yet
+	}
+	return e
+}
--- /dev/null
+++ b/move/guard.go
@@ -0,0 +1,345 @@
+package move
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"briarreach/config"
+)
+
+const (
+	// A window ends when it has enough requests, or some failures, or is old.
+	// The rule looks at both versions together, never at the version of a
+	// request: a rule that did would bias the comparison.
+	windowMinAge    = time.Second
+	windowMaxAge    = time.Minute
+	windowRequests  = 40
+	windowFailures  = 2
+	windowFewest    = 10
+	bucketsPerTwice = 4 // latency buckets grow by 2^(1/4) = 1.19
+	buckets         = 80
+	// toleratedBuckets is how much slower the new version may be: one bucket,
+	// that is 1.19 times.
+	toleratedBuckets = 1
+
+	// guardAlpha is the probability that any guard stops a version that is as
+	// good as the old one.
+	guardAlpha = 0.002
+	// unknownLatency is the result of ReportAfter before the old version's
+	// latency is known.
+	unknownLatency = 30 * time.Second
+)
+
+// Observation is a guard's digest. Counts and ratios are sums since the guard
+// started, so a lost, repeated or reordered digest does no harm.
+type Observation struct {
+	Entry   string    `cbor:"entry"`
+	Move    string    `cbor:"move"`
+	Start   string    `cbor:"start"` // identifies the start of the guard
+	Number  uint64    `cbor:"number"`
+	Cells   []Cell    `cbor:"cells"`
+	Stopped bool      `cbor:"stopped"`
+	Reason  *Evidence `cbor:"reason,omitempty"` // set if Stopped
+}
+
+// Cell is the comparison on one route at one load level. Ratios holds, for
+// each metric, the logarithms of the likelihood ratios.
+type Cell struct {
+	Route  string             `cbor:"route"`
+	Level  int                `cbor:"level"`
+	Old    Counts             `cbor:"old"`
+	New    Counts             `cbor:"new"`
+	Ratios [metrics][]float32 `cbor:"ratios"`
+}
+
+// Guard compares the versions at one entry and stops the new one there at
+// once on the entry's own evidence. It is not safe for concurrent use.
+type Guard struct {
+	entry    string
+	start    string
+	move     config.Move
+	limit    float64
+	number   uint64
+	cells    map[cellKey]*guardCell
+	routes   map[string]*mean
+	stopped  bool
+	evidence Evidence
+
+	nextClose time.Time
+}
+
+type cellKey struct {
+	route string
+	level int
+}
+
+func (k cellKey) compare(o cellKey) int {
+	return cmp.Or(cmp.Compare(k.route, o.route), cmp.Compare(k.level, o.level))
+}
+
+type guardCell struct {
+	window window
+	old    Counts
+	new    Counts
+	sums   [metrics]ratios
+	tests  [metrics]test
+}
+
+// window collects the requests of both versions that end in the same time.
+type window struct {
+	opened   time.Time
+	old, new windowSide
+}
+
+type windowSide struct {
+	requests  int
+	failed    int
+	latencies [buckets]uint32
+	log       float64
+}
+
+// mean is a moving mean of logarithms.
+type mean struct {
+	value float64
+	count int
+}
+
+func (m *mean) add(v float64) {
+	m.count = min(m.count+1, 1000)
+	m.value += (v - m.value) / float64(m.count)
+}
+
+// GuardOption changes a Guard.
+type GuardOption func(*Guard)
+
+// WithEntries sets the number of entries, among which the probability of a
+// false local stop is divided. The default is 8.
+func WithEntries(n int) GuardOption {
+	return func(g *Guard) { g.limit = limit(guardAlpha / float64(max(n, 1))) }
+}
+
+// NewGuard returns the guard of a running move at an entry. start identifies
+// this start of the guard, for example the holder id of the entry.
+func NewGuard(entry, start string, m config.Move, opts ...GuardOption) *Guard {
+	g := &Guard{entry: entry, start: start, move: m, limit: limit(guardAlpha / 8), cells: map[cellKey]*guardCell{}, routes: map[string]*mean{}}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
+}
+
+// Update takes the move's state from a newer document.
+func (g *Guard) Update(m config.Move) { g.move = m }
+
+// Observe records a request that ended: its first try only, since retries go
+// to the old version, and not if it was refused as not_run. level is the load
+// of the model or service as the entry sees it, the same for both versions, in
+// a few steps from 0. latency is the time to the first byte of the answer.
+func (g *Guard) Observe(version, route string, level int, latency time.Duration, failed bool, now time.Time) {
+	isNew := version == g.move.To
+	if !isNew && version != g.move.From {
+		return
+	}
+	g.close(now)
+	seconds := max(latency.Seconds(), 1e-6)
+	log := math.Log(seconds)
+	g.observe(cellKey{route, level}, isNew, failed, log, log, true, now)
+	reference := g.routes[route]
+	if reference == nil {
+		if len(g.routes) >= maxCells {
+			return
+		}
+		reference = &mean{}
+		g.routes[route] = reference
+	}
+	// Pooled cells compare each latency with the old version's on the route.
+	known := reference.count > 0
+	g.observe(cellKey{AnyRoute, level}, isNew, failed, log-reference.value, log, known, now)
+	g.observe(cellKey{AnyRoute, AnyLevel}, isNew, failed, log-reference.value, log, known, now)
+	if !isNew && !failed {
+		reference.add(log)
+	}
+}
+
+func (g *Guard) observe(key cellKey, isNew, failed bool, scaled, log float64, timed bool, now time.Time) {
+	cell := g.cells[key]
+	if cell == nil {
+		if len(g.cells) >= maxCells {
+			return
+		}
+		cell = &guardCell{window: window{opened: now}}
+		for m := range cell.tests {
+			cell.tests[m] = newTest(now)
+		}
+		g.cells[key] = cell
+	}
+	side := &cell.window.old
+	if isNew {
+		side = &cell.window.new
+	}
+	side.requests++
+	switch {
+	case failed:
+		side.failed++
+	case timed:
+		side.log += log
+		side.latencies[bucket(scaled, isNew)]++
+	default:
+		side.log += log
+	}
+}
+
+// bucket returns the latency bucket of a logarithm of seconds. The new
+// version's requests are moved down by the tolerated slow-down.
+func bucket(log float64, isNew bool) int {
+	b := int(math.Floor(log/math.Ln2*bucketsPerTwice)) + buckets/2
+	if isNew {
+		b -= toleratedBuckets
+	}
+	return min(max(b, 0), buckets-1)
+}
+
+// close ends the windows that are complete. It looks at them a few times a
+// second, so that Observe stays cheap.
+func (g *Guard) close(now time.Time) {
+	if now.Before(g.nextClose) {
+		return
+	}
+	g.nextClose = now.Add(windowMinAge / 4)
+	for _, key := range slices.SortedFunc(maps.Keys(g.cells), cellKey.compare) {
+		if cell := g.cells[key]; cell.window.complete(now) {
+			g.closeCell(key, cell, now)
+		}
+	}
+}
+
+func (w *window) complete(now time.Time) bool {
+	age := now.Sub(w.opened)
+	requests := w.old.requests + w.new.requests
+	failures := w.old.failed + w.new.failed
+	return age >= windowMinAge && (requests >= windowRequests || age >= windowMaxAge ||
+		requests >= windowFewest && failures >= windowFailures)
+}
+
+func (g *Guard) closeCell(key cellKey, cell *guardCell, now time.Time) {
+	w := &cell.window
+	cell.old.add(w.old.counts())
+	cell.new.add(w.new.counts())
+	for m, r := range w.ratios() {
+		for i := range r {
+			cell.sums[m][i] += r[i]
+		}
+		t := &cell.tests[m]
+		t.add(r, now, g.duration())
+		if value := t.value(); value > g.limit && !g.stopped {
+			g.stopped = true
+			g.evidence = Evidence{
+				Move: g.move.Name, From: g.move.From, To: g.move.To, Entry: g.entry,
+				Route: key.route, Level: key.level, Metric: Metric(m),
+				Value: value, Limit: g.limit, Old: cell.old, New: cell.new,
+			}
+		}
+	}
+	cell.window = window{opened: now}
+}
+
+func (g *Guard) duration() time.Duration {
+	return Plan{Started: g.move.Started, Deadline: g.move.Deadline}.Duration()
+}
+
+func (s *windowSide) counts() Counts {
+	return Counts{Requests: int64(s.requests), Failed: int64(s.failed), LogLatency: s.log}
+}
+
+// ratios compares the two sides of the window.
+func (w *window) ratios() [metrics]ratios {
+	var r [metrics]ratios
+	if w.old.requests == 0 || w.new.requests == 0 {
+		return r
+	}
+	r[Failures] = logRatios(w.new.failed, w.new.requests, w.old.failed, w.old.requests)
+	r[Median] = w.slower(0.5)
+	r[Tail] = w.slower(0.9)
+	return r
+}
+
+// slower compares the requests that were slower than a quantile of both
+// versions together.
+func (w *window) slower(quantile float64) ratios {
+	var oldCount, newCount int
+	for b := range buckets {
+		oldCount += int(w.old.latencies[b])
+		newCount += int(w.new.latencies[b])
+	}
+	rest := float64(oldCount + newCount)
+	cut := quantile * rest
+	oldSlow, newSlow, below := oldCount, newCount, 0.0
+	for b := range buckets {
+		here := float64(w.old.latencies[b] + w.new.latencies[b])
+		// The boundary nearest to the quantile separates fast and slow.
+		if below+here/2 > cut {
+			break
+		}
+		below += here
+		oldSlow -= int(w.old.latencies[b])
+		newSlow -= int(w.new.latencies[b])
+	}
+	return logRatios(newSlow, newCount, oldSlow, oldCount)
+}
+
+// Allow reports whether the entry may send requests to the new version.
+func (g *Guard) Allow(now time.Time) bool {
+	g.close(now)
+	return !g.stopped
+}
+
+// Hear takes the digest of another entry's guard: its local stop holds here
+// too, so that the new version gets no requests while the table is out.
+func (g *Guard) Hear(o Observation) {
+	if o.Stopped && o.Move == g.move.Name && !g.stopped && o.Reason != nil {
+		g.stopped, g.evidence = true, *o.Reason
+	}
+}
+
+// Stopped returns the evidence of the local stop.
+func (g *Guard) Stopped() (Evidence, bool) { return g.evidence, g.stopped }
+
+// ReportAfter returns the time after which a request without a first byte is
+// observed, with that time as its latency and not again, so that a version
+// that hangs is noticed before the requests time out.
+func (g *Guard) ReportAfter(route string) time.Duration {
+	m := g.routes[route]
+	if m == nil || m.count < windowRequests {
+		return unknownLatency
+	}
+	return max(time.Second, time.Duration(8*math.Exp(m.value)*float64(time.Second)))
+}
+
+// Digest returns what the controller is to know. It is sent every 2 s and at
+// once when Stopped becomes true.
+func (g *Guard) Digest(now time.Time) Observation {
+	g.close(now)
+	g.number++
+	o := Observation{Entry: g.entry, Move: g.move.Name, Start: g.start, Number: g.number, Stopped: g.stopped}
+	if g.stopped {
+		reason := g.evidence
+		o.Reason = &reason
+	}
+	for key, cell := range g.cells {
+		c := Cell{Route: key.route, Level: key.level, Old: cell.old, New: cell.new}
+		for m := range cell.sums {
+			c.Ratios[m] = make([]float32, len(odds))
+			for i, v := range cell.sums[m] {
+				c.Ratios[m][i] = float32(v)
+			}
+		}
+		o.Cells = append(o.Cells, c)
+	}
+	slices.SortFunc(o.Cells, func(a, b Cell) int {
+		return cellKey{a.Route, a.Level}.compare(cellKey{b.Route, b.Level})
+	})
+	return o
+}
