--- a/admission/controller.go
+++ b/admission/controller.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -204,7 +205,7 @@
 func (c *Controller) Expire(now time.Time) []Ticket {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, e := range c.queued {
+	for _, e := range slices.Clone(c.queue) {
 		if passed(e.Deadline, now) {
 			c.remove(e)
 			c.expired = append(c.expired, e.Ticket)
--- a/roundtrip/roundtrip.go
+++ b/roundtrip/roundtrip.go
@@ -120,18 +120,17 @@
 	}
 	request.SetConnectionClose()
 	client := &fasthttp.HostClient{
-		Addr:                          e.Address,
-		NoDefaultUserAgentHeader:      true,
-		MaxConns:                      1,
-		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		ReadBufferSize:                e.limits.BufferSize,
-		WriteBufferSize:               4 << 10,
-		ReadTimeout:                   e.limits.Header,
-		WriteTimeout:                  e.limits.Write,
-		StreamResponseBody:            true,
-		DisablePathNormalizing:        true,
-		DisableHeaderNamesNormalizing: false,
+		Addr:                      e.Address,
+		NoDefaultUserAgentHeader:  true,
+		MaxConns:                  1,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		ReadBufferSize:            e.limits.BufferSize,
+		WriteBufferSize:           4 << 10,
+		ReadTimeout:               e.limits.Header,
+		WriteTimeout:              e.limits.Write,
+		StreamResponseBody:        true,
+		DisablePathNormalizing:    true,
 		Dial: func(address string) (net.Conn, error) {
 			dialer := net.Dialer{Timeout: e.limits.Connect}
 			c, err := dialer.DialContext(ctx, "tcp", address)
@@ -169,12 +168,12 @@
 	return nil
 }
 
-// Read reads from the body.
+// Read reads from the body. It must not be called after Close.
 func (x *Exchange) Read(p []byte) (int, error) {
 	if stream := x.Response.BodyStream(); stream != nil {
 		return stream.Read(p)
 	}
-	return 0, net.ErrClosed
+	return 0, io.EOF // a status without a body, for example 204
 }
 
 // Interrupt closes the connection, which ends a Read in another goroutine.
--- a/service/client.go
+++ b/service/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,8 +24,8 @@
 	TooLargeError = roundtrip.TooLargeError
 )
 
-// RequestError reports a request that cannot be sent: a path that does not
-// start with "/", or a method or header value with invalid characters.
+// RequestError reports a request that was not sent: a path that does not start
+// with "/" or has a fragment, or a field with invalid characters.
 type RequestError struct{ Field, Value string }
 
 func (e *RequestError) Error() string { return fmt.Sprintf("invalid %s %q", e.Field, e.Value) }
@@ -38,7 +39,9 @@
 	RequestID      string
 }
 
-// Response is the answer of the service, whatever its status.
+// Response is the answer of the service, whatever its status: an error status
+// is the service's answer to the caller, and whether the call ran is for the
+// service to say.
 type Response struct {
 	Status      int
 	ContentType string
@@ -103,7 +106,6 @@
 		request.Header.SetMethod(r.Method)
 	}
 	request.SetRequestURI(c.endpoint.Base + r.Path)
-	request.URI().DisablePathNormalizing = true
 	if r.ContentType != "" {
 		request.Header.SetContentType(r.ContentType)
 	}
@@ -138,7 +140,7 @@
 
 // validate rejects what could change the request line or the headers.
 func validate(r Request) error {
-	if len(r.Path) == 0 || r.Path[0] != '/' || !printable(r.Path, false) {
+	if !strings.HasPrefix(r.Path, "/") || strings.Contains(r.Path, "#") || !printable(r.Path, false) {
 		return &RequestError{"path", r.Path}
 	}
 	for _, f := range []struct {
--- a/target/health.go
+++ b/target/health.go
@@ -87,11 +87,7 @@
 func (p *Pool) eject(st *state, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	subject := st.target.Model
-	if subject == "" {
-		subject = st.target.Service
-	}
-	candidates := p.snapshot.Load().groups[group{subject, st.target.Version}]
+	candidates := p.snapshot.Load().groups[group{st.subject(), st.target.Version}]
 	if st.health.ejected(now) {
 		return
 	}
@@ -101,10 +97,9 @@
 			ejected++
 		}
 	}
-	if 3*(ejected+1) > len(candidates) {
-		return
+	if 3*(ejected+1) <= len(candidates) {
+		st.health.eject(now)
 	}
-	st.health.eject(now)
 }
 
 // limitEjected ends the oldest ejections when targets have left, so that the
--- a/target/pool.go
+++ b/target/pool.go
@@ -155,10 +155,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		st := states[name]
-		subject := st.target.Model
-		if subject == "" {
-			subject = st.target.Service
-		}
+		subject := st.subject()
 		for _, g := range []group{{subject, st.target.Version}, {subject, ""}} {
 			s.known[g] = true
 			if !st.leaving() {
@@ -188,10 +185,11 @@
 	st.report.Store(&report{
 		running:   int64(r.Running + r.Queued),
 		held:      r.HeldTokens,
+		capacity:  int64(r.MaxConcurrent),
 		inFlight:  st.counters.inFlight.Load(),
 		ownTokens: st.counters.tokens.Load(),
 	})
-	if r.Leaving == (st.notice.Load() != 0) && !r.Leaving {
+	if !r.Leaving && st.notice.Load() == 0 {
 		return
 	}
 	p.mu.Lock()
@@ -200,15 +198,12 @@
 	switch {
 	case r.Leaving:
 		st.notice.Store(now.UnixNano())
-	case noticed != 0 && now.Sub(time.Unix(0, noticed)) >= leavingHold:
+	case now.Sub(time.Unix(0, noticed)) >= leavingHold:
 		st.notice.Store(0)
-	default:
-		return
 	}
-	if r.Leaving && noticed != 0 {
-		return
+	if (noticed != 0) != (st.notice.Load() != 0) {
+		p.publish(p.snapshot.Load().states)
 	}
-	p.publish(p.snapshot.Load().states)
 }
 
 // Leaving marks a target as leaving, as the VM list or a refusal says. It
@@ -264,8 +259,10 @@
 	return Choice{Target: st.target}, nil
 }
 
-// chooseByLoad takes the less loaded of two random candidates. A candidate
-// that returns from ejection is accepted with the probability of its weight.
+// chooseByLoad takes the less loaded of two random candidates. A candidate of
+// weight w is accepted with probability w/(2-w): it is drawn in one of two
+// draws and then wins, since it has less load than the others, so that it gets
+// w of a full share.
 func chooseByLoad(candidates []*state, r Request, at int64, random *rand.Rand) *state {
 	var first *state
 	// With at most a third of the candidates ejected and few excluded, a draw
@@ -275,7 +272,7 @@
 		if st == first || slices.Contains(r.Exclude, st.target.Name) {
 			continue
 		}
-		if weight := st.weight(at); weight < 1 && random.Float64() >= weight {
+		if weight := st.weight(at); weight < 1 && random.Float64() >= weight/(2-weight) {
 			continue
 		}
 		if first == nil {
@@ -307,18 +304,21 @@
 // chooseByPrefix is rendezvous hashing with bounded loads (Mirrokni, Thorup,
 // Zadimoghaddam 2018) on the first block of the prompt. Among the candidates
 // within the bound, the one with the most cached leading blocks goes first.
+// The bound is rounded up to whole requests, but not for a target that returns
+// from ejection: it would get one request at a time whatever its weight.
 func (p *Pool) chooseByPrefix(candidates []*state, r Request, now time.Time) (*state, int) {
 	at := now.UnixNano()
-	sum, weights := 0.0, 0.0
+	requests, capacity := 0.0, 0.0
 	for _, st := range candidates {
 		if weight := st.weight(at); weight > 0 {
-			sum += st.load(0)
-			weights += weight
+			requests += st.load(0) * st.capacity()
+			capacity += st.capacity() * weight
 		}
 	}
-	if weights == 0 {
+	if capacity == 0 {
 		return nil, 0
 	}
+	bound := p.options.bound * (requests + 1) / capacity
 	var best *state
 	bestBlocks, bestScore := -1, uint64(0)
 	for _, st := range candidates {
@@ -326,9 +326,11 @@
 		if weight == 0 || slices.Contains(r.Exclude, st.target.Name) {
 			continue
 		}
-		// The bound counts the new request, so that an idle fleet accepts it.
-		one := st.unit()
-		if st.load(0)+one > p.options.bound*(sum+one)/weights*weight+one*weight {
+		allowed := bound * st.capacity() * weight
+		if weight == 1 {
+			allowed = math.Ceil(allowed)
+		}
+		if st.load(0)*st.capacity()+1 > allowed {
 			continue
 		}
 		blocks := st.cachedBlocks(r.Prefix, p.options, now)
--- a/target/state.go
+++ b/target/state.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +25,7 @@
 type counters struct{ inFlight, tokens atomic.Int64 }
 
 // report is a load report with the entry's own counters when it arrived.
-type report struct{ running, held, inFlight, ownTokens int64 }
+type report struct{ running, held, capacity, inFlight, ownTokens int64 }
 
 func newState(t config.Target) *state {
 	return &state{
@@ -55,6 +56,9 @@
 	return &next
 }
 
+// subject is the model or service of the target.
+func (s *state) subject() string { return cmp.Or(s.target.Model, s.target.Service) }
+
 func (s *state) leaving() bool {
 	return s.target.Draining || s.notice.Load() != 0 || s.listed.Load() != 0
 }
@@ -75,15 +79,22 @@
 // further tokens.
 func (s *state) load(tokens int64) float64 {
 	running, held := s.requests()
-	load := float64(running) * s.unit()
+	load := float64(running) / s.capacity()
 	if s.target.MaxTokens > 0 {
 		load = max(load, float64(held+tokens)/float64(s.target.MaxTokens))
 	}
 	return load
 }
 
-// unit is the load of one request.
-func (s *state) unit() float64 { return 1 / float64(max(1, s.target.MaxConcurrent)) }
+// capacity is the number of concurrent requests: the stated one, or the
+// agent's current limit if that is lower.
+func (s *state) capacity() float64 {
+	capacity := int64(s.target.MaxConcurrent)
+	if r := s.report.Load(); r != nil && r.capacity > 0 {
+		capacity = min(capacity, r.capacity)
+	}
+	return float64(max(1, capacity))
+}
 
 // weight is 0 for an ejected target, and rises from returnWeight to 1 after
 // its return.
