--- a/agent/agent.go
+++ b/agent/agent.go
@@ -69,16 +69,15 @@
 	started  time.Time
 	buffers  *stream.Limiter
 
-	mu         sync.Mutex
-	admission  *admission.Controller
-	attempts   map[string]*attempt
-	ended      []*attempt // in the order in which they ended
-	refused    map[string]time.Time
-	forgotten  time.Time // attempts that ended before may have been forgotten
-	unbilled   map[string]peer.UnbilledUsage
-	leaving    bool
-	versions   map[string]uint64 // highest fencing number seen, by kind of order
-	subscriber map[*peer.Stream]chan struct{}
+	mu          sync.Mutex
+	admission   *admission.Controller
+	attempts    map[string]*attempt
+	ended       []*attempt // in the order in which they ended
+	refused     map[string]time.Time
+	forgotten   time.Time // attempts that ended before may have been forgotten
+	unbilled    map[string]peer.UnbilledUsage
+	leaving     bool
+	subscribers map[*peer.Stream]subscriber
 
 	running atomic.Int64
 	pumps   sync.WaitGroup
@@ -87,6 +86,12 @@
 	done    chan struct{}
 }
 
+// subscriber is an entry that the agent pushes its load to.
+type subscriber struct {
+	holder  string
+	changed chan struct{}
+}
+
 // Option changes a default of New.
 type Option func(*options)
 
@@ -200,16 +205,15 @@
 	a := &Agent{
 		settings: s, clock: clock, log: l, events: events, metrics: set, endpoint: endpoint,
 		follower: follower, engine: engineClient, service: serviceClient, started: clock.Now(),
-		buffers:    stream.NewLimiter(int64(s.Agent.MaxBufferedBytes)),
-		admission:  admission.New(admission.Capacity{}),
-		attempts:   map[string]*attempt{},
-		refused:    map[string]time.Time{},
-		unbilled:   map[string]peer.UnbilledUsage{},
-		versions:   map[string]uint64{},
-		subscriber: map[*peer.Stream]chan struct{}{},
-		context:    ctx,
-		cancel:     cancel,
-		done:       make(chan struct{}),
+		buffers:     stream.NewLimiter(int64(s.Agent.MaxBufferedBytes)),
+		admission:   admission.New(admission.Capacity{}),
+		attempts:    map[string]*attempt{},
+		refused:     map[string]time.Time{},
+		unbilled:    map[string]peer.UnbilledUsage{},
+		subscribers: map[*peer.Stream]subscriber{},
+		context:     ctx,
+		cancel:      cancel,
+		done:        make(chan struct{}),
 	}
 	a.forgotten = a.started
 	a.registerMetrics()
--- a/agent/run.go
+++ b/agent/run.go
@@ -122,8 +122,8 @@
 				return usage, err
 			}
 		case engine.Usage:
-			usage.PromptTokens = min(int64(e.PromptTokens), d.PromptTokens)
-			usage.CompletionTokens = min(max(int64(e.CompletionTokens), usage.CompletionTokens), d.MaxTokens)
+			usage.PromptTokens = min(e.PromptTokens, d.PromptTokens)
+			usage.CompletionTokens = min(max(e.CompletionTokens, usage.CompletionTokens), d.MaxTokens)
 		case engine.Finished:
 		}
 	}
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"briarreach/admission"
@@ -26,7 +25,7 @@
 	case peer.Hello:
 		a.events.Clock().Observe(m.Clock)
 		a.follower.Hint(m.ConfigNumber, s.RemoteAddr())
-		a.serveLoad(ctx, s)
+		a.serveLoad(ctx, s, m.Holder)
 	case peer.Cancel:
 		a.cancelAttempt(m.Attempt)
 		_ = s.CloseSend()
@@ -49,7 +48,7 @@
 	case peer.StatusRequest:
 		a.answer(s, peer.Status{
 			Process: a.settings.Process, Role: peer.AgentRole, ConfigNumber: a.follower.Number(),
-			Started: a.started, Address: a.endpoint.Addr(),
+			Started: a.started, Address: a.endpoint.Addr(), Holders: a.holders(),
 		})
 	default:
 		a.log.WithError(&UnexpectedMessageError{Message: m}).Warn("stream refused")
@@ -280,14 +279,14 @@
 
 // serveLoad pushes the target's load to an entry: at once, when it changes
 // and once per loadInterval.
-func (a *Agent) serveLoad(ctx context.Context, s *peer.Stream) {
+func (a *Agent) serveLoad(ctx context.Context, s *peer.Stream, holder string) {
 	changed := make(chan struct{}, 1)
 	a.mu.Lock()
-	a.subscriber[s] = changed
+	a.subscribers[s] = subscriber{holder: holder, changed: changed}
 	a.mu.Unlock()
 	defer func() {
 		a.mu.Lock()
-		delete(a.subscriber, s)
+		delete(a.subscribers, s)
 		a.mu.Unlock()
 		s.Abort()
 	}()
@@ -308,11 +307,22 @@
 	}
 }
 
+// holders returns the holders that have an open stream to the agent.
+func (a *Agent) holders() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]string, 0, len(a.subscribers))
+	for _, sub := range a.subscribers {
+		out = append(out, sub.holder)
+	}
+	return out
+}
+
 func (a *Agent) notifyLoad() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, changed := range a.subscriber {
-		signal(changed)
+	for _, sub := range a.subscribers {
+		signal(sub.changed)
 	}
 }
 
@@ -430,12 +440,3 @@
 		delete(a.unbilled, id)
 	}
 }
-
-// executionOf says whether a request that failed with err ran.
-func executionOf(err error) peer.Execution {
-	var cancelled *CancelledError
-	if errors.As(err, &cancelled) {
-		return peer.Ran
-	}
-	return peer.Unknown
-}
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -14,10 +14,9 @@
 const (
 	// agentSilence is after how long without a load report a connection counts
 	// as lost. Agents push one every second.
-	agentSilence   = 3 * time.Second
-	minAgentDelay  = 50 * time.Millisecond
-	maxAgentDelay  = 2 * time.Second
-	agentsPerEntry = 40
+	agentSilence  = 3 * time.Second
+	minAgentDelay = 50 * time.Millisecond
+	maxAgentDelay = 2 * time.Second
 )
 
 // agents keeps a stream to every agent, on which the agent pushes its load.
@@ -31,9 +30,9 @@
 }
 
 type agentStream struct {
-	cancel context.CancelFunc
-	seen   time.Time // of the last load report
-	number uint64
+	cancel  context.CancelFunc
+	subject string // model or service of the target
+	report  peer.LoadReport
 }
 
 func newAgents(e *Entry) *agents {
@@ -44,9 +43,9 @@
 func (a *agents) update(d *config.Document) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	wanted := map[netip.AddrPort]struct{}{}
+	wanted := map[netip.AddrPort]string{}
 	for _, t := range d.Targets {
-		wanted[t.Agent] = struct{}{}
+		wanted[t.Agent] = t.Model + t.Service
 	}
 	for addr, s := range a.streams {
 		if _, ok := wanted[addr]; !ok {
@@ -57,12 +56,13 @@
 	if a.closed {
 		return
 	}
-	for addr := range wanted {
-		if _, ok := a.streams[addr]; ok {
+	for addr, subject := range wanted {
+		if s, ok := a.streams[addr]; ok {
+			s.subject = subject
 			continue
 		}
 		ctx, cancel := context.WithCancel(a.e.context)
-		s := &agentStream{cancel: cancel}
+		s := &agentStream{cancel: cancel, subject: subject}
 		a.streams[addr] = s
 		a.workers.Go(func() { a.follow(ctx, addr, s) })
 	}
@@ -141,17 +141,26 @@
 		a.e.pool.Report(load.Report, now)
 		a.e.follower.Hint(load.Report.ConfigNumber, addr)
 		a.mu.Lock()
-		state.seen, state.number = now, load.Report.ConfigNumber
+		state.report = load.Report
 		a.mu.Unlock()
 	}
 }
 
-// lastSeen returns when the agent reported last, and the number it had.
-func (a *agents) lastSeen(addr netip.AddrPort) (time.Time, uint64) {
+// level returns the load of the targets of a subject in a few steps: the share
+// of their capacity that runs, in quarters. All versions count together, so
+// that old and new are compared at the same level.
+func (a *agents) level(subject string) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s := a.streams[addr]; s != nil {
-		return s.seen, s.number
+	running, capacity := 0, 0
+	for _, s := range a.streams {
+		if s.subject == subject {
+			running += s.report.Running
+			capacity += s.report.MaxConcurrent
+		}
+	}
+	if capacity == 0 {
+		return 0
 	}
-	return time.Time{}, 0
+	return min(4*running/capacity, 3)
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -248,7 +248,7 @@
 	}
 	a.e.pool.End(a.t.target.Name, a.t.tokens, result, a.first.Sub(a.t.started), now)
 	if result != target.Neutral {
-		a.e.moves.observe(x.document, x.cost.subject, a.t.version, x.cost.route, a.first.Sub(a.t.started), result == target.Failed, now)
+		a.e.observeTry(x, a.t, a.first.Sub(a.t.started), result == target.Failed, now)
 	}
 	a.e.bill(x, a.t, usage, outcome)
 	if x.claim != nil {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -35,6 +35,7 @@
 	version string
 	tokens  int64
 	started time.Time
+	retry   bool // an earlier try may have run
 }
 
 // tries is the history of a request's dispatches.
@@ -110,7 +111,7 @@
 func (e *Entry) choose(x *exchange, h *tries) (try, *caller.Error) {
 	x.document = e.follower.Current()
 	now := e.clock.Now()
-	version := e.moves.version(x.document, x.cost.subject, x.cost.route, h.oldOnly, now)
+	version := e.moves.version(x.document, x.cost.subject, h.oldOnly, now)
 	tokens := x.cost.promptTokens + x.cost.maxTokens
 	request := target.Request{Subject: x.cost.subject, Version: version, Tokens: tokens, Exclude: h.exclude}
 	if chat, ok := x.request.(*caller.Chat); ok {
@@ -122,7 +123,7 @@
 		refusal.RetryAfter = time.Second
 		return try{}, refusal
 	}
-	return try{attempt: newAttempt(), target: choice.Target, version: version, tokens: tokens, started: now}, nil
+	return try{attempt: newAttempt(), target: choice.Target, version: version, tokens: tokens, started: now, retry: h.oldOnly}, nil
 }
 
 // send dispatches one try and waits until the agent refuses it or the answer
@@ -178,7 +179,7 @@
 	}
 	e.pool.End(t.target.Name, t.tokens, outcome, now.Sub(t.started), now)
 	if outcome == target.Failed {
-		e.moves.observe(x.document, x.cost.subject, t.version, x.cost.route, now.Sub(t.started), true, now)
+		e.observeTry(x, t, now.Sub(t.started), true, now)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -169,7 +168,7 @@
 		context: ctx, cancel: cancel,
 	}
 	e.wallet = budget.New(holder, budget.WithHorizon(s.Entry.DrawHorizon.Duration), budget.WithHolders(e.liveHolders))
-	e.moves = newMoves()
+	e.moves = newMoves(s.Process, holder, 1+len(s.Entry.Entries))
 	e.agents = newAgents(e)
 	e.follower = configsync.New(store, configsync.WithClock(clock), configsync.WithLog(e.log),
 		configsync.WithInterval(s.Entry.ConfigInterval.Duration),
@@ -180,7 +179,7 @@
 	e.registerMetrics()
 	h.serve = e.servePeer
 	close(h.set)
-	for _, work := range []func(){e.openJournal, e.drawLoop, e.acknowledgeLoop, e.takeUsageLoop, e.controlLoop} {
+	for _, work := range []func(){e.openJournal, e.drawLoop, e.acknowledgeLoop, e.takeUsageLoop, e.evidenceLoop, e.controlLoop} {
 		e.workers.Go(work)
 	}
 	return e
@@ -322,12 +321,3 @@
 	}
 	entry.WithError(a.err).Warn("answer incomplete")
 }
-
-// statusOf returns the HTTP status of a reply that ends a request, for the
-// claim's record.
-func statusOf(a *answer) int {
-	if a.head.Status == 0 {
-		return http.StatusBadGateway
-	}
-	return a.head.Status
-}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -41,9 +41,8 @@
 	clock  clockwork.Clock
 	number func() uint64 // number of the last change of keys
 
-	mu      sync.RWMutex
-	rows    map[string]cachedKey
-	checked uint64 // entries read at a number below are read again
+	mu   sync.RWMutex
+	rows map[string]cachedKey
 }
 
 type cachedKey struct {
@@ -61,7 +60,7 @@
 // known when the table goes out later.
 func (c *keyCache) preload(ctx context.Context) error {
 	number := c.number()
-	for after := ""; ; {
+	for after, kept := "", 0; kept < maxCachedKeys; kept += table.MaxItems {
 		rows, err := c.store.Query(ctx, config.KeyPartition, after, table.MaxItems)
 		if err != nil {
 			return fmt.Errorf("entry.preload: %w", err)
@@ -72,14 +71,13 @@
 				return fmt.Errorf("entry.preload: %w", err)
 			}
 			after = row.Sort
-			if !c.keep(row.Sort, cachedKey{row: key, known: true, number: number}) {
-				return nil
-			}
+			c.keep(row.Sort, cachedKey{row: key, known: true, number: number})
 		}
 		if len(rows) < table.MaxItems {
-			return nil
+			break
 		}
 	}
+	return nil
 }
 
 // lookup returns the row of a secret key. A cached row is used as long as no
@@ -118,24 +116,17 @@
 	return k.row, nil
 }
 
-// keep stores a row. When the cache is full, an arbitrary unknown key is
-// dropped; it is false if there is none.
-func (c *keyCache) keep(hash string, k cachedKey) bool {
+// keep stores a row. It drops an arbitrary one when the cache is full.
+func (c *keyCache) keep(hash string, k cachedKey) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, found := c.rows[hash]; !found && len(c.rows) >= maxCachedKeys {
-		dropped := false
 		for h := range c.rows {
 			delete(c.rows, h)
-			dropped = true
 			break
 		}
-		if !dropped {
-			return false
-		}
 	}
 	c.rows[hash] = k
-	return true
 }
 
 func isUnknownKey(err error) bool {
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -1,45 +1,213 @@
 package entry
 
 import (
-	"math/rand/v2"
+	"math/rand"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"briarreach/config"
+	"briarreach/move"
+	"briarreach/peer"
+	"briarreach/timeline"
 )
 
+// evidenceInterval is how often an entry sends its digests. The digest of a
+// local stop is sent at once.
+const evidenceInterval = 2 * time.Second
+
 // moves chooses the version of each request and collects the evidence of
 // running version moves.
 type moves struct {
-	bySubject atomic.Pointer[map[string]config.Move]
+	process string
+	holder  string
+	entries int
+	running atomic.Pointer[map[string]*runningMove] // by subject
+
+	mu    sync.Mutex
+	heard map[string]map[string]move.Observation // digests of other entries, by move and entry
+}
+
+// runningMove is a move with this entry's guard. Allowed is what the guard
+// says, so that the request path takes no lock.
+type runningMove struct {
+	state   atomic.Pointer[config.Move]
+	allowed atomic.Bool
+	stopped chan struct{} // signals the local stop
+
+	mu    sync.Mutex
+	guard *move.Guard
 }
 
-func newMoves() *moves { return &moves{} }
+func newMoves(process, holder string, entries int) *moves {
+	m := &moves{process: process, holder: holder, entries: entries, heard: map[string]map[string]move.Observation{}}
+	m.running.Store(&map[string]*runningMove{})
+	return m
+}
 
 // update takes over the running moves of a document.
 func (m *moves) update(d *config.Document) {
-	running := map[string]config.Move{}
-	for _, move := range d.Moves {
-		if move.State == config.MoveRunning {
-			running[move.Subject] = move
+	earlier := *m.running.Load()
+	next := map[string]*runningMove{}
+	for _, state := range d.Moves {
+		if state.State != config.MoveRunning {
+			continue
+		}
+		r := earlier[state.Subject]
+		if r == nil || r.state.Load().Name != state.Name {
+			r = &runningMove{guard: move.NewGuard(m.process, m.holder, state, move.WithEntries(m.entries)), stopped: make(chan struct{}, 1)}
+			r.allowed.Store(true)
+		}
+		r.state.Store(&state)
+		r.mu.Lock()
+		r.guard.Update(state)
+		r.mu.Unlock()
+		next[state.Subject] = r
+	}
+	m.running.Store(&next)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.heard {
+		if d.Moves[name].State != config.MoveRunning {
+			delete(m.heard, name)
 		}
 	}
-	m.bySubject.Store(&running)
 }
 
+func (m *moves) of(subject string) *runningMove { return (*m.running.Load())[subject] }
+
 // version returns the version that a request for the subject goes to.
-func (m *moves) version(d *config.Document, subject, _ string, oldOnly bool, _ time.Time) string {
-	current, _ := d.CurrentVersion(subject)
-	running := m.bySubject.Load()
-	if running == nil || oldOnly {
+func (m *moves) version(d *config.Document, subject string, retry bool, _ time.Time) string {
+	r := m.of(subject)
+	if r == nil {
+		current, _ := d.CurrentVersion(subject)
 		return current
 	}
-	move, ok := (*running)[subject]
-	if !ok || rand.Int64N(1_000_000) >= move.Share {
-		return current
+	return move.Pick(*r.state.Load(), r.allowed.Load(), retry, rand.New(random{}))
+}
+
+// refresh stores whether the guard allows the new version. The caller holds
+// the lock.
+func (r *runningMove) refresh(now time.Time) {
+	allowed := r.guard.Allow(now)
+	if r.allowed.Swap(allowed) && !allowed {
+		select {
+		case r.stopped <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// observeTry gives the guard the outcome of a first try.
+func (e *Entry) observeTry(x *exchange, t try, latency time.Duration, failed bool, now time.Time) {
+	r := e.moves.of(x.cost.subject)
+	if r == nil || t.retry {
+		return
+	}
+	level := e.agents.level(x.cost.subject)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.guard.Observe(t.version, x.cost.route, level, latency, failed, now)
+	r.refresh(now)
+}
+
+// evidenceLoop sends the digests of the running moves to the other entries.
+func (e *Entry) evidenceLoop() {
+	ticker := e.clock.NewTicker(evidenceInterval / 10)
+	defer ticker.Stop()
+	var sent time.Time
+	for {
+		select {
+		case <-e.context.Done():
+			return
+		case <-ticker.Chan():
+		}
+		now := e.clock.Now()
+		due := now.Sub(sent) >= evidenceInterval
+		for _, r := range *e.moves.running.Load() {
+			select {
+			case <-r.stopped:
+				e.noteLocalStop(r)
+			default:
+				if !due {
+					continue
+				}
+			}
+			e.sendEvidence(r, now)
+		}
+		if due {
+			sent = now
+		}
+	}
+}
+
+func (e *Entry) noteLocalStop(r *runningMove) {
+	r.mu.Lock()
+	evidence, _ := r.guard.Stopped()
+	r.mu.Unlock()
+	state := r.state.Load()
+	e.events.Record(timeline.Event{Kind: "move_stopped_locally", Move: state.Name, Detail: evidence.String()})
+	e.log.WithField("move", state.Name).WithField("evidence", evidence.String()).Warn("new version stopped at this entry")
+}
+
+func (e *Entry) sendEvidence(r *runningMove, now time.Time) {
+	r.mu.Lock()
+	digest := r.guard.Digest(now)
+	r.refresh(now)
+	r.mu.Unlock()
+	e.moves.hear(digest)
+	data, err := cbor.Marshal(digest)
+	if err != nil {
+		e.log.WithError(err).Error("evidence not encoded")
+		return
+	}
+	for _, addr := range e.settings.Entry.Entries {
+		e.workers.Go(func() {
+			_ = e.tell(e.context, addr, peer.Evidence{Move: digest.Move, Digest: data})
+		})
 	}
-	return move.To
 }
 
-// observe records how a request went.
-func (m *moves) observe(*config.Document, string, string, string, time.Duration, bool, time.Time) {}
+// hearEvidence takes the digest of another entry. Its local stop holds here
+// too.
+func (e *Entry) hearEvidence(m peer.Evidence) {
+	var digest move.Observation
+	if err := cbor.Unmarshal(m.Digest, &digest); err != nil {
+		e.log.WithError(err).Warn("evidence refused")
+		return
+	}
+	for _, r := range *e.moves.running.Load() {
+		if r.state.Load().Name != digest.Move {
+			continue
+		}
+		r.mu.Lock()
+		r.guard.Hear(digest)
+		r.refresh(e.clock.Now())
+		r.mu.Unlock()
+		e.moves.hear(digest)
+	}
+}
+
+// hear keeps the newest digest of each entry for the controller.
+func (m *moves) hear(o move.Observation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	byEntry := m.heard[o.Move]
+	if byEntry == nil {
+		byEntry = map[string]move.Observation{}
+		m.heard[o.Move] = byEntry
+	}
+	byEntry[o.Entry+"/"+o.Start] = o
+}
+
+func (m *moves) digests(name string) []move.Observation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]move.Observation, 0, len(m.heard[name]))
+	for _, o := range m.heard[name] {
+		out = append(out, o)
+	}
+	return out
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -24,6 +24,9 @@
 	case peer.StatusRequest:
 		e.answerPeer(s, peer.Status{Process: e.settings.Process, Role: peer.EntryRole, Holder: e.holder,
 			ConfigNumber: e.follower.Number(), Started: e.started, Address: e.endpoint.Addr()})
+	case peer.Evidence:
+		e.hearEvidence(m)
+		_ = s.CloseSend()
 	case peer.Recall:
 		e.answerPeer(s, peer.Recalled{Amount: e.recall(m)})
 	default:
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -164,6 +164,7 @@
 	"events":          decodeBody[Events],
 	"status_request":  decodeBody[StatusRequest],
 	"status":          decodeBody[Status],
+	"evidence":        decodeBody[Evidence],
 }
 
 // Kind returns the name of a message's type on the wire, or "" for nil and for
@@ -224,6 +225,8 @@
 		return "status_request"
 	case Status:
 		return "status"
+	case Evidence:
+		return "evidence"
 	default:
 		return ""
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -279,6 +279,15 @@
 		ConfigNumber uint64         `cbor:"config_number"`
 		Started      time.Time      `cbor:"started"`
 		Address      netip.AddrPort `cbor:"address"`
+		// Holders are the holders with an open Hello stream, at an agent.
+		Holders []string `cbor:"holders,omitempty"`
+	}
+
+	// Evidence carries an entry's digest of a version move to the other
+	// entries, as package move encodes it.
+	Evidence struct {
+		Move   string `cbor:"move"`
+		Digest []byte `cbor:"digest"`
 	}
 )
 
@@ -320,3 +329,4 @@
 func (Events) message()         {}
 func (StatusRequest) message()  {}
 func (Status) message()         {}
+func (Evidence) message()       {}
