--- /dev/null
+++ b/cmd/briarreach/process_test.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/operator"
+)
+
+// processFleet runs the example settings as separate processes, with free
+// ports in place of those of the examples.
+type processFleet struct {
+	dir    string
+	binary string
+	ports  map[string]string
+	procs  map[string]*exec.Cmd
+	output map[string]*syncBuffer
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+var address = regexp.MustCompile(`127\.0\.0\.1:(\d+)`)
+
+func newProcessFleet() *processFleet {
+	f := &processFleet{dir: GinkgoT().TempDir(), ports: map[string]string{}, procs: map[string]*exec.Cmd{}, output: map[string]*syncBuffer{}}
+	f.binary = filepath.Join(f.dir, "briarreach")
+	out, err := exec.Command("go", "build", "-o", f.binary, ".").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	examples, err := filepath.Glob("../../examples/*")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.Mkdir(filepath.Join(f.dir, "examples"), 0o700)).To(Succeed())
+	for _, file := range examples {
+		data, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		text := address.ReplaceAllStringFunc(string(data), func(a string) string { return "127.0.0.1:" + f.port(strings.TrimPrefix(a, "127.0.0.1:")) })
+		Expect(os.WriteFile(filepath.Join(f.dir, "examples", filepath.Base(file)), []byte(text), 0o600)).To(Succeed())
+	}
+	DeferCleanup(f.stop)
+	return f
+}
+
+// port returns the free port that stands for a port of the examples.
+func (f *processFleet) port(example string) string {
+	if p, ok := f.ports[example]; ok {
+		return p
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	_, p, err := net.SplitHostPort(l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	f.ports[example] = p
+	return p
+}
+
+func (f *processFleet) command(args ...string) *exec.Cmd {
+	c := exec.Command(f.binary, args...)
+	c.Dir = f.dir
+	c.Env = append(os.Environ(), "BRIARREACH_ENTRY=http://127.0.0.1:"+f.port("8181"), "BRIARREACH_KEY_FILE=operator.key")
+	return c
+}
+
+// run runs a command to its end and returns its output.
+func (f *processFleet) run(args ...string) string {
+	out, err := f.command(args...).CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), "%v: %s", args, out)
+	return string(out)
+}
+
+// start starts a process that stays.
+func (f *processFleet) start(name string, args ...string) {
+	c := f.command(args...)
+	f.output[name] = &syncBuffer{}
+	c.Stdout, c.Stderr = f.output[name], f.output[name]
+	Expect(c.Start()).To(Succeed())
+	f.procs[name] = c
+}
+
+// terminate sends SIGTERM and expects a clean exit.
+func (f *processFleet) terminate(name string) {
+	c := f.procs[name]
+	delete(f.procs, name)
+	Expect(c.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	done := make(chan error, 1)
+	go func() { done <- c.Wait() }()
+	Eventually(done, 30*time.Second).Should(Receive(BeNil()), func() string { return f.output[name].String() })
+}
+
+func (f *processFleet) stop() {
+	for name, c := range f.procs {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+		if CurrentSpecReport().Failed() {
+			fmt.Fprintf(GinkgoWriter, "== %s\n%s\n", name, f.output[name])
+		}
+	}
+}
+
+// startAll runs the commands of examples/README.md and returns a caller key.
+func (f *processFleet) startAll() string {
+	f.run("keys", "authority", "--dir", "certs")
+	for _, p := range []string{"entry-1", "entry-2"} {
+		f.run("keys", "issue", p, "--role", "entry", "--dir", "certs")
+	}
+	for _, p := range []string{"agent-engine-1", "agent-service-1"} {
+		f.run("keys", "issue", p, "--role", "agent", "--dir", "certs")
+	}
+	f.start("table", "standin", "table", "--port", f.port("8500"))
+	f.start("engine", "standin", "engine", "--port", f.port("7001"))
+	f.start("service", "standin", "service", "--port", f.port("7101"))
+	for _, name := range []string{"table", "engine", "service"} {
+		Eventually(f.output[name].String, 10*time.Second).Should(ContainSubstring("ready"))
+	}
+	f.run("init", "--settings", "examples/entry-1.toml", "--key-file", "operator.key")
+	f.start("agent-engine-1", "agent", "--settings", "examples/agent-engine-1.toml")
+	f.start("agent-service-1", "agent", "--settings", "examples/agent-service-1.toml")
+	f.start("entry-1", "entry", "--settings", "examples/entry-1.toml")
+	f.start("entry-2", "entry", "--settings", "examples/entry-2.toml")
+	Eventually(func() error {
+		out, err := f.command("config", "patch", "examples/patch.json").CombinedOutput()
+		if err != nil {
+			return errors.New(string(out))
+		}
+		return nil
+	}, 20*time.Second, 100*time.Millisecond).Should(Succeed())
+	out := f.run("workspace", "create", "chania-desk", "--prepaid", "500000")
+	_, key, found := strings.Cut(out, "(shown once): ")
+	Expect(found).To(BeTrue(), out)
+	return strings.TrimSpace(strings.SplitN(key, "\n", 2)[0])
+}
+
+// send posts a body and returns status, headers and the whole answer.
+func send(ctx context.Context, url, key, idempotencyKey, body string) (int, http.Header, string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+key)
+	if idempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(answer), err
+}
+
+// settled returns what is billed to a budget.
+func (f *processFleet) settled(name string) int64 {
+	var budgets []operator.Budget
+	Expect(json.Unmarshal([]byte(f.run("budget", "list", "--json")), &budgets)).To(Succeed())
+	for _, b := range budgets {
+		if b.Name == name {
+			return b.Settled
+		}
+	}
+	return -1
+}
+
+// runCost returns what the targets say they have run.
+func (f *processFleet) runCost() int64 {
+	var engine struct {
+		Runs []struct {
+			PromptTokens    int64 `json:"prompt_tokens"`
+			GeneratedTokens int64 `json:"generated_tokens"`
+		} `json:"runs"`
+	}
+	var service struct {
+		Runs []json.RawMessage `json:"runs"`
+	}
+	f.fetch("7001", &engine)
+	f.fetch("7101", &service)
+	cost := 5 * int64(len(service.Runs))
+	for _, run := range engine.Runs {
+		cost += run.PromptTokens + run.GeneratedTokens
+	}
+	return cost
+}
+
+func (f *processFleet) fetch(port string, into any) {
+	response, err := http.Get("http://127.0.0.1:" + f.port(port) + "/runs")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	Expect(json.NewDecoder(response.Body).Decode(into)).To(Succeed())
+}
+
+const chat = `{"model":"itinerary-large","stream":true,"max_tokens":32,"messages":[{"role":"user","content":"A tour of the tower"}]}`
+
+// Guards against a path that works only when all parts share one process.
+var _ = Describe("separate processes", func() {
+	It("serves both kinds of requests, bills them once and stops cleanly", func(ctx SpecContext) {
+		f := newProcessFleet()
+		key := f.startAll()
+		entries := []string{"http://127.0.0.1:" + f.port("8081"), "http://127.0.0.1:" + f.port("8082")}
+		for i := range 10 {
+			status, header, answer, err := send(ctx, entries[i%2]+"/v1/chat/completions", key, "", chat)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(http.StatusOK), answer)
+			Expect(answer).To(HaveSuffix("data: [DONE]\n\n"))
+			Expect(header.Get("Idempotency-Key")).NotTo(BeEmpty())
+		}
+		first, second := "", ""
+		for i, into := range []*string{&first, &second} {
+			status, _, answer, err := send(ctx, entries[i]+"/v1/services/bookings/bookings", key, "booking-1", `{"slot":"10:30"}`)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(http.StatusOK), answer)
+			*into = answer
+		}
+		Expect(second).To(Equal(first), "a retry at another entry gets the first outcome")
+		Eventually(func() int64 { return f.settled("chania-desk") }, 10*time.Second, 100*time.Millisecond).Should(Equal(f.runCost()))
+		Expect(f.run("timeline", "--workspace", "chania-desk")).To(ContainSubstring("billed"))
+		for _, name := range []string{"entry-1", "entry-2", "agent-engine-1", "agent-service-1", "table", "engine", "service"} {
+			f.terminate(name)
+		}
+	}, SpecTimeout(90*time.Second))
+})
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -151,11 +151,23 @@
 			continue
 		}
 		for _, record := range e.wallet.Due(e.clock.Now()) {
+			if draw, ok := record.(ledger.Draw); ok {
+				e.workers.Go(func() { e.draw(j, draw) })
+				continue
+			}
 			e.submit(j, record)
 		}
 	}
 }
 
+// draw writes a draw at once: requests may wait for it, and a budget has one
+// draw in flight.
+func (e *Entry) draw(j *journal.Journal, draw ledger.Draw) {
+	if _, err := j.SubmitNow(e.context, draw.Budget, draw); err != nil {
+		e.log.WithError(err).Warn("draw not written to the ledger")
+	}
+}
+
 // bill settles the reservation and writes the bill. The agent keeps the usage
 // until it hears that the bill is durable.
 func (e *Entry) bill(x *exchange, t try, usage peer.Usage, outcome peer.Outcome) {
