Recover the unspent amounts of lost holders

Package holder decides when a holder counts as lost and in which order it is fenced, asked for at the agents and released. An entry whose holder was fenced goes on with a new one.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -116,7 +116,7 @@
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	err = s.Send(peer.Hello{Process: a.e.settings.Process, Role: peer.EntryRole, Holder: a.e.holder,
+	err = s.Send(peer.Hello{Process: a.e.settings.Process, Role: peer.EntryRole, Holder: a.e.Holder(),
 		ConfigNumber: a.e.follower.Number(), Clock: a.e.events.Clock().Now()})
 	if err != nil {
 		return false
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"briarreach/budget"
 	"briarreach/caller"
 	"briarreach/journal"
@@ -26,6 +28,30 @@
 	maxPending    = 200_000
 )
 
+// grants is a holder with its wallet. An entry whose holder was fenced goes on
+// with a new one; requests keep the one that they reserved from.
+type grants struct {
+	holder string
+	wallet *budget.Wallet
+}
+
+func (e *Entry) newGrants() *grants {
+	holder := ulid.Make().String()
+	return &grants{holder: holder, wallet: budget.New(holder,
+		budget.WithHorizon(e.settings.Entry.DrawHorizon.Duration), budget.WithHolders(e.liveHolders))}
+}
+
+// renewHolder replaces a fenced holder. What it had outstanding is recovered
+// by the entry that fenced it.
+func (e *Entry) renewHolder(fenced *grants) {
+	next := e.newGrants()
+	if e.grants.CompareAndSwap(fenced, next) {
+		e.events.Record(timeline.Event{Kind: "holder_renewed", Detail: fenced.holder + " " + next.holder})
+		e.log.WithField("fenced_holder", fenced.holder).WithField("holder", next.holder).Warn("holder was fenced, going on with a new one")
+		e.drawn.notify()
+	}
+}
+
 // broadcast wakes all that wait for an event.
 type broadcast struct {
 	mu sync.Mutex
@@ -51,7 +77,7 @@
 func (e *Entry) openJournal() {
 	for {
 		if d := e.follower.Current(); d != nil {
-			j, err := journal.New(e.store, d.Shards, journal.WithClock(e.clock), journal.WithWriter(e.holder),
+			j, err := journal.New(e.store, d.Shards, journal.WithClock(e.clock), journal.WithWriter(e.writer),
 				journal.WithFlushInterval(e.settings.Entry.FlushInterval.Duration), journal.WithLog(e.log),
 				journal.WithMaxPending(maxPending), journal.WithObserver(e.observeRecord))
 			if err == nil {
@@ -75,19 +101,19 @@
 
 // reserve takes amount from the entry's grants of a budget. A request that
 // finds too little waits for a draw.
-func (e *Entry) reserve(ctx context.Context, name string, amount int64) (budget.Reservation, error) {
+func (e *Entry) reserve(ctx context.Context, g *grants, name string, amount int64) (budget.Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	for {
 		drawn := e.drawn.wait()
 		now := e.clock.Now()
-		reservation, err := e.wallet.Reserve(name, amount, now)
+		reservation, err := g.wallet.Reserve(name, amount, now)
 		var pending *budget.PendingError
 		if err == nil || !errors.As(err, &pending) {
 			return reservation, err
 		}
 		if j := e.journal.Load(); j != nil {
-			if draw, ok := e.wallet.Want(name, amount, now); ok {
+			if draw, ok := g.wallet.Want(name, amount, now); ok {
 				if _, submitErr := j.SubmitNow(ctx, name, draw); submitErr != nil {
 					return reservation, errors.Join(err, submitErr)
 				}
@@ -104,7 +130,14 @@
 
 // observeRecord tells the wallet the result of a record of this holder.
 func (e *Entry) observeRecord(record ledger.Record, result ledger.Result) {
-	e.wallet.Observe(record, result)
+	g := e.grants.Load()
+	g.wallet.Observe(record, result)
+	if draw, ok := record.(ledger.Draw); ok && draw.Holder == g.holder {
+		var fenced *ledger.FencedError
+		if refused, ok := result.(ledger.Refused); ok && errors.As(refused.Err, &fenced) {
+			e.renewHolder(g)
+		}
+	}
 	e.drawn.notify()
 }
 
@@ -150,7 +183,7 @@
 		if j == nil || e.leaving.Load() {
 			continue
 		}
-		for _, record := range e.wallet.Due(e.clock.Now()) {
+		for _, record := range e.grants.Load().wallet.Due(e.clock.Now()) {
 			if draw, ok := record.(ledger.Draw); ok {
 				e.workers.Go(func() { e.draw(j, draw) })
 				continue
@@ -181,7 +214,7 @@
 	}
 	e.submitBill(t.target.Agent, peer.UnbilledUsage{
 		Attempt: t.attempt, Identity: x.identity, Workspace: x.key.Workspace, Budget: x.key.Budget,
-		Holder: e.holder, Outcome: outcome, Usage: usage, At: e.clock.Now(),
+		Holder: x.grants.holder, Outcome: outcome, Usage: usage, At: e.clock.Now(),
 	}, x.envelope.RequestID)
 }
 
@@ -190,11 +223,7 @@
 	if j == nil {
 		return
 	}
-	record := ledger.Bill{
-		Identity: u.Identity, Budget: u.Budget, Holder: u.Holder, Attempt: u.Attempt, Cost: u.Usage.Cost,
-		PromptTokens: u.Usage.PromptTokens, CompletionTokens: u.Usage.CompletionTokens,
-		Outcome: string(u.Outcome), At: u.At,
-	}
+	record := billOf(u)
 	err := j.Submit(record, u.Budget, func(result ledger.Result, err error) {
 		if err != nil {
 			e.log.WithError(err).WithField("request_id", request).Warn("bill not written")
@@ -208,6 +237,14 @@
 	}
 }
 
+func billOf(u peer.UnbilledUsage) ledger.Bill {
+	return ledger.Bill{
+		Identity: u.Identity, Budget: u.Budget, Holder: u.Holder, Attempt: u.Attempt, Cost: u.Usage.Cost,
+		PromptTokens: u.Usage.PromptTokens, CompletionTokens: u.Usage.CompletionTokens,
+		Outcome: string(u.Outcome), At: u.At,
+	}
+}
+
 func (e *Entry) billed(u peer.UnbilledUsage, request string, result ledger.Result) {
 	kind := "billed"
 	switch r := result.(type) {
@@ -242,7 +279,12 @@
 	if x.reserved || x.cost.reserved == 0 {
 		return nil
 	}
-	reservation, err := e.reserve(ctx, x.key.Budget, x.cost.reserved)
+	return e.reserveFor(ctx, x)
+}
+
+func (e *Entry) reserveFor(ctx context.Context, x *exchange) *caller.Error {
+	x.grants = e.grants.Load()
+	reservation, err := e.reserve(ctx, x.grants, x.key.Budget, x.cost.reserved)
 	if err != nil {
 		return refuseBudget(err)
 	}
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -29,6 +29,7 @@
 	workspace   config.Workspace
 	identity    ledger.Identity
 	cost        cost
+	grants      *grants
 	reservation budget.Reservation
 	reserved    bool
 	claim       *claimHandle // of a call that may not be repeated
@@ -99,6 +100,7 @@
 
 func (f authenticate) apply(ctx context.Context, x *exchange) caller.Reply {
 	x.document = f.e.follower.Current()
+	x.grants = f.e.grants.Load()
 	if x.document == nil {
 		return caller.Refuse(http.StatusServiceUnavailable, caller.NotReady, "the entry has no configuration")
 	}
@@ -193,11 +195,9 @@
 	if x.cost.reserved == 0 {
 		return nil
 	}
-	reservation, err := f.e.reserve(ctx, x.key.Budget, x.cost.reserved)
-	if err != nil {
-		return refuseBudget(err)
+	if refusal := f.e.reserveFor(ctx, x); refusal != nil {
+		return refusal
 	}
-	x.reservation, x.reserved = reservation, true
 	return nil
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -1,6 +1,187 @@
 package entry
 
-// controlLoop does the work that one entry at a time does under a lease.
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"briarreach/holder"
+	"briarreach/ledger"
+	"briarreach/peer"
+	"briarreach/timeline"
+)
+
+// controlInterval is how often the entry with the control lease looks for work.
+const controlInterval = 500 * time.Millisecond
+
+// fenceTimeout bounds one question to an agent about a fenced holder: the
+// agent waits up to 2 s for the holder's requests to end.
+const fenceTimeout = 4 * time.Second
+
+// reclaimer recovers the unspent amounts of lost holders. It is used by one
+// goroutine.
+type reclaimer struct {
+	e       *Entry
+	monitor *holder.Monitor
+	agents  map[string]netip.AddrPort
+}
+
+func newReclaimer(e *Entry) *reclaimer {
+	return &reclaimer{e: e, monitor: holder.New(holder.WithLostAfter(e.settings.Entry.ReclaimAfter.Duration))}
+}
+
+// step takes in what the ledger, the peers and the configuration say and does
+// what is due. All its writes are idempotent, so that two entries that do the
+// same work do no harm.
+func (r *reclaimer) step(ctx context.Context) {
+	e := r.e
+	j := e.journal.Load()
+	document := e.follower.Current()
+	if j == nil || document == nil {
+		return
+	}
+	r.agents = map[string]netip.AddrPort{}
+	for _, t := range document.Targets {
+		r.agents[t.Name] = t.Agent
+	}
+	now := e.clock.Now()
+	r.monitor.Observe(holder.Agents{Names: slices.Sorted(maps.Keys(r.agents))}, now)
+	if err := j.Refresh(ctx); err != nil {
+		return
+	}
+	r.monitor.Observe(r.outstanding(), now)
+	r.monitor.Observe(holder.Seen{Holder: e.Holder()}, now)
+	e.eachPeer(ctx, peer.StatusRequest{}, func(_ netip.AddrPort, m peer.Message, _ error) {
+		if s, ok := m.(peer.Status); ok {
+			e.seenMu.Lock()
+			defer e.seenMu.Unlock()
+			e.seen = append(append(e.seen, s.Holder), s.Holders...)
+		}
+	})
+	for _, h := range e.takeSeen() {
+		r.monitor.Observe(holder.Seen{Holder: h}, now)
+	}
+	for _, action := range r.monitor.Decide(e.clock.Now()) {
+		if err := r.do(ctx, action); err != nil {
+			e.log.WithError(err).Warn("recovery of a holder not finished")
+		}
+	}
+}
+
+func (e *Entry) takeSeen() []string {
+	e.seenMu.Lock()
+	defer e.seenMu.Unlock()
+	seen := e.seen
+	e.seen = nil
+	return seen
+}
+
+func (r *reclaimer) outstanding() holder.Outstanding {
+	names, fenced := map[string]struct{}{}, map[string]struct{}{}
+	j := r.e.journal.Load()
+	for shard := range j.Shards() {
+		j.ReadShard(shard, func(s *ledger.State) {
+			for h := range s.Holders() {
+				names[h] = struct{}{}
+				if s.Fenced(h) {
+					fenced[h] = struct{}{}
+				}
+			}
+		})
+	}
+	return holder.Outstanding{Holders: slices.Sorted(maps.Keys(names)), Fenced: slices.Sorted(maps.Keys(fenced))}
+}
+
+func (r *reclaimer) do(ctx context.Context, action holder.Action) error {
+	e := r.e
+	j := e.journal.Load()
+	switch a := action.(type) {
+	case holder.Fence:
+		if err := j.FenceHolder(ctx, a.Holder); err != nil {
+			return err
+		}
+		e.events.Record(timeline.Event{Kind: "holder_fenced", Detail: a.Holder})
+		e.log.WithField("lost_holder", a.Holder).Warn("holder fenced")
+		r.monitor.Observe(holder.Fenced{Holder: a.Holder}, e.clock.Now())
+	case holder.Ask:
+		return r.ask(ctx, a)
+	case holder.Release:
+		if err := j.ReleaseHolder(ctx, a.Holder, a.Held); err != nil {
+			return err
+		}
+		e.events.Record(timeline.Event{Kind: "holder_released", Detail: a.Holder})
+		e.log.WithField("lost_holder", a.Holder).Info("unspent amounts released")
+		r.monitor.Observe(holder.Released{Holder: a.Holder}, e.clock.Now())
+	case holder.WriteOff:
+		return r.writeOff(ctx, a.Holder)
+	}
+	return nil
+}
+
+// ask bills what an agent says that ran under a fenced holder. Only then does
+// the answer count.
+func (r *reclaimer) ask(ctx context.Context, a holder.Ask) error {
+	e := r.e
+	call, cancel := context.WithTimeout(ctx, fenceTimeout)
+	defer cancel()
+	addr := r.agents[a.Agent]
+	answer, err := e.endpoint.Call(call, addr, peer.FenceHolder{Holder: a.Holder})
+	if err != nil {
+		return err
+	}
+	result, ok := answer.(peer.FenceResult)
+	if !ok {
+		return &UnexpectedMessageError{Message: answer}
+	}
+	j := e.journal.Load()
+	for _, u := range result.Unbilled {
+		billed, err := j.SubmitNow(call, u.Budget, billOf(u))
+		if err != nil {
+			return err
+		}
+		e.billed(u, "", billed)
+		e.acks.add(addr, u.Attempt)
+	}
+	r.monitor.Observe(holder.Answered{Holder: a.Holder, Agent: a.Agent, Running: result.Running}, e.clock.Now())
+	return nil
+}
+
+// writeOff charges the outstanding amounts of a holder as spent.
+func (r *reclaimer) writeOff(ctx context.Context, name string) error {
+	e := r.e
+	j := e.journal.Load()
+	amounts := map[string]int64{}
+	for shard := range j.Shards() {
+		j.ReadShard(shard, func(s *ledger.State) { maps.Copy(amounts, s.Holders()[name]) })
+	}
+	var errs []error
+	for budget, amount := range amounts {
+		_, err := j.SubmitNow(ctx, budget, ledger.Bill{
+			Identity: ledger.NewIdentity(budget, name, []byte("written_off")), Budget: budget, Holder: name,
+			Attempt: "written_off/" + name, Cost: amount, Outcome: "written_off", At: e.clock.Now(),
+		})
+		errs = append(errs, err)
+		e.events.Record(timeline.Event{Kind: "amount_written_off", Detail: name + " " + budget})
+		e.log.WithField("lost_holder", name).WithField("budget", budget).WithField("amount", amount).
+			Error("amount written off: an agent was removed before it reported")
+	}
+	return errors.Join(errs...)
+}
+
+// controlLoop does the work that one entry at a time does.
 func (e *Entry) controlLoop() {
-	<-e.context.Done()
+	r := newReclaimer(e)
+	ticker := e.clock.NewTicker(controlInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.context.Done():
+			return
+		case <-ticker.Chan():
+			r.step(e.context)
+		}
+	}
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -153,7 +153,7 @@
 func (e *Entry) message(x *exchange, t try) peer.Dispatch {
 	d := peer.Dispatch{
 		RequestID: x.envelope.RequestID, Attempt: t.attempt, Identity: x.identity,
-		Workspace: x.key.Workspace, Budget: x.key.Budget, Holder: e.holder,
+		Workspace: x.key.Workspace, Budget: x.key.Budget, Holder: x.grants.holder,
 		ConfigNumber: x.document.Number, Target: t.target.Name, Version: t.version,
 		Route: x.cost.route, Repeatable: x.cost.repeatable, Priority: x.workspace.Priority,
 		Deadline: x.deadline, Reserved: x.cost.reserved,
@@ -206,6 +206,14 @@
 		e.waitForNumber(ctx, refused.Refusal.ConfigNumber)
 		h.exclude = h.exclude[:len(h.exclude)-1]
 		h.last.Type = caller.NotReady
+	case "holder_fenced":
+		e.renewHolder(x.grants)
+		if x.reserved {
+			x.reserved = false
+			x.reservation.Cancel()
+		}
+		h.exclude = h.exclude[:len(h.exclude)-1]
+		h.last.Type = caller.NotReady
 	case "leaving":
 		e.pool.Report(peer.LoadReport{Target: t.target.Name, Leaving: true}, e.clock.Now())
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,6 @@
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/dig"
 
-	"briarreach/budget"
 	"briarreach/caller"
 	"briarreach/config"
 	"briarreach/configsync"
@@ -30,7 +29,7 @@
 	"briarreach/timeline"
 )
 
-// Entry is a running entry process. Holder identifies this start of it.
+// Entry is a running entry process.
 type Entry struct {
 	settings *settings.Settings
 	clock    clockwork.Clock
@@ -47,14 +46,17 @@
 	agents   *agents
 	acks     *acknowledgements
 	held     *heldReservations
-	holder   string
+	writer   string // identifies this start of the process
 	started  time.Time
 	filters  []filter
 
 	journal atomic.Pointer[journal.Journal]
-	wallet  *budget.Wallet
+	grants  atomic.Pointer[grants]
 	drawn   *broadcast
 
+	seenMu sync.Mutex
+	seen   []string // holders that peers have named since the last look
+
 	open      atomic.Int64
 	leaving   atomic.Bool
 	callers   *caller.Server
@@ -158,17 +160,17 @@
 func start(s *settings.Settings, clock clockwork.Clock, l log.Interface, events *timeline.Recorder, set *metrics.Set,
 	store table.Store, endpoint *peer.Endpoint, pool *target.Pool, h *handler) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
-	holder := ulid.Make().String()
+	writer := ulid.Make().String()
 	e := &Entry{
-		settings: s, clock: clock, log: l.WithField("holder", holder), events: events, metrics: set,
+		settings: s, clock: clock, log: l, events: events, metrics: set,
 		store: store, endpoint: endpoint, pool: pool, retries: &target.RetryBudget{},
-		holder: holder, started: clock.Now(), drawn: newBroadcast(),
+		writer: writer, started: clock.Now(), drawn: newBroadcast(),
 		acks:    newAcknowledgements(),
 		held:    newHeldReservations(),
 		context: ctx, cancel: cancel,
 	}
-	e.wallet = budget.New(holder, budget.WithHorizon(s.Entry.DrawHorizon.Duration), budget.WithHolders(e.liveHolders))
-	e.moves = newMoves(s.Process, holder, 1+len(s.Entry.Entries))
+	e.grants.Store(e.newGrants())
+	e.moves = newMoves(s.Process, writer, 1+len(s.Entry.Entries))
 	e.agents = newAgents(e)
 	e.follower = configsync.New(store, configsync.WithClock(clock), configsync.WithLog(e.log),
 		configsync.WithInterval(s.Entry.ConfigInterval.Duration),
@@ -215,8 +217,8 @@
 // PeerAddr returns the address for the fleet's other processes.
 func (e *Entry) PeerAddr() netip.AddrPort { return e.endpoint.Addr() }
 
-// Holder identifies this start of the entry in grants and leases.
-func (e *Entry) Holder() string { return e.holder }
+// Holder returns the holder of the entry's grants.
+func (e *Entry) Holder() string { return e.grants.Load().holder }
 
 // Ready reports why the entry should get no new requests, or nil.
 func (e *Entry) Ready() error {
@@ -251,7 +253,7 @@
 		errs = append(errs, e.operators.Close(ctx))
 	}
 	if j := e.journal.Load(); j != nil {
-		for _, record := range e.wallet.ReturnAll() {
+		for _, record := range e.grants.Load().wallet.ReturnAll() {
 			e.submit(j, record)
 		}
 		errs = append(errs, j.Close(ctx))
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -22,7 +22,7 @@
 	case peer.FetchEvents:
 		e.answerPeer(s, peer.Events{Events: e.events.Events(m.Filter)})
 	case peer.StatusRequest:
-		e.answerPeer(s, peer.Status{Process: e.settings.Process, Role: peer.EntryRole, Holder: e.holder,
+		e.answerPeer(s, peer.Status{Process: e.settings.Process, Role: peer.EntryRole, Holder: e.Holder(),
 			ConfigNumber: e.follower.Number(), Started: e.started, Address: e.endpoint.Addr()})
 	case peer.Evidence:
 		e.hearEvidence(m)
@@ -50,7 +50,7 @@
 		return 0
 	}
 	var sum int64
-	for _, record := range e.wallet.Recall(m.Budget, m.Amount, e.clock.Now()) {
+	for _, record := range e.grants.Load().wallet.Recall(m.Budget, m.Amount, e.clock.Now()) {
 		e.submit(j, record)
 		if r, ok := amountOf(record); ok {
 			sum += r
