--- /dev/null
+++ b/ledger/state_test.go
@@ -0,0 +1,289 @@
+package ledger_test
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"briarreach/ledger"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func identity(n int) ledger.Identity { return ledger.NewIdentity("w", fmt.Sprint(n), nil) }
+
+// script applies records one batch a second and returns the last result.
+func script(s *ledger.State, records ...ledger.Record) ledger.Result {
+	var last ledger.Result
+	for i, r := range records {
+		last = s.Apply(ledger.Batch{At: start.Add(time.Duration(i) * time.Second), Records: []ledger.Record{r}})[0]
+	}
+	return last
+}
+
+var (
+	open  = ledger.OpenBudget{Budget: "x", Prepaid: 100, PatchID: "p1"}
+	draw  = ledger.Draw{DrawID: "d1", Budget: "x", Holder: "h", Min: 10, Max: 60}
+	bill  = ledger.Bill{Identity: identity(1), Budget: "x", Holder: "h", Attempt: "a1", Cost: 20, At: start}
+	fence = ledger.Fence{Holder: "h"}
+)
+
+func with[R any](r R, change func(*R)) R {
+	change(&r)
+	return r
+}
+
+var _ = DescribeTable("State.Apply returns", func(want ledger.Result, records ...ledger.Record) {
+	got := script(ledger.NewState(), records...)
+	if refused, ok := want.(ledger.Refused); ok {
+		Expect(got).To(BeAssignableToTypeOf(ledger.Refused{}))
+		Expect(got.(ledger.Refused).Err).To(BeAssignableToTypeOf(refused.Err))
+		return
+	}
+	Expect(got).To(Equal(want))
+},
+	Entry("opened", ledger.Opened{Prepaid: 100}, open),
+	Entry("opened by the same patch", ledger.Opened{Prepaid: 100, Duplicate: true}, open, open),
+	Entry("exists for another patch", ledger.Refused{Err: &ledger.BudgetExistsError{}}, open,
+		ledger.OpenBudget{Budget: "x", Prepaid: 5, PatchID: "p2"}),
+	Entry("topped up", ledger.ToppedUp{Prepaid: 130}, open, ledger.TopUp{Budget: "x", Amount: 30, PatchID: "p2"}),
+	Entry("a repeated top-up once", ledger.ToppedUp{Prepaid: 130, Duplicate: true}, open,
+		ledger.TopUp{Budget: "x", Amount: 30, PatchID: "p2"}, ledger.TopUp{Budget: "x", Amount: 30, PatchID: "p2"}),
+	Entry("an overflowing top-up refused", ledger.Refused{Err: &ledger.InvalidRecordError{}}, open,
+		ledger.TopUp{Budget: "x", Amount: math.MaxInt64, PatchID: "p2"}),
+	Entry("a negative top-up refused", ledger.Refused{Err: &ledger.InvalidRecordError{}}, open,
+		ledger.TopUp{Budget: "x", Amount: -1, PatchID: "p2"}),
+	Entry("a top-up of an unknown budget refused", ledger.Refused{Err: &ledger.UnknownBudgetError{}},
+		ledger.TopUp{Budget: "x", Amount: 1, PatchID: "p"}),
+	Entry("the grant", ledger.Drawn{Granted: 60, Available: 40}, open, draw),
+	Entry("the same grant again", ledger.Drawn{Granted: 60, Available: 40, Duplicate: true}, open, draw, draw),
+	Entry("what is left, if it is at least the minimum", ledger.Drawn{Granted: 40}, open, draw,
+		ledger.Draw{DrawID: "d2", Budget: "x", Holder: "i", Min: 40, Max: 60}),
+	Entry("nothing below the minimum", ledger.Drawn{Available: 40}, open, draw,
+		ledger.Draw{DrawID: "d2", Budget: "x", Holder: "i", Min: 41, Max: 60}),
+	Entry("a draw with max below min refused", ledger.Refused{Err: &ledger.InvalidRecordError{}}, open,
+		ledger.Draw{DrawID: "d", Budget: "x", Holder: "h", Min: 5, Max: 4}),
+	Entry("a draw of a fenced holder refused", ledger.Refused{Err: &ledger.FencedError{}}, open, fence, draw),
+	Entry("the bill", ledger.Billed{Cost: 20, First: "a1"}, open, draw, bill),
+	Entry("the first bill for a repeat", ledger.Billed{Cost: 20, First: "a1", Duplicate: true}, open, draw, bill,
+		with(bill, func(b *ledger.Bill) { b.Attempt, b.Cost = "a2", 30 })),
+	Entry("a bill beyond the outstanding amount refused", ledger.Refused{Err: &ledger.OverdrawnError{}}, open, draw,
+		with(bill, func(b *ledger.Bill) { b.Cost = 61 })),
+	Entry("a negative bill refused", ledger.Refused{Err: &ledger.InvalidRecordError{}}, open, draw,
+		with(bill, func(b *ledger.Bill) { b.Cost = -1 })),
+	Entry("a bill of a fenced holder", ledger.Billed{Cost: 20, First: "a1"}, open, draw, fence, bill),
+	Entry("a bill that a release has excluded refused", ledger.Refused{Err: &ledger.OverdrawnError{}}, open, draw, fence,
+		ledger.Release{Holder: "h", Held: map[string]int64{"x": 19}}, bill),
+	Entry("the return", ledger.Returned{Amount: 60}, open, draw,
+		ledger.Return{ReturnID: "r", Budget: "x", Holder: "h", Amount: 60}),
+	Entry("a repeated return once", ledger.Returned{Amount: 30, Duplicate: true}, open, draw,
+		ledger.Return{ReturnID: "r", Budget: "x", Holder: "h", Amount: 30}, ledger.Return{ReturnID: "r", Budget: "x", Holder: "h", Amount: 30}),
+	Entry("a return beyond the outstanding amount refused", ledger.Refused{Err: &ledger.OverdrawnError{}}, open, draw,
+		ledger.Return{ReturnID: "r", Budget: "x", Holder: "h", Amount: 61}),
+	Entry("the outstanding amounts of a fenced holder", ledger.Fenced{Outstanding: map[string]int64{"x": 60}}, open, draw, fence),
+	Entry("what a release gives back", ledger.Released{Returned: map[string]int64{"x": 45}}, open, draw, fence,
+		ledger.Release{Holder: "h", Held: map[string]int64{"x": 15}}),
+	Entry("a release without a fence refused", ledger.Refused{Err: &ledger.NotFencedError{}}, open, draw, ledger.Release{Holder: "h"}),
+	Entry("a record with a long name refused", ledger.Refused{Err: &ledger.InvalidRecordError{}},
+		ledger.Fence{Holder: string(make([]byte, 300))}),
+)
+
+var _ = Describe("The bill window", func() {
+	// at applies a record at a time after the start.
+	at := func(s *ledger.State, after time.Duration, r ledger.Record) ledger.Result {
+		return s.Apply(ledger.Batch{At: start.Add(after), Records: []ledger.Record{r}})[0]
+	}
+	// tick moves the log time by as many batches as it takes.
+	tick := func(s *ledger.State, to time.Duration) {
+		for s.Now().Before(start.Add(to)) {
+			at(s, to, ledger.Fence{Holder: "other"})
+		}
+	}
+	var s *ledger.State
+	BeforeEach(func() {
+		s = ledger.NewState()
+		at(s, 0, open)
+		at(s, 0, draw)
+		Expect(at(s, 0, bill)).To(Equal(ledger.Billed{Cost: 20, First: "a1"}))
+	})
+	later := func(after time.Duration, attempt string) ledger.Bill {
+		return with(bill, func(b *ledger.Bill) { b.At, b.Attempt = start.Add(after), attempt })
+	}
+
+	It("ends: a repeat after it is a new request", func() {
+		tick(s, 16*time.Minute)
+		Expect(at(s, 16*time.Minute, later(16*time.Minute, "a2"))).To(Equal(ledger.Billed{Cost: 20, First: "a2"}))
+	})
+
+	It("ends in a shard whose log time lags", func() {
+		// Guards against free requests in a shard with few batches.
+		Expect(at(s, 16*time.Minute, later(16*time.Minute, "a2"))).To(Equal(ledger.Billed{Cost: 20, First: "a2"}))
+	})
+
+	It("refuses a late bill that may have been billed and forgotten", func() {
+		// Guards against a double bill by an entry that was cut off for an hour,
+		// whose requests another entry has billed.
+		tick(s, time.Hour)
+		var expired *ledger.ExpiredBillError
+		Expect(errors.As(at(s, time.Hour, bill).(ledger.Refused).Err, &expired)).To(BeTrue())
+	})
+
+	It("does not end for bills queued in an outage by the first batch after it", func() {
+		// Guards against log time that jumps over the outage: the bills of the
+		// second entry would be forgotten or refused.
+		other := with(bill, func(b *ledger.Bill) { b.Identity, b.At = identity(2), start.Add(time.Minute) })
+		at(s, time.Hour, ledger.Fence{Holder: "other"})
+		Expect(at(s, time.Hour, other)).To(Equal(ledger.Billed{Cost: 20, First: "a1"}))
+		Expect(at(s, time.Hour, bill)).To(Equal(ledger.Billed{Cost: 20, First: "a1", Duplicate: true}))
+	})
+
+	It("does not trust a clock that runs ahead", func() {
+		// Guards against a second bill for a repeat whose agent's clock is fast.
+		Expect(at(s, time.Minute, later(time.Hour, "a2"))).To(Equal(ledger.Billed{Cost: 20, First: "a1", Duplicate: true}))
+	})
+
+	It("counts repeats by attempt", func() {
+		for _, attempt := range []string{"a2", "a2", "a3", "a1"} {
+			at(s, time.Second, later(time.Second, attempt))
+		}
+		info, _ := s.BillOf(bill.Identity)
+		Expect(info).To(Equal(ledger.BillInfo{Budget: "x", Attempt: "a1", Cost: 20, At: start, Repeats: 2}))
+	})
+
+	It("bounds what is remembered", func() {
+		at(s, 0, ledger.TopUp{Budget: "x", Amount: 1 << 40, PatchID: "p2"})
+		at(s, 0, ledger.Draw{DrawID: "d2", Budget: "x", Holder: "h", Min: 1, Max: 1 << 40})
+		size := 0
+		for i := range 3 * 900 {
+			after := time.Duration(i) * time.Second
+			at(s, after, ledger.Return{ReturnID: fmt.Sprint(i), Budget: "x", Holder: "h", Amount: 1})
+			at(s, after, with(later(after, "a"), func(b *ledger.Bill) { b.Identity = identity(i) }))
+			raw, err := ledger.EncodeState(s)
+			Expect(err).NotTo(HaveOccurred())
+			if i == 1000 {
+				size = len(raw)
+			}
+			if i > 1000 && i%500 == 0 {
+				Expect(len(raw)).To(BeNumerically("<", size*11/10))
+			}
+		}
+	})
+})
+
+// randomRecord draws records that often collide in identifiers and amounts.
+func randomRecord(t *rapid.T) ledger.Record {
+	pick := func(name string, values ...string) string { return rapid.SampledFrom(values).Draw(t, name) }
+	amount := func(name string) int64 {
+		return rapid.OneOf(rapid.Int64Range(-1, 50), rapid.SampledFrom([]int64{math.MaxInt64, math.MaxInt64 - 1})).Draw(t, name)
+	}
+	budget, holder := pick("budget", "x", "y"), pick("holder", "h", "i")
+	id := func(name string) string { return fmt.Sprint(rapid.IntRange(0, 30).Draw(t, name)) }
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return ledger.OpenBudget{Budget: budget, Prepaid: amount("prepaid"), PatchID: id("patch")}
+	case 1:
+		return ledger.TopUp{Budget: budget, Amount: amount("amount"), PatchID: id("patch")}
+	case 2, 3:
+		return ledger.Draw{DrawID: id("draw"), Budget: budget, Holder: holder, Min: amount("min"), Max: amount("max")}
+	case 4, 5, 6:
+		return ledger.Bill{Identity: identity(rapid.IntRange(0, 30).Draw(t, "identity")), Budget: budget, Holder: holder,
+			Attempt: id("attempt"), Cost: amount("cost"), At: start.Add(time.Duration(rapid.IntRange(-2000, 2000).Draw(t, "at")) * time.Second)}
+	case 7:
+		return ledger.Return{ReturnID: id("return"), Budget: budget, Holder: holder, Amount: amount("amount")}
+	case 8:
+		return ledger.Fence{Holder: holder}
+	default:
+		return ledger.Release{Holder: holder, Held: map[string]int64{budget: amount("held")}}
+	}
+}
+
+// within checks that no budget is granted or spent beyond what was prepaid.
+func within(s *ledger.State) error {
+	for _, name := range s.Budgets() {
+		b, _ := s.Budget(name)
+		rest := b.Prepaid - b.Settled
+		for holder, amount := range b.Outstanding {
+			if amount <= 0 {
+				return fmt.Errorf("budget %s: %s has %d outstanding", name, holder, amount)
+			}
+			rest -= amount
+		}
+		available, _ := s.Available(name)
+		if b.Settled < 0 || rest < 0 || rest != available {
+			return fmt.Errorf("budget %s: %+v, available %d", name, b, available)
+		}
+	}
+	return nil
+}
+
+var _ = Describe("State", func() {
+	It("keeps the limit, bills once and follows only from its log", func() {
+		// Guards against overspending, double bills and writers whose states
+		// differ, also after a snapshot and a detour through the encoding.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s, replayed := ledger.NewState(), ledger.NewState()
+			billed := map[ledger.Identity][]time.Time{}
+			at := start
+			for range rapid.IntRange(1, 40).Draw(t, "batches") {
+				at = at.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 5, 600, 3600}).Draw(t, "wait")) * time.Second)
+				batch := ledger.Batch{Writer: "w", BatchID: "b", At: at}
+				for range rapid.IntRange(1, 4).Draw(t, "records") {
+					batch.Records = append(batch.Records, randomRecord(t))
+				}
+				copied := s.Clone()
+				before, _ := ledger.EncodeState(s)
+				results := s.Apply(batch)
+				if unchanged, _ := ledger.EncodeState(copied); string(unchanged) != string(before) {
+					t.Fatal("a copy has changed")
+				}
+				if err := within(s); err != nil {
+					t.Fatal(err)
+				}
+				for i, r := range results {
+					b, ok := batch.Records[i].(ledger.Bill)
+					if billing, is := r.(ledger.Billed); !ok || !is || billing.Duplicate {
+						continue
+					}
+					if b.At.After(at) {
+						b.At = at // what the state takes a time ahead of the batch for
+					}
+					for _, before := range billed[b.Identity] {
+						if b.At.Sub(before).Abs() < 15*time.Minute {
+							t.Fatalf("identity %s billed twice: %s and %s", b.Identity, before, b.At)
+						}
+					}
+					billed[b.Identity] = append(billed[b.Identity], b.At)
+				}
+				raw, err := ledger.EncodeBatch(batch)
+				if err != nil {
+					t.Fatal(err)
+				}
+				decoded, err := ledger.DecodeBatch(raw)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if again := replayed.Apply(decoded); !reflect.DeepEqual(again, results) {
+					t.Fatalf("replay: %v instead of %v", again, results)
+				}
+				snapshot, err := ledger.EncodeState(s)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if other, _ := ledger.EncodeState(replayed); string(other) != string(snapshot) {
+					t.Fatal("the replayed state differs")
+				}
+				if rapid.Bool().Draw(t, "reload") {
+					if replayed, err = ledger.DecodeState(snapshot); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		})
+	})
+})
