Test kills, freezes and shutdowns of separate processes

Three cases with SIGTERM, SIGKILL and SIGSTOP; all pass on the first run. Red run: with the call of the reclaimer's step removed from controlLoop, the cases of a killed and of a frozen entry fail after 30 s, since the holder's outstanding amount (1536 budget tokens in the first) stays outstanding. The SIGTERM case was not shown red.

--- /dev/null
+++ b/cmd/briarreach/failure_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const workspace = "chania-desk"
+
+// reply is what a caller saw of one request.
+type reply struct {
+	status int
+	body   string
+	err    error
+}
+
+func (r reply) whole() bool {
+	return r.err == nil && r.status == http.StatusOK && strings.HasSuffix(r.body, "data: [DONE]\n\n")
+}
+
+// sendAll sends n chats at once and returns when all have started or ended.
+func sendAll(ctx context.Context, n int, url, key string) func() []reply {
+	replies := make([]reply, n)
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() {
+			status, _, body, err := send(ctx, url+"/v1/chat/completions", key, "chat-"+url+"-"+string(rune('a'+i%26))+time.Now().Format("150405.000000000"), longChat)
+			replies[i] = reply{status, body, err}
+		})
+	}
+	return func() []reply {
+		group.Wait()
+		return replies
+	}
+}
+
+const longChat = `{"model":"itinerary-large","stream":true,"max_tokens":200,"messages":[{"role":"user","content":"A long tour of the tower"}]}`
+
+// running returns the number of requests that run at the engine.
+func (f *processFleet) running() int {
+	var load struct {
+		Running int `json:"running"`
+	}
+	f.fetchPath("7001", "/load", &load)
+	return load.Running
+}
+
+var _ = Describe("separate processes under failure", func() {
+	var f *processFleet
+	var key, first, second string
+	start := func() {
+		f = newProcessFleet()
+		key = f.startAll("--rate", "100", "--answer-tokens", "200")
+		first, second = "http://127.0.0.1:"+f.port("8081"), "http://127.0.0.1:"+f.port("8082")
+	}
+
+	// Guards against a shutdown that cuts requests in flight (entry, then agent).
+	It("finishes all open streams on SIGTERM of an entry and of an agent", func(ctx SpecContext) {
+		start()
+		wait := sendAll(ctx, 12, first, key)
+		Eventually(f.running, 5*time.Second, 10*time.Millisecond).Should(BeNumerically(">=", 6))
+		f.terminate("entry-1")
+		for _, r := range wait() {
+			Expect(r.whole()).To(BeTrue(), "%d %v %s", r.status, r.err, r.body)
+		}
+		wait = sendAll(ctx, 12, second, key)
+		Eventually(f.running, 5*time.Second, 10*time.Millisecond).Should(BeNumerically(">=", 6))
+		f.terminate("agent-engine-1")
+		for _, r := range wait() {
+			Expect(r.whole()).To(BeTrue(), "%d %v %s", r.status, r.err, r.body)
+		}
+		Eventually(func() int64 { return f.budget("8182", workspace).Settled }, 10*time.Second, 100*time.Millisecond).Should(Equal(f.runCost()))
+	}, SpecTimeout(60*time.Second))
+
+	// Guards against unbilled requests, double bills and lost amounts when an
+	// entry dies with streams open.
+	It("bills what ran and returns the rest within 30 s when an entry is killed", func(ctx SpecContext) {
+		start()
+		wait := sendAll(ctx, 8, first, key)
+		Eventually(f.running, 5*time.Second, 10*time.Millisecond).Should(BeNumerically(">=", 4))
+		f.kill("entry-1")
+		for _, r := range wait() {
+			Expect(r.whole()).To(BeFalse(), "a cut answer must not look whole")
+		}
+		Eventually(func(g Gomega) {
+			b := f.budget("8182", workspace)
+			g.Expect(b.Settled).To(Equal(f.runCost()))
+			g.Expect(b.Outstanding).To(BeZero())
+			g.Expect(b.Available).To(Equal(b.Prepaid - b.Settled))
+		}, 30*time.Second, 200*time.Millisecond).Should(Succeed())
+		Expect(f.runCost()).To(BeNumerically(">", 0))
+	}, SpecTimeout(90*time.Second))
+
+	// Guards against a paused entry that spends amounts which were returned
+	// meanwhile, and against one that does not serve again afterwards.
+	It("lets an entry that was frozen past its recovery spend nothing of the old grants", func(ctx SpecContext) {
+		start()
+		status, _, body, err := send(ctx, first+"/v1/chat/completions", key, "", chat)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK), body)
+		f.signal("entry-1", syscall.SIGSTOP)
+		Eventually(func() int64 { return f.budget("8182", workspace).Outstanding }, 30*time.Second, 200*time.Millisecond).Should(BeZero())
+		f.signal("entry-1", syscall.SIGCONT)
+		Eventually(func() bool {
+			status, _, body, err := send(ctx, first+"/v1/chat/completions", key, "", chat)
+			return reply{status, body, err}.whole()
+		}, 15*time.Second, 200*time.Millisecond).Should(BeTrue(), func() string { return f.output["entry-1"].String() })
+		Eventually(func() int64 { return f.budget("8182", workspace).Settled }, 10*time.Second, 100*time.Millisecond).Should(Equal(f.runCost()))
+		b := f.budget("8182", workspace)
+		Expect(b.Settled + b.Outstanding + b.Available).To(Equal(b.Prepaid))
+	}, SpecTimeout(90*time.Second))
+})
--- a/cmd/briarreach/process_test.go
+++ b/cmd/briarreach/process_test.go
@@ -128,8 +128,9 @@
 	}
 }
 
-// startAll runs the commands of examples/README.md and returns a caller key.
-func (f *processFleet) startAll() string {
+// startAll runs the commands of examples/README.md, with more flags for the
+// engine, and returns a caller key.
+func (f *processFleet) startAll(engineFlags ...string) string {
 	f.run("keys", "authority", "--dir", "certs")
 	for _, p := range []string{"entry-1", "entry-2"} {
 		f.run("keys", "issue", p, "--role", "entry", "--dir", "certs")
@@ -138,7 +139,7 @@
 		f.run("keys", "issue", p, "--role", "agent", "--dir", "certs")
 	}
 	f.start("table", "standin", "table", "--port", f.port("8500"))
-	f.start("engine", "standin", "engine", "--port", f.port("7001"))
+	f.start("engine", append([]string{"standin", "engine", "--port", f.port("7001")}, engineFlags...)...)
 	f.start("service", "standin", "service", "--port", f.port("7101"))
 	for _, name := range []string{"table", "engine", "service"} {
 		Eventually(f.output[name].String, 10*time.Second).Should(ContainSubstring("ready"))
@@ -201,8 +202,8 @@
 	var service struct {
 		Runs []json.RawMessage `json:"runs"`
 	}
-	f.fetch("7001", &engine)
-	f.fetch("7101", &service)
+	f.fetchPath("7001", "/runs", &engine)
+	f.fetchPath("7101", "/runs", &service)
 	cost := 5 * int64(len(service.Runs))
 	for _, run := range engine.Runs {
 		cost += run.PromptTokens + run.GeneratedTokens
@@ -210,8 +211,38 @@
 	return cost
 }
 
-func (f *processFleet) fetch(port string, into any) {
-	response, err := http.Get("http://127.0.0.1:" + f.port(port) + "/runs")
+// kill ends a process without any notice.
+func (f *processFleet) kill(name string) {
+	c := f.procs[name]
+	delete(f.procs, name)
+	Expect(c.Process.Kill()).To(Succeed())
+	_ = c.Wait()
+}
+
+// signal sends a signal to a process that stays.
+func (f *processFleet) signal(name string, s syscall.Signal) {
+	Expect(f.procs[name].Process.Signal(s)).To(Succeed())
+}
+
+// budget returns the state of a budget, as the given entry's API says.
+func (f *processFleet) budget(entryPort, name string) operator.Budget {
+	c := f.command("budget", "list", "--json", "--entry", "http://127.0.0.1:"+f.port(entryPort))
+	out, err := c.Output()
+	if err != nil {
+		return operator.Budget{}
+	}
+	var budgets []operator.Budget
+	Expect(json.Unmarshal(out, &budgets)).To(Succeed())
+	for _, b := range budgets {
+		if b.Name == name {
+			return b
+		}
+	}
+	return operator.Budget{}
+}
+
+func (f *processFleet) fetchPath(port, path string, into any) {
+	response, err := http.Get("http://127.0.0.1:" + f.port(port) + path)
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = response.Body.Close() }()
 	Expect(json.NewDecoder(response.Body).Decode(into)).To(Succeed())
--- a/entry/control.go
+++ b/entry/control.go
@@ -105,7 +105,7 @@
 		}
 		e.events.Record(timeline.Event{Kind: "holder_fenced", Detail: a.Holder})
 		e.log.WithField("lost_holder", a.Holder).Warn("holder fenced")
-		r.monitor.Observe(holder.Fenced{Holder: a.Holder}, e.clock.Now())
+		r.monitor.Observe(holder.Fenced(a), e.clock.Now())
 	case holder.Ask:
 		return r.ask(ctx, a)
 	case holder.Release:
