--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -16,14 +16,11 @@
 	"github.com/jonboulle/clockwork"
 
 	"briarreach/config"
+	"briarreach/journal"
 	"briarreach/peer"
 	"briarreach/table"
 )
 
-// FencePartition holds a row for each fenced holder, with the holder as sort
-// key.
-const FencePartition = "fence"
-
 // HeadKey addresses the row with the current number.
 var HeadKey = table.Key{Partition: config.ConfigPartition, Sort: config.HeadSort}
 
@@ -255,7 +252,7 @@
 func (f *Follower) readFences(ctx context.Context) error {
 	var holders []string
 	for after := ""; ; {
-		rows, err := f.store.Query(ctx, FencePartition, after, table.MaxItems)
+		rows, err := f.store.Query(ctx, journal.FencePartition, after, table.MaxItems)
 		if err != nil {
 			return fmt.Errorf("configsync.readFences: %w", err)
 		}
