--- a/caller/server.go
+++ b/caller/server.go
@@ -144,15 +144,37 @@
 		MaxConnsPerIP:         o.maxPerAddress,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
+		ReduceMemoryUsage:     true, // gives the read buffer back while an answer is written
 		Logger:                discard{},
 	}
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(listener)
+		_ = s.http.Serve(smallBuffers{listener})
 	}()
 	return s, nil
 }
 
+// sendBufferBytes bounds what the kernel holds for a slow reader; without it
+// the buffer grows to megabytes. It allows 320 KB/s at a round trip of 50 ms.
+const sendBufferBytes = 16 << 10
+
+// smallBuffers sets the send buffer of accepted connections.
+type smallBuffers struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l smallBuffers) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		if err := t.SetWriteBuffer(sendBufferBytes); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+	}
+	return c, nil
+}
+
 // Addr returns the address on which the server listens.
 func (s *Server) Addr() netip.AddrPort {
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
--- /dev/null
+++ b/cmd/briarreach/slow_test.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	stalledReaders = 1000
+	normalReaders  = 100
+	// maxGrowth is the stated limit on what a process may grow by for
+	// stalledReaders readers.
+	maxGrowth = 48 << 20
+	// maxSlowdown is how much slower the p99 of other requests may become.
+	maxSlowdown = 1.2
+)
+
+// residentBytes returns the resident memory of a process.
+func (f *processFleet) residentBytes(name string) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.procs[name].Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kib, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			Expect(err).NotTo(HaveOccurred())
+			return kib << 10
+		}
+	}
+	return 0
+}
+
+// stall sends a request for a long answer, reads the head of the answer and
+// then nothing more. The connection is returned.
+func stall(address, key string) (net.Conn, error) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		return c, err
+	}
+	body := `{"model":"itinerary-large","stream":true,"max_tokens":8000,"messages":[{"role":"user","content":"stalled"}]}`
+	_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: fleet\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", key, len(body), body)
+	if err != nil {
+		return c, err
+	}
+	line, err := bufio.NewReaderSize(c, 16).ReadString(' ')
+	if err == nil && line != "HTTP/1.1 " {
+		err = fmt.Errorf("unexpected answer %q", line)
+	}
+	return c, err
+}
+
+// normal runs short chats from normalReaders readers and returns the p99 of
+// the time to the whole answer.
+func normal(ctx SpecContext, url, key string) time.Duration {
+	var mu sync.Mutex
+	var times []time.Duration
+	var group sync.WaitGroup
+	for range normalReaders {
+		group.Go(func() {
+			defer GinkgoRecover()
+			for range 20 {
+				start := time.Now()
+				status, _, body, err := send(ctx, url+"/v1/chat/completions", key, "", chat)
+				Expect(reply{status, body, err}.whole()).To(BeTrue(), "%d %v %s", status, err, body)
+				mu.Lock()
+				times = append(times, time.Since(start))
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	slices.Sort(times)
+	return times[len(times)*99/100]
+}
+
+// Guards against memory and batch slots held for callers that do not read.
+var _ = Describe("slow readers", func() {
+	It("bounds the memory of 1,000 stalled readers and does not slow others", func(ctx SpecContext) {
+		f := newProcessFleet()
+		key := f.startAll("--slots", "2000", "--answer-tokens", "8000", "--rate", "200")
+		f.run("target", "put", "engine-1", "--model", "itinerary-large", "--version", "v1",
+			"--agent", "127.0.0.1:"+f.port("9181"), "--max-concurrent", "1500", "--max-tokens", "40000000")
+		f.run("budget", "top-up", workspace, "--amount", "1000000000")
+		url := "http://127.0.0.1:" + f.port("8081")
+		normal(ctx, url, key)
+		alone := normal(ctx, url, key)
+		entry, agent := f.residentBytes("entry-1"), f.residentBytes("agent-engine-1")
+		var mu sync.Mutex
+		var connections []net.Conn
+		var group sync.WaitGroup
+		for range stalledReaders {
+			group.Go(func() {
+				defer GinkgoRecover()
+				c, err := stall("127.0.0.1:"+f.port("8081"), key)
+				Expect(err).NotTo(HaveOccurred())
+				mu.Lock()
+				defer mu.Unlock()
+				connections = append(connections, c)
+			})
+		}
+		group.Wait()
+		defer func() {
+			for _, c := range connections {
+				_ = c.Close()
+			}
+		}()
+		Eventually(f.running, 10*time.Second, 50*time.Millisecond).Should(BeNumerically(">=", stalledReaders/2))
+		beside := normal(ctx, url, key)
+		entryGrowth, agentGrowth := f.residentBytes("entry-1")-entry, f.residentBytes("agent-engine-1")-agent
+		fmt.Fprintf(GinkgoWriter, "growth: entry %d KiB, agent %d KiB; p99 alone %v, beside stalled readers %v\n",
+			entryGrowth>>10, agentGrowth>>10, alone, beside)
+		AddReportEntry("slow readers", fmt.Sprintf("entry %d KiB, agent %d KiB, p99 %v and %v", entryGrowth>>10, agentGrowth>>10, alone, beside))
+		Expect(entryGrowth).To(BeNumerically("<", maxGrowth))
+		Expect(agentGrowth).To(BeNumerically("<", maxGrowth))
+		Expect(beside.Seconds()).To(BeNumerically("<=", maxSlowdown*alone.Seconds()))
+	}, SpecTimeout(120*time.Second))
+})
--- a/cmd/briarreach/standin.go
+++ b/cmd/briarreach/standin.go
@@ -46,10 +46,12 @@
 				})},
 			{Name: "engine", Usage: "model engine", Flags: []cli.Flag{port, version,
 				&cli.FloatFlag{Name: "rate", Usage: "tokens per second of a stream; 0 is as fast as possible"},
+				&cli.IntFlag{Name: "slots", Usage: "requests in a batch", Value: 64},
 				&cli.IntFlag{Name: "answer-tokens", Usage: "longest answer", Value: 64}},
 				Action: run(func(c *cli.Command) (interface{ Close() error }, error) {
 					return standin.NewEngine(standin.WithEnginePort(c.Uint16("port")), standin.WithEngineVersion(c.String("version")),
-						standin.WithEngineRate(c.Float("rate"), 0), standin.WithEngineAnswer(8, c.Int("answer-tokens")))
+						standin.WithEngineRate(c.Float("rate"), 0),
+						standin.WithEngineCapacity(c.Int("slots"), int64(c.Int("slots"))*32_768), standin.WithEngineAnswer(8, c.Int("answer-tokens")))
 				})},
 			{Name: "service", Usage: "plain service", Flags: []cli.Flag{port, version},
 				Action: run(func(c *cli.Command) (interface{ Close() error }, error) {
