--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -24,6 +24,12 @@
 	// a top-up made elsewhere is used.
 	exhaustedFor = time.Second
 
+	// recallEvery is the pause after a recall in vain for each live holder.
+	recallEvery = 25 * time.Millisecond
+
+	// recallAhead is the demand that a recall covers beyond the request.
+	recallAhead = 5 * time.Second
+
 	// firstDraw is the size of the first draw in requests, while the demand is
 	// unknown.
 	firstDraw = 8
@@ -35,6 +41,10 @@
 	// maxAmount bounds draws, so that sums of a few of them can't overflow.
 	maxAmount = math.MaxInt64 / 8
 
+	// maxRefunds bounds the attempts remembered as refunded. Only repeated
+	// requests are refunded, so this is hours of them.
+	maxRefunds = 16384
+
 	bucketCount = 64
 )
 
@@ -53,6 +63,14 @@
 // default is 1 holder.
 func WithHolders(count func() int) Option { return func(w *Wallet) { w.holders = count } }
 
+// WithAvailable sets the function that returns what the ledger has available of
+// a budget, as far as this entry has read it. It is called when a reservation
+// does not fit and for each draw. Without it the wallet knows only the results
+// of its own draws.
+func WithAvailable(f func(budget string) (int64, bool)) Option {
+	return func(w *Wallet) { w.availableOf = f }
+}
+
 // WithFixedDraw makes all draws of one size instead of following the demand.
 func WithFixedDraw(amount int64) Option { return func(w *Wallet) { w.fixed = amount } }
 
@@ -64,6 +82,8 @@
 	stripes int
 	holders func() int
 	fixed   int64
+	// availableOf may be stale, and may be nil.
+	availableOf func(string) (int64, bool)
 
 	seed    maphash.Seed
 	buckets [bucketCount]bucket
@@ -71,6 +91,10 @@
 	token   atomic.Uint32 // stripe of the next token
 	serial  atomic.Uint64 // number of the last draw or return
 	now     atomic.Int64  // latest time seen, Unix nanoseconds
+
+	refundMu    sync.Mutex
+	refunded    map[string]bool // by attempt
+	refundOrder []string
 }
 
 // bucket is a part of the map of accounts, copied when it changes, so that
@@ -85,11 +109,12 @@
 // New returns an empty wallet of the holder.
 func New(holder string, opts ...Option) *Wallet {
 	w := &Wallet{
-		holder:  holder,
-		horizon: 20 * time.Minute,
-		stripes: min(16, runtime.GOMAXPROCS(0)),
-		holders: func() int { return 1 },
-		seed:    maphash.MakeSeed(),
+		holder:   holder,
+		horizon:  20 * time.Minute,
+		stripes:  min(16, runtime.GOMAXPROCS(0)),
+		holders:  func() int { return 1 },
+		refunded: map[string]bool{},
+		seed:     maphash.MakeSeed(),
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -159,7 +184,7 @@
 	w.tokens.Put(t)
 	if !ok {
 		w.seen(now)
-		if err := a.gather(amount, now); err != nil {
+		if err := w.gather(a, amount, now); err != nil {
 			return Reservation{}, err
 		}
 	}
@@ -220,7 +245,7 @@
 	a.largest = max(a.largest, amount)
 	a.lastUse = now
 	need := amount - a.balance()
-	if need <= 0 || a.draw != "" || a.exhausted(amount, now) {
+	if need <= 0 || a.draw != "" || w.exhausted(a, amount, now) {
 		return ledger.Draw{}, false
 	}
 	return w.startDraw(a, need), true
@@ -247,12 +272,52 @@
 	if w.fixed > 0 {
 		return w.fixed
 	}
-	if a.knowsAvailable {
-		size = min(size, a.available/int64(2*max(1, w.holders())))
+	if available, ok := w.available(a); ok {
+		size = min(size, available/int64(2*max(1, w.holders())))
 	}
 	return size
 }
 
+// available returns what the ledger had available when this entry last knew.
+func (w *Wallet) available(a *account) (int64, bool) {
+	if w.availableOf != nil {
+		if available, ok := w.availableOf(a.name); ok {
+			return available, true
+		}
+	}
+	return a.available, a.knowsAvailable
+}
+
+// exhausted reports whether the ledger has refused a draw just now and the
+// amount exceeds what was left then, and what is left now as far as is known.
+func (w *Wallet) exhausted(a *account, amount int64, now time.Time) bool {
+	need := amount - a.balance()
+	if !now.Before(a.exhaustedUntil) || need <= a.available {
+		return false
+	}
+	available, _ := w.available(a)
+	return need > available
+}
+
+// gather takes the amount from all stripes together. The lock makes concurrent
+// calls wait for each other's rest instead of failing.
+func (w *Wallet) gather(a *account, amount int64, now time.Time) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sum := a.remove(math.MaxInt64)
+	if sum >= amount {
+		a.add(sum - amount)
+		return nil
+	}
+	a.add(sum)
+	a.lastUse = now
+	if w.exhausted(a, amount, now) {
+		return &ExhaustedError{Budget: a.name, Amount: amount, Available: a.available, Until: a.exhaustedUntil}
+	}
+	a.waiting = max(a.waiting, amount)
+	return &PendingError{Budget: a.name, Amount: amount, Balance: sum}
+}
+
 // Due returns the draws and returns to append now. It is to be called about
 // once a second.
 func (w *Wallet) Due(now time.Time) []ledger.Record {
@@ -269,7 +334,7 @@
 				records = append(records, w.takeBack(a, balance))
 			}
 		case a.draw != "":
-		case a.waiting > balance && !a.exhausted(a.waiting, now):
+		case a.waiting > balance && !w.exhausted(a, a.waiting, now):
 			records = append(records, w.startDraw(a, a.waiting-balance))
 		case balance < w.target(a)/2 && !now.Before(a.exhaustedUntil):
 			// A draw smaller than one request would only add to the log.
@@ -327,20 +392,27 @@
 	return records
 }
 
-// ShouldRecall reports whether peers should be asked to return the amount: the
-// ledger has refused a draw, and they were not asked since. It returns true
-// once for each refusal.
-func (w *Wallet) ShouldRecall(budget string, now time.Time) bool {
+// ShouldRecall returns the amount that peers should be asked to return for a
+// request that waits for amount after the ledger has refused it. If peers have
+// returned anything, the caller calls Forget and tries a draw again; otherwise
+// the refusal stays remembered and costs no draw. After a recall in vain,
+// ShouldRecall returns false for recallEvery for each live holder, at most a
+// second, so the messages of an exhausted budget are bounded.
+func (w *Wallet) ShouldRecall(budget string, amount int64, now time.Time) (int64, bool) {
 	w.seen(now)
 	a := w.find(budget)
 	if a == nil {
-		return false
+		return 0, false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	recall := a.recall
-	a.recall = false
-	return recall
+	if now.Before(a.nextRecall) || !now.Before(a.exhaustedUntil) {
+		return 0, false
+	}
+	a.nextRecall = now.Add(min(recallEvery*time.Duration(max(1, w.holders())), exhaustedFor))
+	// More than one request needs, so that the next ones find a balance.
+	ahead := min(a.demand()*recallAhead.Seconds(), maxAmount)
+	return max(amount-a.balance(), int64(ahead)), true
 }
 
 // Forget drops what is remembered of a refused draw, because a top-up or a
@@ -353,9 +425,10 @@
 	}
 }
 
-// Observe applies the result of a record. It is to be called with every record
-// that this holder submits and may be called with those of others; a draw is
-// credited once.
+// Observe applies the result of a record. It is to be called once with every
+// record that this holder submits and may be called with those of others. A
+// draw is credited once even if its result is observed twice, and so is a
+// repeated attempt that the ledger did not charge.
 func (w *Wallet) Observe(record ledger.Record, result ledger.Result) {
 	switch r := record.(type) {
 	case ledger.Draw:
@@ -366,7 +439,8 @@
 		// The ledger did not charge a later attempt of a request that was billed
 		// before. If the same attempt was billed by another entry, the amount is
 		// spent.
-		if b, ok := result.(ledger.Billed); ok && r.Holder == w.holder && b.Duplicate && b.First != r.Attempt {
+		b, ok := result.(ledger.Billed)
+		if ok && r.Holder == w.holder && b.Duplicate && b.First != r.Attempt && w.refundOnce(r.Attempt) {
 			w.credit(r.Budget, r.Cost)
 		}
 	case ledger.Return:
@@ -405,8 +479,9 @@
 			a.add(drawn.Granted)
 			a.credited += drawn.Granted
 			a.forget()
+			a.nextRecall = time.Time{}
 		} else {
-			a.exhaustedUntil, a.recall = w.latest().Add(exhaustedFor), true
+			a.exhaustedUntil = w.latest().Add(exhaustedFor)
 		}
 	case ledger.Refused:
 		if !ledger.NotAppended(drawn.Err) {
@@ -416,6 +491,24 @@
 	}
 }
 
+// refundOnce reports whether the attempt is refunded for the first time. An
+// entry submits the bill of an attempt twice if the agent has reported the
+// usage again meanwhile.
+func (w *Wallet) refundOnce(attempt string) bool {
+	w.refundMu.Lock()
+	defer w.refundMu.Unlock()
+	if w.refunded[attempt] {
+		return false
+	}
+	if len(w.refundOrder) == maxRefunds {
+		delete(w.refunded, w.refundOrder[0])
+		w.refundOrder = w.refundOrder[1:]
+	}
+	w.refunded[attempt] = true
+	w.refundOrder = append(w.refundOrder, attempt)
+	return true
+}
+
 func (w *Wallet) credit(budget string, amount int64) {
 	if a := w.find(budget); a != nil {
 		a.mu.Lock()
