--- a/standin/table.go
+++ b/standin/table.go
@@ -72,10 +72,10 @@
 type Table struct {
 	options tableOptions
 	addr    netip.AddrPort
-	control *fasthttp.Server
+	control *tableListener
 	ctlAddr netip.AddrPort
 	closing chan struct{}
-	tasks   sync.WaitGroup // serving goroutines and late effects
+	tasks   sync.WaitGroup // serving goroutines
 
 	faultMu sync.Mutex // held while an outage begins or ends
 	serving *tableListener
@@ -172,8 +172,7 @@
 		return nil, fmt.Errorf("standin.NewTable: %w", err)
 	}
 	t.ctlAddr = listenerAddr(ln)
-	t.control = newTableServer(t.serveControl)
-	t.tasks.Go(func() { _ = t.control.Serve(ln) })
+	t.control = t.serve(ln, t.serveControl)
 	return t, nil
 }
 
@@ -238,11 +237,8 @@
 	}
 	close(t.closing)
 	t.unlisten()
-	err := t.control.Shutdown()
+	t.control.abort()
 	t.tasks.Wait()
-	if err != nil {
-		return fmt.Errorf("standin.Table.Close: %w", err)
-	}
 	return nil
 }
 
@@ -252,13 +248,18 @@
 		return err
 	}
 	t.addr = listenerAddr(ln)
-	t.serving = &tableListener{Listener: ln, conns: map[net.Conn]struct{}{}}
-	server := newTableServer(t.serveAPI)
-	serving := t.serving
-	t.tasks.Go(func() { _ = server.Serve(serving) })
+	t.serving = t.serve(ln, t.serveAPI)
 	return nil
 }
 
+// serve serves a listener until it is aborted.
+func (t *Table) serve(ln net.Listener, handler fasthttp.RequestHandler) *tableListener {
+	l := &tableListener{Listener: ln, conns: map[net.Conn]struct{}{}}
+	server := newTableServer(handler)
+	t.tasks.Go(func() { _ = server.Serve(l) })
+	return l
+}
+
 func (t *Table) unlisten() {
 	if t.serving != nil {
 		t.serving.abort()
@@ -604,7 +605,7 @@
 		}
 	}
 	var rows []table.Row
-	err := s.call(ctx, false, func() error {
+	err := s.call(ctx, "", func() error {
 		got := make(map[table.Key]table.Row, len(keys))
 		for pending := keys; len(pending) > 0; {
 			n := min(len(pending), maxTableBatchKeys)
@@ -635,7 +636,7 @@
 		return nil, fmt.Errorf("standin.Query: %w", &table.InvalidError{Reason: "empty partition or limit below 1"})
 	}
 	var rows []table.Row
-	err := s.call(ctx, false, func() error {
+	err := s.call(ctx, "", func() error {
 		rows = nil
 		for {
 			part, more, err := s.table.page(partition, after, limit-len(rows))
@@ -683,13 +684,7 @@
 	if len(ops) == 0 {
 		return nil
 	}
-	err := s.call(ctx, true, func() error {
-		if err := s.table.begin(tx.ID); err != nil {
-			return err
-		}
-		defer s.table.end(tx.ID)
-		return s.table.apply(tx.ID, ops)
-	})
+	err := s.call(ctx, tx.ID, func() error { return s.table.apply(tx.ID, ops) })
 	if err == nil {
 		return nil
 	}
@@ -718,8 +713,10 @@
 }
 
 // call runs an effect under the faults in force and maps their errors as the
-// client over HTTP does.
-func (s *tableStore) call(ctx context.Context, write bool, effect func() error) error {
+// client over HTTP does. id is the identifier of a transaction, empty for
+// reads.
+func (s *tableStore) call(ctx context.Context, id string, effect func() error) error {
+	write := id != ""
 	if err := ctx.Err(); err != nil {
 		return &table.UnavailableError{Err: err}
 	}
@@ -745,20 +742,32 @@
 			return lost(&TableLostError{})
 		}
 	}
-	done := make(chan error, 1)
-	run := func() {
-		s.table.wait(latency)
+	if write {
+		if err := s.table.begin(id); err != nil {
+			return mapTableRefusal(err)
+		}
+	}
+	outcome := func() error {
 		switch fate {
 		case tableFateLoseBefore, tableFateFail:
-			done <- lost(&TableLostError{})
+			return lost(&TableLostError{})
 		case tableFateThrottle, tableFateCollide:
-			done <- &table.ThrottledError{Err: &tableRefusal{kind: "ThrottlingException"}}
+			return &table.ThrottledError{Err: &tableRefusal{kind: "ThrottlingException"}}
 		case tableFateLoseAfter:
 			_ = effect()
-			done <- lost(&TableLostError{})
+			return lost(&TableLostError{})
 		default:
-			done <- mapTableRefusal(effect())
+			return mapTableRefusal(effect())
+		}
+	}
+	done := make(chan error, 1)
+	run := func() {
+		s.table.wait(latency)
+		err := outcome()
+		if write {
+			s.table.end(id)
 		}
+		done <- err
 	}
 	if latency <= 0 {
 		run()
--- /dev/null
+++ b/table/client_test.go
@@ -0,0 +1,109 @@
+package table_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/standin"
+	"briarreach/table"
+)
+
+var _ = Describe("Client", func() {
+	connect := func(url string) *table.Client {
+		client, err := table.New(table.WithEndpoint(url), table.WithTimeout(20*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(client.Close)
+		return client
+	}
+
+	// Guards against an answer that says nothing about the transaction being
+	// taken for a definite one, and the reverse.
+	DescribeTable("maps answers of the service", func(status int, body string, commit OmegaMatcher, read OmegaMatcher) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}))
+		DeferCleanup(server.Close)
+		client := connect(server.URL)
+		Expect(client.Commit(ctx, writes(put("a", table.Any{}, "1")))).To(commit)
+		_, err := client.Get(ctx, key("a"))
+		Expect(err).To(read)
+	},
+		Entry("success without a body that is JSON", 200, "<html>", beAmbiguous, beUnavailable),
+		Entry("service unavailable", 503, `{"__type":"x#ServiceUnavailable"}`, beAmbiguous, beUnavailable),
+		Entry("client error without a type", 400, `no JSON`, beAmbiguous, beUnavailable),
+		Entry("proxy's error", 502, `Bad Gateway`, beAmbiguous, beUnavailable),
+		Entry("throughput exceeded", 400, `{"__type":"x#ProvisionedThroughputExceededException"}`, beThrottled, beThrottled),
+		Entry("request limit", 400, `{"__type":"x#RequestLimitExceeded"}`, beThrottled, beThrottled),
+		Entry("access denied", 400, `{"__type":"x#AccessDeniedException"}`, beUnavailable, beUnavailable),
+		Entry("table missing", 400, `{"__type":"x#ResourceNotFoundException"}`, beUnavailable, beUnavailable),
+		Entry("validation", 400, `{"__type":"x#ValidationException"}`, beInvalid, beInvalid),
+		Entry("in progress", 400, `{"__type":"x#TransactionInProgressException"}`, beAmbiguous, beUnavailable),
+		Entry("cancelled by the condition", 400, `{"__type":"x#TransactionCanceledException","CancellationReasons":[{"Code":"ConditionalCheckFailed"}]}`, beConflict, beUnavailable),
+		Entry("cancelled without reasons", 400, `{"__type":"x#TransactionCanceledException"}`, beUnavailable, beUnavailable),
+		Entry("cancelled by the rate", 400, `{"__type":"x#TransactionCanceledException","CancellationReasons":[{"Code":"ThrottlingError"}]}`, beThrottled, beUnavailable),
+	)
+
+	// Guards against an unreachable service being reported as ambiguous.
+	DescribeTable("reports a service that was not reached as unavailable", func(url string) {
+		Expect(connect(url).Commit(ctx, writes(put("a", table.Any{}, "1")))).To(beUnavailable)
+	},
+		Entry("refused", "http://127.0.0.1:1"),
+		Entry("unknown name", "http://no-such-host.invalid:80"),
+	)
+
+	// Guards against a kept connection that the service closed making the
+	// outcome unknown although nothing could be sent.
+	It("uses a new connection after an outage", func() {
+		service, err := standin.NewTable()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(service.Close)
+		client := connect(service.Endpoint())
+		for range 5 {
+			Expect(client.Commit(ctx, writes(put("a", table.Any{}, "1")))).To(Succeed())
+			Expect(service.SetFaults(standin.TableFaults{Outage: standin.TableRefuse})).To(Succeed())
+			Eventually(func() error {
+				return client.Commit(ctx, writes(put("a", table.Any{}, "1")))
+			}).Should(beUnavailable)
+			Expect(service.SetFaults(standin.TableFaults{})).To(Succeed())
+		}
+	})
+
+	// Guards against faults that can't be ended over HTTP during an outage.
+	It("lets faults be set over HTTP", func() {
+		service, err := standin.NewTable()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(service.Close)
+		client := connect(service.Endpoint())
+		control := "http://" + service.ControlAddr().String() + "/faults"
+		set := func(body string, status int) {
+			response, err := http.Post(control, "application/json", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			Expect(response.StatusCode).To(Equal(status))
+		}
+		set(`{"outage":"refuse","latency":"1ms"}`, 200)
+		_, err = client.Get(ctx, key("a"))
+		Expect(err).To(beUnavailable)
+		set(`{"outage":"nonsense"}`, 400)
+		set(`{}`, 200)
+		_, err = client.Get(ctx, key("a"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	DescribeTable("refuses options", func(opts ...table.Option) {
+		_, err := table.New(opts...)
+		Expect(err).To(beInvalid)
+	},
+		Entry("no endpoint"),
+		Entry("no time-out", table.WithEndpoint("http://127.0.0.1:1"), table.WithTimeout(0)),
+		Entry("no credentials", table.WithEndpoint("http://127.0.0.1:1"), table.WithCredentials("", "")),
+	)
+})
