--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,190 @@
+// Package membership combines what the VM list, the agents' own notices and
+// the configuration say about targets that are leaving.
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// MaxMembers bounds the targets and the VMs that a View remembers.
+const MaxMembers = 20_000
+
+// maxPastStarts bounds the superseded process starts remembered per target.
+const maxPastStarts = 8
+
+// Source says who reported that a target is leaving.
+type Source string
+
+// Sources of the state leaving.
+const (
+	FromList   Source = "vm_list"
+	FromNotice Source = "notice" // of the agent, on SIGTERM
+	FromConfig Source = "config" // drain
+)
+
+// Target is a target of the configuration.
+type Target struct {
+	Name  string
+	VM    string // name of its VM in the list, empty if unknown
+	Drain bool
+}
+
+// VM is an entry of the VM list.
+type VM struct {
+	Name    string
+	Leaving bool
+}
+
+// Notice is what an agent says of itself. Start identifies one start of the
+// agent's process.
+type Notice struct {
+	Target  string
+	Start   string
+	Leaving bool
+}
+
+// State is what is known of a target. It takes new work if Leaving is empty.
+type State struct {
+	Target
+	Listed  bool // the VM list contains its VM
+	Leaving []Source
+}
+
+// LimitError reports more members than a View remembers.
+type LimitError struct{ Members int }
+
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("%d members, accepted are %d", e.Members, MaxMembers)
+}
+
+// View is the state of all targets of the configuration. It is not safe for
+// concurrent use; States returns a snapshot to publish.
+type View struct {
+	targets map[string]Target
+	vms     map[string]VM
+	notices map[string]*notice
+}
+
+type notice struct {
+	start   string
+	leaving bool
+	past    []string // superseded starts, oldest first
+}
+
+// New returns an empty view.
+func New() *View {
+	return &View{targets: map[string]Target{}, vms: map[string]VM{}, notices: map[string]*notice{}}
+}
+
+// ObserveConfig replaces the targets by those of a newer configuration and
+// forgets the notices of targets that were removed. It fails with *LimitError.
+func (v *View) ObserveConfig(targets ...Target) error {
+	if len(targets) > MaxMembers {
+		return fmt.Errorf("membership.View.ObserveConfig: %w", &LimitError{Members: len(targets)})
+	}
+	v.targets = make(map[string]Target, len(targets))
+	for _, t := range targets {
+		v.targets[t.Name] = t
+	}
+	for name := range v.notices {
+		if _, ok := v.targets[name]; !ok {
+			delete(v.notices, name)
+		}
+	}
+	return nil
+}
+
+// ObserveList replaces the VM list. It fails with *LimitError.
+func (v *View) ObserveList(vms ...VM) error {
+	if len(vms) > MaxMembers {
+		return fmt.Errorf("membership.View.ObserveList: %w", &LimitError{Members: len(vms)})
+	}
+	v.vms = make(map[string]VM, len(vms))
+	for _, vm := range vms {
+		v.vms[vm.Name] = vm
+	}
+	return nil
+}
+
+// ObserveNotice takes what an agent says of itself and reports whether it
+// changed the state. Leaving is final for one start of the process, so that a
+// message that arrives late doesn't take it back; only another start does. A
+// start that another one has superseded is ignored. Notices of targets that
+// are not in the configuration are ignored.
+func (v *View) ObserveNotice(n Notice) bool {
+	if _, ok := v.targets[n.Target]; !ok {
+		return false
+	}
+	known := v.notices[n.Target]
+	switch {
+	case known == nil:
+		v.notices[n.Target] = &notice{start: n.Start, leaving: n.Leaving}
+		return n.Leaving
+	case known.start == n.Start:
+		changed := n.Leaving && !known.leaving
+		known.leaving = known.leaving || n.Leaving
+		return changed
+	case slices.Contains(known.past, n.Start):
+		return false
+	}
+	changed := known.leaving != n.Leaving
+	known.past = append(known.past, known.start)
+	if len(known.past) > maxPastStarts {
+		known.past = known.past[1:]
+	}
+	known.start, known.leaving = n.Start, n.Leaving
+	return changed
+}
+
+// State returns what is known of a target; false if the configuration doesn't
+// have it.
+func (v *View) State(target string) (State, bool) {
+	t, ok := v.targets[target]
+	if !ok {
+		return State{}, false
+	}
+	s := State{Target: t}
+	if vm, ok := v.vms[t.VM]; ok && t.VM != "" {
+		s.Listed = true
+		if vm.Leaving {
+			s.Leaving = append(s.Leaving, FromList)
+		}
+	}
+	if n := v.notices[target]; n != nil && n.leaving {
+		s.Leaving = append(s.Leaving, FromNotice)
+	}
+	if t.Drain {
+		s.Leaving = append(s.Leaving, FromConfig)
+	}
+	return s, true
+}
+
+// States returns the state of all targets, ordered by name.
+func (v *View) States() []State {
+	states := make([]State, 0, len(v.targets))
+	for name := range v.targets {
+		s, _ := v.State(name)
+		states = append(states, s)
+	}
+	slices.SortFunc(states, func(a, b State) int { return strings.Compare(a.Name, b.Name) })
+	return states
+}
+
+// Live returns the names of the targets that take new work, in order.
+func (v *View) Live() []string {
+	var names []string
+	for _, s := range v.States() {
+		if len(s.Leaving) == 0 {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+// Listed reports whether the VM list contains a VM.
+func (v *View) Listed(vm string) bool {
+	_, ok := v.vms[vm]
+	return ok
+}
