--- a/peer/codec.go
+++ b/peer/codec.go
@@ -24,7 +24,7 @@
 
 var encoder, decoder = func() (cbor.UserBufferEncMode, cbor.DecMode) {
 	enc, err := cbor.EncOptions{
-		Sort:          cbor.SortNone,
+		Sort:          cbor.SortCoreDeterministic,
 		Time:          cbor.TimeRFC3339NanoUTC,
 		TagsMd:        cbor.TagsForbidden,
 		NilContainers: cbor.NilContainerAsNull,
