--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -235,7 +236,7 @@
 	qs, err := c.quic.OpenStreamSync(ctx)
 	if err != nil {
 		e.leave(c)
-		if c.quic.Context().Err() != nil {
+		if ctx.Err() == nil { // closed; its context may end a little later
 			e.Drop(address, c.generation)
 			return nil, &staleError{err: err}
 		}
@@ -461,6 +462,8 @@
 		return answer, nil
 	case ctx.Err() != nil:
 		return nil, fmt.Errorf("peer.Endpoint.Call: %w", s.failed(ctx.Err()))
+	case errors.Is(err, io.EOF):
+		return nil, fmt.Errorf("peer.Endpoint.Call: %w", s.failed(io.ErrUnexpectedEOF))
 	default:
 		return nil, fmt.Errorf("peer.Endpoint.Call: %w", err)
 	}
