--- a/move/controller.go
+++ b/move/controller.go
@@ -56,6 +56,7 @@
 
 	changed time.Time     // when the share was last seen to change
 	decided time.Time     // time of the last Decide
+	added   time.Time     // when the tests were last brought up to date
 	held    time.Duration // time for which suspicion held the share
 }
 
@@ -167,10 +168,13 @@
 		elapsed = max(0, now.Sub(c.decided))
 	}
 	c.decided = now
-	for _, cell := range c.cells {
-		for m := range cell.tests {
-			cell.tests[m].add(cell.pending[m], now, c.plan.Duration())
-			cell.pending[m] = ratios{}
+	if now.Sub(c.added) >= time.Second {
+		c.added = now
+		for _, cell := range c.cells {
+			for m := range cell.tests {
+				cell.tests[m].add(cell.pending[m].capped(), now, c.plan.Duration())
+				cell.pending[m] = ratios{}
+			}
 		}
 	}
 	evidence := c.Evidence()
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -73,6 +73,21 @@
 	return top + math.Log(sum)
 }
 
+// maxWindowRatio bounds the evidence of one window at a guard, and of one
+// second at the controller. A target that fails makes its version fail for the
+// one or two seconds until it is ejected; with the bound that is too little to
+// reject, while a lasting fault takes a few seconds longer to be found. A
+// smaller ratio keeps the test valid.
+const maxWindowRatio = 3
+
+// capped returns the ratios with the bound.
+func (r ratios) capped() ratios {
+	for i := range r {
+		r[i] = min(r[i], maxWindowRatio)
+	}
+	return r
+}
+
 // test is a mixture sequential probability ratio test over the alternatives
 // (Robbins, "Statistical Methods Related to the Law of the Iterated
 // Logarithm", 1970; Johari et al., "Always Valid Inference", 2022) and over
--- a/move/guard.go
+++ b/move/guard.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
+	"math/rand"
 	"slices"
 	"time"
 
@@ -28,6 +28,12 @@
 	// guardAlpha is the probability that any guard stops a version that is as
 	// good as the old one.
 	guardAlpha = 0.002
+	// slowBucket is the bucket of a scaled latency of the new version of 1.4
+	// times the old one's mean.
+	slowBucket = buckets/2 + bucketsPerTwice/2 - toleratedBuckets
+	// doubtTime is the time for which a suspicious window lowers the share.
+	doubtTime = time.Minute
+
 	// unknownLatency is the result of ReportAfter before the old version's
 	// latency is known.
 	unknownLatency = 30 * time.Second
@@ -64,11 +70,14 @@
 	limit    float64
 	number   uint64
 	cells    map[cellKey]*guardCell
+	order    []*guardCell // the cells by key
 	routes   map[string]*mean
 	stopped  bool
 	evidence Evidence
 
-	nextClose time.Time
+	nextClose  time.Time
+	doubting   bool // the share at this entry is lowered
+	doubtUntil time.Time
 }
 
 type cellKey struct {
@@ -81,6 +90,7 @@
 }
 
 type guardCell struct {
+	key    cellKey
 	window window
 	old    Counts
 	new    Counts
@@ -170,11 +180,13 @@
 		if len(g.cells) >= maxCells {
 			return
 		}
-		cell = &guardCell{window: window{opened: now}}
+		cell = &guardCell{key: key, window: window{opened: now}}
 		for m := range cell.tests {
 			cell.tests[m] = newTest(now)
 		}
 		g.cells[key] = cell
+		at, _ := slices.BinarySearchFunc(g.order, key, func(c *guardCell, k cellKey) int { return c.key.compare(k) })
+		g.order = slices.Insert(g.order, at, cell)
 	}
 	side := &cell.window.old
 	if isNew {
@@ -209,11 +221,27 @@
 		return
 	}
 	g.nextClose = now.Add(windowMinAge / 4)
-	for _, key := range slices.SortedFunc(maps.Keys(g.cells), cellKey.compare) {
-		if cell := g.cells[key]; cell.window.complete(now) {
-			g.closeCell(key, cell, now)
+	if g.doubting && !now.Before(g.doubtUntil) {
+		g.doubting = false
+		g.restart(now)
+	}
+	doubted := g.doubting
+	for _, cell := range g.order {
+		if cell.window.complete(now) {
+			g.closeCell(cell, now)
 		}
 	}
+	if g.doubting && !doubted {
+		g.restart(now)
+	}
+}
+
+// restart drops the open windows at a change of the share that the requests in
+// them may have caused.
+func (g *Guard) restart(now time.Time) {
+	for _, cell := range g.order {
+		cell.window = window{opened: now}
+	}
 }
 
 func (w *window) complete(now time.Time) bool {
@@ -224,8 +252,11 @@
 		requests >= windowFewest && failures >= windowFailures)
 }
 
-func (g *Guard) closeCell(key cellKey, cell *guardCell, now time.Time) {
-	w := &cell.window
+func (g *Guard) closeCell(cell *guardCell, now time.Time) {
+	w, key := &cell.window, cell.key
+	if w.suspicious(key.route == AnyRoute, cell.old, cell.new) {
+		g.doubting, g.doubtUntil = true, now.Add(doubtTime)
+	}
 	cell.old.add(w.old.counts())
 	cell.new.add(w.new.counts())
 	for m, r := range w.ratios() {
@@ -233,7 +264,7 @@
 			cell.sums[m][i] += r[i]
 		}
 		t := &cell.tests[m]
-		t.add(r, now, g.duration())
+		t.add(r.capped(), now, g.duration())
 		if value := t.value(); value > g.limit && !g.stopped {
 			g.stopped = true
 			g.evidence = Evidence{
@@ -290,6 +321,14 @@
 	return logRatios(newSlow, newCount, oldSlow, oldCount)
 }
 
+// Pick returns the version that a request goes to. A retry goes to the old
+// version.
+func (g *Guard) Pick(retry bool, now time.Time, random *rand.Rand) string {
+	m := g.move
+	m.Share = min(m.Share, g.MaxShare(now))
+	return Pick(m, true, retry, random)
+}
+
 // Allow reports whether the entry may send requests to the new version.
 func (g *Guard) Allow(now time.Time) bool {
 	g.close(now)
@@ -304,6 +343,44 @@
 	}
 }
 
+// suspicious reports whether the new version failed or was slow in the window
+// far more than both versions did before. That is no evidence, since the old
+// version may have changed with it.
+func (w *window) suspicious(scaled bool, old, recent Counts) bool {
+	past := old
+	past.add(recent)
+	if past.Requests < windowRequests || w.new.requests < 4 {
+		return false
+	}
+	before := float64(past.Failed) / float64(past.Requests)
+	if w.new.failed >= 2 && float64(w.new.failed)/float64(w.new.requests) > 0.05+3*before {
+		return true
+	}
+	if !scaled {
+		return false
+	}
+	slow, served := 0, w.new.requests-w.new.failed
+	for _, n := range w.new.latencies[slowBucket:] {
+		slow += int(n)
+	}
+	return served >= 8 && slow*2 > served
+}
+
+// MaxShare returns the largest share of the new version at this entry, in
+// parts per million: 0 after a local stop, and half while the new version is
+// in doubt. Half gives the fastest comparison; with a few requests left at the
+// old version, a late fault would take minutes to prove.
+func (g *Guard) MaxShare(now time.Time) int64 {
+	g.close(now)
+	switch {
+	case g.stopped:
+		return 0
+	case g.doubting:
+		return config.FullShare / 2
+	}
+	return config.FullShare
+}
+
 // Stopped returns the evidence of the local stop.
 func (g *Guard) Stopped() (Evidence, bool) { return g.evidence, g.stopped }
 
@@ -328,8 +405,8 @@
 		reason := g.evidence
 		o.Reason = &reason
 	}
-	for key, cell := range g.cells {
-		c := Cell{Route: key.route, Level: key.level, Old: cell.old, New: cell.new}
+	for _, cell := range g.order {
+		c := Cell{Route: cell.key.route, Level: cell.key.level, Old: cell.old, New: cell.new}
 		for m := range cell.sums {
 			c.Ratios[m] = make([]float32, len(odds))
 			for i, v := range cell.sums[m] {
@@ -338,8 +415,5 @@
 		}
 		o.Cells = append(o.Cells, c)
 	}
-	slices.SortFunc(o.Cells, func(a, b Cell) int {
-		return cellKey{a.Route, a.Level}.compare(cellKey{b.Route, b.Level})
-	})
 	return o
 }
--- /dev/null
+++ b/move/simulation_test.go
@@ -0,0 +1,379 @@
+package move_test
+
+import (
+	"math"
+	"math/rand"
+	"time"
+
+	"briarreach/config"
+	"briarreach/move"
+)
+
+var begin = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+const (
+	routeCount = 5
+	tick       = 100 * time.Millisecond
+	maxSlots   = 600 // a request is observed within 60 s
+	oldVersion = "v1"
+	newVersion = "v2"
+)
+
+var routeNames = [routeCount]string{"POST /book", "GET /rooms", "POST /deposit", "GET /rates", "POST /cancel"}
+var routeWeights = [routeCount]float64{0.45, 0.27, 0.15, 0.08, 0.05}
+
+// scenario is a kind of move with the faults of the new version and of what is
+// around it. The zero value is a good version on a healthy platform.
+type scenario struct {
+	name string
+	bad  bool
+
+	fail      float64 // additional probability of a failure at the new version
+	slow      float64 // factor on the new version's latency; 0 is 1
+	after     time.Duration
+	late      float64 // part of the move after which the fault starts
+	aboveLoad bool    // the fault shows only at load level 2
+	oneRoute  bool    // the fault shows only on one route
+
+	badHour        bool // both versions fail and are slow for a sixth of the move
+	burst          bool // a target of the new version fails for 2 s, until it is ejected
+	controllerDies bool // the controller is replaced, after a pause
+	tableOut       bool // from 70 % of the move to 5 % after its deadline
+	tableOutEarly  bool // from 5 % of the move to its middle
+	cutOff         bool // one entry can reach only agents
+	clockSkew      bool // clocks of entries and controller differ by up to 1 s
+}
+
+// outcome is what happened in one simulated move.
+type outcome struct {
+	finished, onTime, rolledBack bool
+	requests                     int
+	exposed                      int           // requests to the new version on which its fault could show
+	caused                       int           // requests that failed because of the new version
+	late                         int           // requests to the new version later than 3 s after detection
+	detected                     time.Duration // since the fault could first show; 0 if never
+	evidence                     string
+}
+
+// traffic is the size of a simulated deployment.
+type traffic struct {
+	entries  int
+	rate     float64 // requests/s of all entries, mean
+	duration time.Duration
+}
+
+func randomTraffic(random *rand.Rand) traffic {
+	t := traffic{
+		entries:  3 + random.Intn(5),
+		rate:     3 * math.Exp(random.Float64()*math.Log(100)),
+		duration: time.Duration(40+random.Intn(80)) * time.Minute,
+	}
+	return t
+}
+
+type simulatedEntry struct {
+	guard    *move.Guard
+	skew     time.Duration
+	document config.Move // as known to the entry
+	number   int
+	inbox    []delivery
+	slots    [maxSlots][]completion
+}
+
+type delivery struct {
+	at          time.Time
+	document    *config.Move
+	number      int
+	observation *move.Observation
+}
+
+type completion struct {
+	version string
+	route   int
+	level   int
+	latency time.Duration
+	failed  bool
+}
+
+// judge decides from all completed requests in place of the sequential test.
+type judge interface {
+	observe(c completion, now time.Time)
+	rollBack(now time.Time) bool
+}
+
+// simulate runs one move. A nil judge is the package's own test.
+func simulate(s scenario, t traffic, seed int64, j judge) outcome {
+	random := rand.New(rand.NewSource(seed))
+	var result outcome
+	document := config.Move{
+		Name: "x", Subject: "m", From: oldVersion, To: newVersion, State: config.MoveRunning,
+		Started: begin, Deadline: begin.Add(t.duration),
+	}
+	number := 1
+	var medians, sigmas, fails [routeCount]float64
+	for r := range routeCount {
+		medians[r] = 0.05 * math.Exp(random.Float64()*3)
+		sigmas[r] = 0.3 + 0.3*random.Float64()
+		fails[r] = 0.001 + 0.009*random.Float64()
+	}
+	badRoute := random.Intn(routeCount)
+	hourStart := 0.1 + 0.6*random.Float64()
+	if s.bad {
+		hourStart = s.late // both faults start together
+	}
+	burstAt := begin.Add(time.Duration((0.2 + 0.7*random.Float64()) * float64(t.duration)))
+	loadPhase := random.Float64() * 2 * math.Pi
+	loadPeriod := float64(t.duration) / (2 + 2*random.Float64())
+	skew := func() time.Duration {
+		if !s.clockSkew {
+			return 0
+		}
+		return time.Duration((random.Float64()*2 - 1) * float64(time.Second))
+	}
+
+	entries := make([]*simulatedEntry, t.entries)
+	for i := range entries {
+		e := &simulatedEntry{skew: skew(), document: document, number: number}
+		e.guard = move.NewGuard(string(rune('a'+i)), "1", document, move.WithEntries(t.entries))
+		entries[i] = e
+	}
+	controllerSkew := skew()
+	controller := move.New(document)
+	dieAt := begin.Add(time.Duration((0.2 + 0.5*random.Float64()) * float64(t.duration)))
+	pausedUntil := dieAt.Add(t.duration / 10)
+	replaced := false
+	nextDigest, nextDecide := begin, begin
+	var faultFirst, detected, stopped time.Time
+	end := document.Deadline.Add(t.duration / 5)
+
+	for step, now := 0, begin; now.Before(end) && document.State == config.MoveRunning || !stopped.IsZero() && now.Before(stopped.Add(10*time.Second)); step, now = step+1, now.Add(tick) {
+		at := float64(now.Sub(begin)) / float64(t.duration)
+		load := 1 + 0.6*math.Sin(loadPhase+2*math.Pi*float64(now.Sub(begin))/loadPeriod)
+		level := 0
+		if load > 0.8 {
+			level = 1
+		}
+		if load > 1.3 {
+			level = 2
+		}
+		tableOut := s.tableOut && at > 0.7 && at < 1.05 || s.tableOutEarly && at > 0.05 && at < 0.5
+		hour := s.badHour && at > hourStart && at < hourStart+1.0/6
+		faulty := s.bad && now.Sub(begin) >= s.after && at >= s.late && (!s.aboveLoad || level == 2)
+		if faulty && faultFirst.IsZero() {
+			faultFirst = now
+		}
+
+		for i, e := range entries {
+			local := now.Add(e.skew)
+			cut := s.cutOff && i == 0 && at > 0.02
+			kept := e.inbox[:0]
+			for _, d := range e.inbox {
+				switch {
+				case d.at.After(now) || cut:
+					kept = append(kept, d)
+				case d.document != nil && d.number > e.number:
+					e.document, e.number = *d.document, d.number
+					e.guard.Update(*d.document)
+				case d.observation != nil:
+					e.guard.Hear(*d.observation)
+				}
+			}
+			e.inbox = kept
+
+			for range poisson(t.rate*load*tick.Seconds()/float64(t.entries), random) {
+				result.requests++
+				if cut && e.number < number {
+					continue // the agents refuse the older number as not_run
+				}
+				c := completion{version: e.guard.Pick(false, local, random), route: pickRoute(random), level: level}
+				fail := fails[c.route]
+				latency := medians[c.route] * math.Exp(sigmas[c.route]*random.NormFloat64()) * (1 + 0.3*float64(level))
+				if hour {
+					fail += 0.1
+					latency *= 3
+				}
+				c.failed = random.Float64() < fail
+				if c.version == newVersion {
+					if s.burst && now.After(burstAt) && now.Sub(burstAt) < 2*time.Second && random.Intn(2) == 0 {
+						c.failed = true
+					}
+					if faulty && (!s.oneRoute || c.route == badRoute) {
+						result.exposed++
+						if s.slow > 0 {
+							latency *= s.slow
+						}
+						if !c.failed && random.Float64() < s.fail {
+							c.failed = true
+							result.caused++
+						}
+					}
+					if !detected.IsZero() && now.Sub(detected) > 3*time.Second && s.bad {
+						result.late++
+					}
+				}
+				c.latency = time.Duration(latency * float64(time.Second))
+				slot := (step + int(c.latency/tick) + 1) % maxSlots
+				if c.latency >= (maxSlots-1)*tick {
+					slot = (step + maxSlots - 1) % maxSlots
+				}
+				e.slots[slot] = append(e.slots[slot], c)
+			}
+			slot := step % maxSlots
+			for _, c := range e.slots[slot] {
+				if j != nil {
+					j.observe(c, now)
+					continue
+				}
+				e.guard.Observe(c.version, routeNames[c.route], c.level, c.latency, c.failed, local)
+			}
+			e.slots[slot] = e.slots[slot][:0]
+			e.guard.Allow(local)
+			if _, ok := e.guard.Stopped(); ok && detected.IsZero() && j == nil {
+				detected = now
+				o := e.guard.Digest(local)
+				for _, other := range entries {
+					other.inbox = append(other.inbox, delivery{at: now.Add(300 * time.Millisecond), observation: &o})
+				}
+				if !cut {
+					controller.Observe(o, now.Add(controllerSkew))
+				}
+			}
+		}
+
+		paused := s.controllerDies && now.After(dieAt) && now.Before(pausedUntil)
+		if s.controllerDies && !now.Before(pausedUntil) && !replaced {
+			replaced = true
+			controller = move.New(document)
+		}
+		if paused || document.State != config.MoveRunning {
+			continue
+		}
+		if !now.Before(nextDigest) {
+			nextDigest = now.Add(2 * time.Second)
+			for i, e := range entries {
+				if s.cutOff && i == 0 && at > 0.02 || random.Float64() < 0.05 {
+					continue // cut off, or the message is lost
+				}
+				if j == nil {
+					controller.Observe(e.guard.Digest(now.Add(e.skew)), now.Add(controllerSkew))
+				}
+			}
+		}
+		if now.Before(nextDecide) {
+			continue
+		}
+		nextDecide = now.Add(time.Second)
+		actions := controller.Decide(now.Add(controllerSkew))
+		if j != nil && j.rollBack(now) {
+			actions = []move.Action{move.RollBack{}}
+		}
+		if tableOut {
+			continue
+		}
+		for _, action := range actions {
+			number++
+			switch action := action.(type) {
+			case move.SetShare:
+				document.Share = action.PPM
+			case move.Finish:
+				document.State = config.MoveDone
+				document.Share = config.FullShare
+				result.finished, result.onTime = true, !now.After(document.Deadline)
+			case move.RollBack:
+				document.State = config.MoveRolledBack
+				document.Share = 0
+				result.rolledBack = true
+				result.evidence = action.Evidence.String()
+				stopped = now
+				if detected.IsZero() {
+					detected = now
+				}
+			}
+			published := document
+			controller.Update(published, now.Add(controllerSkew))
+			for _, e := range entries {
+				delay := 300*time.Millisecond + time.Duration(random.Float64()*float64(time.Second))
+				e.inbox = append(e.inbox, delivery{at: now.Add(delay), document: &published, number: number})
+			}
+		}
+	}
+	if !faultFirst.IsZero() && !detected.IsZero() {
+		result.detected = detected.Sub(faultFirst)
+	}
+	// Requests after the end of the simulation count in the shares, which are
+	// of all traffic of the move.
+	if result.rolledBack {
+		rest := document.Deadline.Sub(stopped).Seconds()
+		result.requests += int(max(0, rest) * t.rate)
+	}
+	return result
+}
+
+func poisson(mean float64, random *rand.Rand) int {
+	limit, product, n := math.Exp(-mean), random.Float64(), 0
+	for product > limit {
+		product *= random.Float64()
+		n++
+	}
+	return n
+}
+
+func pickRoute(random *rand.Rand) int {
+	at := random.Float64()
+	for r, w := range routeWeights {
+		if at -= w; at < 0 {
+			return r
+		}
+	}
+	return 0
+}
+
+// fixedThreshold is the judge that is compared with: every minute it compares
+// the last five minutes, and takes the version back if it failed 1 % of the
+// requests more than the old one, or if its mean latency is 1.3 times as high.
+// It asks for 20 requests to the new version.
+type fixedThreshold struct {
+	minutes [5]thresholdMinute
+	at      time.Time
+}
+
+type thresholdMinute struct {
+	requests, failed [2]int
+	latency          [2]float64
+}
+
+func (f *fixedThreshold) observe(c completion, _ time.Time) {
+	side := 0
+	if c.version == newVersion {
+		side = 1
+	}
+	m := &f.minutes[0]
+	m.requests[side]++
+	m.latency[side] += c.latency.Seconds()
+	if c.failed {
+		m.failed[side]++
+	}
+}
+
+func (f *fixedThreshold) rollBack(now time.Time) bool {
+	if now.Sub(f.at) < time.Minute {
+		return false
+	}
+	f.at = now
+	var sum thresholdMinute
+	for _, m := range f.minutes {
+		for side := range 2 {
+			sum.requests[side] += m.requests[side]
+			sum.failed[side] += m.failed[side]
+			sum.latency[side] += m.latency[side]
+		}
+	}
+	copy(f.minutes[1:], f.minutes[:4])
+	f.minutes[0] = thresholdMinute{}
+	if sum.requests[1] < 20 || sum.requests[0] == 0 {
+		return false
+	}
+	rate := func(side int) float64 { return float64(sum.failed[side]) / float64(sum.requests[side]) }
+	mean := func(side int) float64 { return sum.latency[side] / float64(sum.requests[side]) }
+	return rate(1) > rate(0)+0.01 || mean(1) > 1.3*mean(0)
+}
