--- a/move/controller.go
+++ b/move/controller.go
@@ -149,6 +149,9 @@
 			if i < len(before.Ratios[m]) {
 				difference -= float64(before.Ratios[m][i])
 			}
+			if math.IsNaN(difference) || math.IsInf(difference, 0) {
+				continue // would disable the test of the cell
+			}
 			f.pending[m][i] += difference
 		}
 	}
--- a/move/guard.go
+++ b/move/guard.go
@@ -34,6 +34,10 @@
 	// doubtTime is the time for which a suspicious window lowers the share.
 	doubtTime = time.Minute
 
+	// latencyFloor is added to each latency. Targets of the versions may be in
+	// different failure domains, whose distance must not count as slowness.
+	latencyFloor = 5 * time.Millisecond
+
 	// unknownLatency is the result of ReportAfter before the old version's
 	// latency is known.
 	unknownLatency = 30 * time.Second
@@ -154,8 +158,7 @@
 		return
 	}
 	g.close(now)
-	seconds := max(latency.Seconds(), 1e-6)
-	log := math.Log(seconds)
+	log := math.Log((max(latency, 0) + latencyFloor).Seconds())
 	g.observe(cellKey{route, level}, isNew, failed, log, log, true, now)
 	reference := g.routes[route]
 	if reference == nil {
