--- a/move/controller.go
+++ b/move/controller.go
@@ -56,6 +56,7 @@
 
 	changed time.Time     // when the share was last seen to change
 	decided time.Time     // time of the last Decide
+	added   time.Time     // when the tests were last brought up to date
 	held    time.Duration // time for which suspicion held the share
 }
 
@@ -148,6 +149,9 @@
 			if i < len(before.Ratios[m]) {
 				difference -= float64(before.Ratios[m][i])
 			}
+			if math.IsNaN(difference) || math.IsInf(difference, 0) {
+				continue // would disable the test of the cell
+			}
 			f.pending[m][i] += difference
 		}
 	}
@@ -167,10 +171,13 @@
 		elapsed = max(0, now.Sub(c.decided))
 	}
 	c.decided = now
-	for _, cell := range c.cells {
-		for m := range cell.tests {
-			cell.tests[m].add(cell.pending[m], now, c.plan.Duration())
-			cell.pending[m] = ratios{}
+	if now.Sub(c.added) >= time.Second {
+		c.added = now
+		for _, cell := range c.cells {
+			for m := range cell.tests {
+				cell.tests[m].add(cell.pending[m].capped(), now, c.plan.Duration())
+				cell.pending[m] = ratios{}
+			}
 		}
 	}
 	evidence := c.Evidence()
