--- a/admission/controller.go
+++ b/admission/controller.go
@@ -36,7 +36,7 @@
 	QueueFull Reason = "queue_full"
 	Leaving   Reason = "leaving"
 	TooLarge  Reason = "too_large" // more tokens than the target's stated capacity
-	Expired   Reason = "expired"   // the deadline has passed
+	Expired   Reason = "expired"   // the deadline has passed or would be missed
 	Duplicate Reason = "duplicate" // the attempt is running or queued
 )
 
@@ -47,7 +47,7 @@
 	// Admitted says that the request may run now.
 	Admitted struct{}
 	// Queued says that the request waits; Done, Cancel or Admit return its
-	// ticket when it may run, Expire when its deadline passed. Displaced, set
+	// ticket when it may run, Expire when its deadline would be missed. Displaced, set
 	// only with WithDisplacement, is a queued ticket that was removed to make
 	// room and must be refused.
 	Queued struct{ Displaced *Ticket }
@@ -67,6 +67,10 @@
 	Limit           int
 }
 
+// expectedSamples is the number of samples over which the expected time of a
+// request is averaged.
+const expectedSamples = 20
+
 // maxQueue bounds the queue of large targets: waiting requests beyond it would
 // wait for several service times.
 const maxQueue = 64
@@ -86,6 +90,7 @@
 	expired  []Ticket
 	held     int64
 	sequence uint64
+	expected float64 // seconds that a request takes at the target
 }
 
 type entry struct {
@@ -128,7 +133,7 @@
 		return Refused{Duplicate}
 	case c.capacity.MaxConcurrent < 1, c.capacity.MaxTokens > 0 && t.Tokens > c.capacity.MaxTokens:
 		return Refused{TooLarge}
-	case passed(t.Deadline, now):
+	case c.tooLate(t, now):
 		return Refused{Expired}
 	}
 	c.sequence++
@@ -179,6 +184,10 @@
 	}
 	busy := len(c.running)
 	c.stop(e)
+	if c.expected == 0 {
+		c.expected = latency.Seconds()
+	}
+	c.expected += (latency.Seconds() - c.expected) / expectedSamples
 	if e.generated > 0 {
 		latency /= time.Duration(e.generated)
 	}
@@ -200,13 +209,13 @@
 	return c.admit(now)
 }
 
-// Expire removes and returns the queued tickets whose deadline has passed.
-// They did not run. Call Admit afterwards.
+// Expire removes and returns the queued tickets whose deadline has passed, or
+// would pass before the end if they started now. They did not run. Call Admit afterwards.
 func (c *Controller) Expire(now time.Time) []Ticket {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range slices.Clone(c.queue) {
-		if passed(e.Deadline, now) {
+		if c.tooLate(e.Ticket, now) {
 			c.remove(e)
 			c.expired = append(c.expired, e.Ticket)
 		}
@@ -259,10 +268,11 @@
 	return admitted
 }
 
-// dropExpired removes expired tickets from the head of the queue, so that they
-// do not hold up the tickets behind them. Expire returns them.
+// dropExpired removes tickets that would miss their deadlines from the head of
+// the queue, so that they do not hold up the tickets behind them. Expire
+// returns them.
 func (c *Controller) dropExpired(now time.Time) {
-	for len(c.queue) > 0 && passed(c.queue[0].Deadline, now) {
+	for len(c.queue) > 0 && c.tooLate(c.queue[0].Ticket, now) {
 		e := c.queue[0]
 		c.remove(e)
 		c.expired = append(c.expired, e.Ticket)
@@ -293,7 +303,9 @@
 	return max(1, min(limit, c.capacity.MaxConcurrent))
 }
 
-func (c *Controller) maxQueue() int { return min(2*c.capacity.MaxConcurrent, maxQueue) }
+// maxQueue follows the limit, so that the wait stays at about two service
+// times when the target is slow.
+func (c *Controller) maxQueue() int { return min(2*c.limit(), maxQueue) }
 
 func (c *Controller) start(e *entry) {
 	c.running[e.Attempt] = e
@@ -322,7 +334,16 @@
 
 func (e *entry) holds() int64 { return max(e.Tokens, e.generated) }
 
-func passed(deadline, now time.Time) bool { return !deadline.IsZero() && !now.Before(deadline) }
+// tooLate reports whether the request would miss its deadline if it started
+// now. With an idle target only the deadline itself counts, so that a wrong
+// expectation is corrected.
+func (c *Controller) tooLate(t Ticket, now time.Time) bool {
+	if t.Deadline.IsZero() {
+		return false
+	}
+	left := t.Deadline.Sub(now)
+	return left <= 0 || len(c.running) > 0 && left.Seconds() < c.expected
+}
 
 // before orders by priority, then by deadline, then by arrival.
 func before(a, b *entry) bool {
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -42,21 +42,79 @@
 	// Engines with continuous batching take up to about twice as long per token
 	// with a full batch as with a single request.
 	gradientTolerance = 2.0
-	// gradientMin bounds the fall per sample, so that one outlier does not
+	// gradientMin bounds the fall in one window, so that one outlier does not
 	// empty the target.
 	gradientMin = 0.5
-	// gradientSmoothing is the weight of one new value of the limit.
-	gradientSmoothing = 0.2
-	recentSamples     = 10
-	usualSamples      = 600
+	// minWindow is the least number of samples for one change of the limit.
+	minWindow = 5
+	// gradientFloor is the least limit, as a part of the stated capacity.
+	gradientFloor = 0.25
+	// A target whose every request is slow, whatever their number, does not get
+	// faster with fewer of them: a lower limit only loses throughput. If two
+	// slow windows differ so that one has less than judged of the running
+	// requests of the other and still more than unhelpful of its latency, the
+	// latency counts as the usual one.
+	judged    = 0.7
+	unhelpful = 0.85
+	// probeAfter is the number of slow windows at the least limit after which
+	// one window has twice the limit, for that comparison.
+	probeAfter = 4
+	// usualTime is the time constant of the usual latency. It is long against a
+	// slow-down that the limit must answer, and short against a lasting change
+	// of the requests.
+	usualTime = 5 * time.Minute
 )
 
+// gradient changes the limit once in a window of about as many samples as the
+// limit, that is, once in a service time: a change shows in the latency only
+// after that time.
 type gradient struct {
-	value         float64 // NaN until the first sample
-	recent, usual float64
-	samples       float64
+	value   float64 // infinite until the first window
+	usual   float64 // seconds, exponentially weighted by time
+	samples float64
+	last    time.Time
+
+	// The first slow window has requests from before the slow-down, so that
+	// only a later one serves for comparison.
+	slow    bool
+	before  window // a slow window before the limit was changed
+	skip    int    // samples of requests that started before that
+	atFloor int    // slow windows at the least limit
+
+	current window
 }
 
+// window sums the samples since the last change of the limit.
+type window struct {
+	count, running, most int
+	latency              float64
+	failed               bool
+}
+
+func (w *window) add(s sample) {
+	w.count++
+	w.running += s.running
+	w.most = max(w.most, s.running)
+	w.latency += s.latency.Seconds()
+	w.failed = w.failed || !s.ok
+}
+
+// compare reports whether two windows have enough difference in running
+// requests for a comparison, and whether the latency is independent of it.
+func compare(a, b window) (comparable, independent bool) {
+	if a.count == 0 || b.count == 0 {
+		return false, false
+	}
+	if a.meanRunning() > b.meanRunning() {
+		a, b = b, a
+	}
+	return a.meanRunning() < judged*b.meanRunning(), a.meanLatency() > unhelpful*b.meanLatency()
+}
+
+func (w *window) meanLatency() float64 { return w.latency / float64(w.count) }
+
+func (w *window) meanRunning() float64 { return float64(w.running) / float64(w.count) }
+
 func newGradient() *gradient { return &gradient{value: math.Inf(1)} }
 
 func (g *gradient) observe(s sample) {
@@ -65,26 +123,58 @@
 	}
 	latency := s.latency.Seconds()
 	g.samples++
-	g.recent += (latency - g.recent) / min(g.samples, recentSamples)
-	g.usual += (latency - g.usual) / min(g.samples, usualSamples)
-	if g.usual > 2*g.recent {
-		// After a slow period the usual latency returns quickly, otherwise a
-		// second slow-down would go unnoticed.
-		g.usual *= 0.95
+	weight := max(1/g.samples, min(1, s.now.Sub(g.last).Seconds()/usualTime.Seconds()))
+	if g.samples > minWindow {
+		// A slow period raises the usual latency only slowly.
+		g.usual += (min(latency, gradientTolerance*g.usual) - g.usual) * weight
+	} else {
+		g.usual += (latency - g.usual) * weight
+	}
+	g.last = s.now
+
+	if g.skip > 0 {
+		g.skip--
+		return
 	}
+	g.current.add(s)
 	value := min(g.value, float64(s.capacity))
-	ratio := max(gradientMin, min(1, gradientTolerance*g.usual/g.recent))
-	if !s.ok {
-		ratio = min(ratio, 0.9)
+	if g.current.count < max(minWindow, int(value)) {
+		return
+	}
+	w := g.current
+	g.current = window{}
+	mean := w.meanLatency()
+	if mean < g.usual/2 {
+		g.usual = (g.usual + mean) / 2 // a slow period is over
 	}
-	if ratio == 1 && float64(s.running) < value/2 {
-		return // the limit was not used, so this sample says nothing about more load
+	if comparable, independent := compare(w, g.before); comparable {
+		if independent {
+			g.usual = mean
+		}
+		g.before = window{}
 	}
-	next := value*ratio + math.Sqrt(value)
-	if ratio < 1 {
-		next = value * ratio
+	ratio := max(gradientMin, min(1, gradientTolerance*g.usual/mean))
+	if w.failed {
+		ratio = min(ratio, aimdDecrease)
+	}
+	switch {
+	case ratio < 1:
+		next := max(1, gradientFloor*float64(s.capacity), value*ratio)
+		if g.slow && (g.before.count == 0 || next < value) {
+			g.before = w
+		}
+		if g.atFloor++; next < value {
+			g.atFloor = 0
+		} else if g.atFloor == probeAfter {
+			g.before, g.atFloor = w, 0
+			next *= 2
+		}
+		value, g.skip, g.slow = next, w.most, true
+	case float64(w.most) >= value/2: // otherwise the limit was not used
+		value += math.Sqrt(value)
+		g.before, g.slow, g.atFloor = window{}, false, 0
 	}
-	g.value = max(1, min(float64(s.capacity), value+gradientSmoothing*(next-value)))
+	g.value = min(value, float64(s.capacity))
 }
 
 func (g *gradient) limit(stated int) float64 { return min(g.value, float64(stated)) }
--- /dev/null
+++ b/admission/simulation_test.go
@@ -0,0 +1,174 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+
+	"briarreach/admission"
+)
+
+// simulation runs requests against a target that serves up to `capacity` of
+// them at full speed. A request needs `work` of service time; with r requests
+// running, each proceeds at the speed min(1, capacity/r), and above the slots
+// of the target the total speed falls with the square of the overload. The
+// capacity is divided by ten between slowFrom and slowUntil.
+type simulation struct {
+	seed                int64
+	slots               int
+	work, deadline      time.Duration
+	load                float64 // offered load as a multiple of the capacity
+	burstFrom, burstTo  time.Duration
+	slowFrom, slowUntil time.Duration
+	until               time.Duration
+	uncontrolled        bool
+	independent         bool // the slow-down is the same for any number of requests
+	options             []admission.Option
+}
+
+type simulated struct {
+	arrived, finished time.Duration
+	remaining         float64
+	started           time.Duration
+}
+
+type result struct {
+	good               []time.Duration // ends of requests that met their deadline
+	service            []sample        // time at the target by the time of the end
+	ran, refused       map[string]bool
+	maxRunning         int
+	limits             map[int]int // by second
+	offered, completed int
+}
+
+type sample struct{ at, took time.Duration }
+
+const tick = time.Millisecond
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func (s simulation) run() result {
+	random := rand.New(rand.NewSource(s.seed))
+	c := admission.New(admission.Capacity{MaxConcurrent: s.slots}, s.options...)
+	requests, running := map[string]*simulated{}, map[string]*simulated{}
+	r := result{ran: map[string]bool{}, refused: map[string]bool{}, limits: map[int]int{}}
+	begin := func(id string, at time.Duration) {
+		r.ran[id] = true
+		requests[id].started = at
+		running[id] = requests[id]
+	}
+	arrivals := &queue{}
+	heap.Push(arrivals, time.Duration(0))
+	for at := time.Duration(0); at < s.until; at += tick {
+		now := start.Add(at)
+		rate := float64(s.slots) / s.work.Seconds()
+		load := min(s.load, 0.8)
+		if at >= s.burstFrom && at < s.burstTo {
+			load = s.load
+		}
+		for arrivals.Len() > 0 && (*arrivals)[0] <= at {
+			next := heap.Pop(arrivals).(time.Duration)
+			heap.Push(arrivals, next+time.Duration(random.ExpFloat64()/(rate*load)*float64(time.Second)))
+			id := fmt.Sprintf("r%d", r.offered)
+			r.offered++
+			// Work varies by a factor of three, as lengths of answers do.
+			requests[id] = &simulated{arrived: at, remaining: s.work.Seconds() * (0.5 + random.Float64())}
+			if s.uncontrolled {
+				begin(id, at)
+				continue
+			}
+			switch c.Offer(admission.Ticket{Attempt: id, Deadline: now.Add(s.deadline), Tokens: 1}, now).(type) {
+			case admission.Admitted:
+				begin(id, at)
+			case admission.Refused:
+				r.refused[id] = true
+			}
+		}
+		for _, t := range c.Expire(now) {
+			r.refused[t.Attempt] = true
+		}
+		for _, t := range c.Admit(now) {
+			begin(t.Attempt, at)
+		}
+		capacity := float64(s.slots)
+		slow := at >= s.slowFrom && at < s.slowUntil
+		if slow && !s.independent {
+			capacity /= 10
+		}
+		n := float64(len(running))
+		speed := min(1, capacity/math.Max(1, n))
+		if slow && s.independent {
+			speed /= 10
+		}
+		if overload := n / float64(s.slots); overload > 1 {
+			speed /= overload * overload
+		}
+		r.maxRunning = max(r.maxRunning, len(running))
+		r.limits[int(at/time.Second)] = c.Load().Limit
+		var ended []string
+		for id, q := range running {
+			if q.remaining -= speed * tick.Seconds(); q.remaining <= 0 {
+				ended = append(ended, id)
+			}
+		}
+		slices.Sort(ended) // map order must not decide the run
+		for _, id := range ended {
+			q := running[id]
+			delete(running, id)
+			took := at + tick - q.started
+			r.completed++
+			r.service = append(r.service, sample{at, took})
+			if at+tick-q.arrived <= s.deadline {
+				r.good = append(r.good, at)
+			}
+			if s.uncontrolled {
+				continue
+			}
+			for _, t := range c.Done(id, took, true, now) {
+				begin(t.Attempt, at+tick)
+			}
+		}
+	}
+	return r
+}
+
+// goodput is the rate of good requests between two times, as a part of the
+// capacity.
+func (s simulation) goodput(r result, from, to time.Duration) float64 {
+	n := 0
+	for _, at := range r.good {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return float64(n) * s.work.Seconds() / float64(s.slots) / (to - from).Seconds()
+}
+
+func (r result) percentile(p float64, from, to time.Duration) time.Duration {
+	var took []time.Duration
+	for _, s := range r.service {
+		if s.at >= from && s.at < to {
+			took = append(took, s.took)
+		}
+	}
+	if len(took) == 0 {
+		return 0
+	}
+	slices.Sort(took)
+	return took[int(p*float64(len(took)-1))]
+}
+
+type queue []time.Duration
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i] < q[j] }
+func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)        { *q = append(*q, x.(time.Duration)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
