--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -30,22 +30,17 @@
 }
 
 type simulated struct {
-	arrived, finished time.Duration
-	remaining         float64
-	started           time.Duration
+	arrived, started time.Duration
+	remaining        float64
 }
 
 type result struct {
 	good               []time.Duration // ends of requests that met their deadline
-	service            []sample        // time at the target by the time of the end
 	ran, refused       map[string]bool
 	maxRunning         int
-	limits             map[int]int // by second
-	offered, completed int
+	offered            int
 }
 
-type sample struct{ at, took time.Duration }
-
 const tick = time.Millisecond
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -54,7 +49,7 @@
 	random := rand.New(rand.NewSource(s.seed))
 	c := admission.New(admission.Capacity{MaxConcurrent: s.slots}, s.options...)
 	requests, running := map[string]*simulated{}, map[string]*simulated{}
-	r := result{ran: map[string]bool{}, refused: map[string]bool{}, limits: map[int]int{}}
+	r := result{ran: map[string]bool{}, refused: map[string]bool{}}
 	begin := func(id string, at time.Duration) {
 		r.ran[id] = true
 		requests[id].started = at
@@ -107,7 +102,6 @@
 			speed /= overload * overload
 		}
 		r.maxRunning = max(r.maxRunning, len(running))
-		r.limits[int(at/time.Second)] = c.Load().Limit
 		var ended []string
 		for id, q := range running {
 			if q.remaining -= speed * tick.Seconds(); q.remaining <= 0 {
@@ -119,8 +113,6 @@
 			q := running[id]
 			delete(running, id)
 			took := at + tick - q.started
-			r.completed++
-			r.service = append(r.service, sample{at, took})
 			if at+tick-q.arrived <= s.deadline {
 				r.good = append(r.good, at)
 			}
@@ -147,20 +139,6 @@
 	return float64(n) * s.work.Seconds() / float64(s.slots) / (to - from).Seconds()
 }
 
-func (r result) percentile(p float64, from, to time.Duration) time.Duration {
-	var took []time.Duration
-	for _, s := range r.service {
-		if s.at >= from && s.at < to {
-			took = append(took, s.took)
-		}
-	}
-	if len(took) == 0 {
-		return 0
-	}
-	slices.Sort(took)
-	return took[int(p*float64(len(took)-1))]
-}
-
 type queue []time.Duration
 
 func (q queue) Len() int           { return len(q) }
