--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -35,10 +35,10 @@
 }
 
 type result struct {
-	good               []time.Duration // ends of requests that met their deadline
-	ran, refused       map[string]bool
-	maxRunning         int
-	offered            int
+	good         []time.Duration // ends of requests that met their deadline
+	ran, refused map[string]bool
+	maxRunning   int
+	offered      int
 }
 
 const tick = time.Millisecond
--- a/target/pool.go
+++ b/target/pool.go
@@ -259,30 +259,31 @@
 	return Choice{Target: st.target}, nil
 }
 
-// chooseByLoad takes the less loaded of two random candidates. A candidate of
-// weight w is accepted with probability w/(2-w): it is drawn in one of two
-// draws and then wins, since it has less load than the others, so that it gets
-// w of a full share.
+// chooseByLoad takes the less loaded of two random candidates. A candidate
+// that returns from ejection with weight w is accepted with probability w/2: it
+// is one of the two with twice its share's probability and has less load than
+// the others, so that it gets at most w of a full share.
 func chooseByLoad(candidates []*state, r Request, at int64, random *rand.Rand) *state {
 	var first *state
 	// With at most a third of the candidates ejected and few excluded, a draw
 	// is accepted in at least about half of the cases.
 	for range 16 {
 		st := candidates[random.Intn(len(candidates))]
-		if st == first || slices.Contains(r.Exclude, st.target.Name) {
-			continue
-		}
-		if weight := st.weight(at); weight < 1 && random.Float64() >= weight/(2-weight) {
+		if st == first || st.weight(at) == 0 || slices.Contains(r.Exclude, st.target.Name) {
 			continue
 		}
 		if first == nil {
 			first = st
 			continue
 		}
+		better, other := first, st
 		if st.load(r.Tokens) < first.load(r.Tokens) {
-			return st
+			better, other = st, first
 		}
-		return first
+		if weight := better.weight(at); weight < 1 && random.Float64() >= weight/2 {
+			return other
+		}
+		return better
 	}
 	if first != nil {
 		return first
--- /dev/null
+++ b/target/pool_test.go
@@ -0,0 +1,275 @@
+package target_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/config"
+	"briarreach/peer"
+	"briarreach/target"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// document has n targets t0, t1, ... of model m, version v1.
+func document(n int) *config.Document {
+	d := &config.Document{Targets: map[string]config.Target{}}
+	for i := range n {
+		name := fmt.Sprintf("t%d", i)
+		d.Targets[name] = config.Target{
+			Name: name, Model: "m", Version: "v1", VM: "vm-" + name, MaxConcurrent: 16, MaxTokens: 1 << 16,
+			Agent: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i)),
+		}
+	}
+	return d
+}
+
+func newPool(n int, opts ...target.Option) *target.Pool {
+	p := target.New(opts...)
+	p.Update(document(n))
+	return p
+}
+
+var request = target.Request{Subject: "m", Version: "v1"}
+
+// chosen counts the choices of n requests that end at once.
+func chosen(p *target.Pool, r target.Request, n int, now time.Time, random *rand.Rand) map[string]int {
+	count := map[string]int{}
+	for range n {
+		if c, err := p.Choose(r, now, random); err == nil {
+			count[c.Target.Name]++
+		}
+	}
+	return count
+}
+
+var _ = Describe("Pool", func() {
+	var random *rand.Rand
+	BeforeEach(func() { random = rand.New(rand.NewSource(GinkgoRandomSeed())) })
+
+	reason := func(p *target.Pool, r target.Request, now time.Time) target.Reason {
+		GinkgoHelper()
+		_, err := p.Choose(r, now, random)
+		var missing *target.NoTargetError
+		Expect(errors.As(err, &missing)).To(BeTrue())
+		return missing.Reason
+	}
+
+	It("says why there is no target", func() {
+		p := newPool(2)
+		Expect(reason(p, target.Request{Subject: "other"}, start)).To(Equal(target.NoTargets))
+		Expect(reason(p, target.Request{Subject: "m", Version: "v2"}, start)).To(Equal(target.NoTargets))
+		Expect(reason(p, target.Request{Subject: "m", Exclude: []string{"t0", "t1"}}, start)).To(Equal(target.Excluded))
+		p.Leaving("t0", start)
+		p.Report(peer.LoadReport{Target: "t1", Leaving: true}, start)
+		Expect(reason(p, request, start)).To(Equal(target.Leaving))
+	})
+
+	// Guards against new work at a target that leaves (I7): the agent's notice
+	// must count although the VM list, 30 s old, still says that it is live.
+	It("sends nothing to a leaving target after its notice, with a stale VM list", func() {
+		const noticeDelay, listDelay = 500 * time.Millisecond, 30 * time.Second
+		p, left := newPool(3), start.Add(10*time.Second)
+		late := 0
+		for at := start; at.Before(start.Add(60 * time.Second)); at = at.Add(10 * time.Millisecond) {
+			for i := range 3 {
+				name := fmt.Sprintf("t%d", i)
+				p.Report(peer.LoadReport{Target: name, Leaving: name == "t1" && !at.Before(left.Add(noticeDelay))}, at)
+			}
+			if at.Equal(left.Add(listDelay)) {
+				p.Leaving("t1", at)
+			}
+			if chosen(p, request, 10, at, random)["t1"] > 0 && at.Sub(left) > 3*time.Second {
+				late++
+			}
+		}
+		Expect(late).To(BeZero())
+	})
+
+	DescribeTable("leaving ends", func(mark, unmark func(p *target.Pool, at time.Time), after time.Duration, back bool) {
+		p := newPool(3)
+		mark(p, start)
+		Expect(chosen(p, request, 200, start, random)).NotTo(HaveKey("t1"))
+		unmark(p, start.Add(after))
+		if back {
+			Expect(chosen(p, request, 200, start.Add(after), random)).To(HaveKey("t1"))
+		} else {
+			Expect(chosen(p, request, 200, start.Add(after), random)).NotTo(HaveKey("t1"))
+		}
+	},
+		Entry("not by a report that was overtaken", notice, live, time.Second, false),
+		Entry("by a report of a new agent", notice, live, 6*time.Second, true),
+		Entry("not by a report after the VM list's word", listed, live, time.Minute, false),
+		Entry("by the VM list", listed, func(p *target.Pool, _ time.Time) { p.Returned("t1") }, time.Minute, true),
+		Entry("by the configuration", drain, func(p *target.Pool, _ time.Time) { p.Update(document(3)) }, time.Minute, true),
+		Entry("not by the same configuration", listed, func(p *target.Pool, _ time.Time) { p.Update(document(3)) }, time.Minute, false),
+		Entry("by a new VM in the configuration", listed, func(p *target.Pool, _ time.Time) {
+			d := document(3)
+			t := d.Targets["t1"]
+			t.VM = "vm-new"
+			d.Targets["t1"] = t
+			p.Update(d)
+		}, time.Minute, true),
+	)
+
+	// Guards against a herd on a target whose report is old: the entry's own
+	// requests since the report count.
+	It("adds its own requests to the last report", func() {
+		p := newPool(2)
+		p.Report(peer.LoadReport{Target: "t0", Running: 4}, start)
+		p.Report(peer.LoadReport{Target: "t1", Running: 8}, start)
+		count := map[string]int{}
+		for range 20 {
+			c, err := p.Choose(request, start, random)
+			Expect(err).NotTo(HaveOccurred())
+			p.Begin(c.Target.Name, 100)
+			count[c.Target.Name]++
+		}
+		Expect(count["t0"] + 4).To(BeNumerically("~", count["t1"]+8, 1))
+		// A report that contains them replaces the sum.
+		p.Report(peer.LoadReport{Target: "t0", Running: 0}, start)
+		p.Report(peer.LoadReport{Target: "t1", Running: 30}, start)
+		Expect(chosen(p, request, 50, start, random)).To(Equal(map[string]int{"t0": 50}))
+	})
+
+	fail := func(p *target.Pool, name string, outcomes ...target.Outcome) {
+		for _, o := range outcomes {
+			p.Begin(name, 1)
+			p.End(name, 1, o, time.Second, start)
+		}
+	}
+	const ok, bad = target.Succeeded, target.Failed
+
+	DescribeTable("ejects", func(outcomes []target.Outcome, ejected bool) {
+		p := newPool(6)
+		fail(p, "t1", outcomes...)
+		if ejected {
+			Expect(chosen(p, request, 300, start, random)).NotTo(HaveKey("t1"))
+		} else {
+			Expect(chosen(p, request, 300, start, random)).To(HaveKey("t1"))
+		}
+	},
+		Entry("after 5 failures in a row", []target.Outcome{bad, bad, bad, bad, bad}, true),
+		Entry("not after 4", []target.Outcome{bad, bad, bad, bad}, false),
+		Entry("not for refusals", []target.Outcome{target.Neutral, target.Neutral, target.Neutral, target.Neutral, target.Neutral}, false),
+		Entry("above half of the window", []target.Outcome{ok, bad, bad, ok, bad, bad, ok, bad, bad, bad}, true),
+		Entry("not at half of it", []target.Outcome{ok, bad, ok, bad, ok, bad, ok, bad, ok, bad, ok, bad}, false),
+	)
+
+	// Guards against the loss of most targets to ejection when all fail, as they
+	// do when the fault is elsewhere.
+	DescribeTable("never ejects over a third", func(n, most int) {
+		p := newPool(n)
+		for range 10 {
+			for i := range n {
+				fail(p, fmt.Sprintf("t%d", i), bad, bad, bad, bad, bad)
+			}
+		}
+		Expect(n - len(chosen(p, request, 200*n, start, random))).To(Equal(most))
+		// Healthy targets that leave must not raise the share.
+		for i := n - 1; i >= n/2; i-- {
+			p.Leaving(fmt.Sprintf("t%d", i), start)
+			left := i
+			Expect(3 * (left - len(chosen(p, request, 200*n, start, random)))).To(BeNumerically("<=", left))
+		}
+	},
+		Entry(nil, 2, 0), Entry(nil, 3, 1), Entry(nil, 8, 2), Entry(nil, 9, 3), Entry(nil, 40, 13),
+	)
+
+	// Guards against the full load on a target that has just returned.
+	It("returns an ejected target at 10 % of its weight, growing over 30 s", func() {
+		p := newPool(4)
+		fail(p, "t1", bad, bad, bad, bad, bad)
+		for i := range 4 { // the others are busy, as they are when one is missing
+			if i != 1 {
+				p.Report(peer.LoadReport{Target: fmt.Sprintf("t%d", i), Running: 8}, start)
+			}
+		}
+		const n = 40000
+		share := func(after time.Duration) float64 {
+			return float64(chosen(p, request, n, start.Add(after), random)["t1"]) * 4 / n
+		}
+		Expect(share(9 * time.Second)).To(BeZero())
+		Expect(share(10 * time.Second)).To(BeNumerically("~", 0.1, 0.03))
+		Expect(share(25 * time.Second)).To(BeNumerically("~", 0.55, 0.15))
+		Expect(share(40 * time.Second)).To(BeNumerically(">=", 1))
+	})
+
+	// Guards against data races between the request path and updates.
+	It("is safe for concurrent use", func() {
+		p, hashes := newPool(8), target.PrefixHashes(make([]byte, 4<<10))
+		var group sync.WaitGroup
+		for w := range 8 {
+			group.Go(func() {
+				random := rand.New(rand.NewSource(int64(w)))
+				for i := range 500 {
+					now := start.Add(time.Duration(i) * time.Millisecond)
+					c, err := p.Choose(target.Request{Subject: "m", Prefix: hashes}, now, random)
+					if err != nil {
+						continue
+					}
+					p.Begin(c.Target.Name, 10)
+					p.Report(peer.LoadReport{Target: c.Target.Name, Running: i % 5, Leaving: i%50 == 0}, now)
+					p.Cached(c.Target.Name, hashes, now)
+					p.Evicted(c.Target.Name, hashes[:1], now)
+					if i%100 == w {
+						p.Update(document(8))
+						p.Leaving(c.Target.Name, now)
+						p.Returned(c.Target.Name)
+					}
+					p.End(c.Target.Name, 10, target.Outcome(i%3), time.Millisecond, now)
+				}
+			})
+		}
+		group.Wait()
+	})
+})
+
+func notice(p *target.Pool, at time.Time) {
+	p.Report(peer.LoadReport{Target: "t1", Leaving: true}, at)
+}
+func live(p *target.Pool, at time.Time)   { p.Report(peer.LoadReport{Target: "t1"}, at) }
+func listed(p *target.Pool, at time.Time) { p.Leaving("t1", at) }
+func drain(p *target.Pool, _ time.Time) {
+	d := document(3)
+	t := d.Targets["t1"]
+	t.Draining = true
+	d.Targets["t1"] = t
+	p.Update(d)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{40, 600} {
+		for name, blocks := range map[string]int{"load": 0, "prefix": 8} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				p := newPool(n)
+				b.ReportAllocs()
+				b.RunParallel(func(pb *testing.PB) {
+					random := rand.New(rand.NewSource(1))
+					prompts := make([][]uint64, 64)
+					for i := range prompts {
+						prompt := make([]byte, blocks<<10)
+						random.Read(prompt)
+						prompts[i] = target.PrefixHashes(prompt)
+					}
+					for i := 0; pb.Next(); i++ {
+						c, err := p.Choose(target.Request{Subject: "m", Version: "v1", Prefix: prompts[i%len(prompts)]}, start, random)
+						if err != nil {
+							b.Error(err)
+						}
+						p.Begin(c.Target.Name, 100)
+						p.End(c.Target.Name, 100, target.Succeeded, time.Second, start)
+					}
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/target/suite_test.go
@@ -0,0 +1,13 @@
+package target_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestTarget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Target")
+}
