--- /dev/null
+++ b/engine/contract_test.go
@@ -0,0 +1,323 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/engine"
+	"briarreach/standin"
+	"briarreach/target"
+)
+
+func body(prompt string, maxTokens int) []byte {
+	b, err := json.Marshal(map[string]any{
+		"model": "m", "max_tokens": maxTokens, "messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+// answer is what a caller makes of a stream.
+type answer struct {
+	text   string
+	tokens int
+	usage  *engine.Usage
+	reason string
+	err    error
+}
+
+func read(r *engine.Response) (a answer) {
+	for {
+		event, err := r.Next()
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				a.err = err
+			}
+			return a
+		}
+		switch e := event.(type) {
+		case engine.Delta:
+			var chunk struct {
+				Choices []struct{ Delta struct{ Content string } }
+			}
+			Expect(json.Unmarshal(e.Raw, &chunk)).To(Succeed())
+			a.text += chunk.Choices[0].Delta.Content
+			a.tokens += e.Tokens
+		case engine.Usage:
+			a.usage = &e
+		case engine.Finished:
+			a.reason = e.Reason
+		}
+	}
+}
+
+var _ = Describe("Client and stand-in", func() {
+	var (
+		ctx    context.Context
+		e      *standin.Engine
+		client *engine.Client
+	)
+	begin := func(opts []standin.EngineOption, clientOpts ...engine.Option) {
+		GinkgoHelper()
+		var err error
+		ctx = context.Background()
+		e, err = standin.NewEngine(opts...)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { Expect(e.Close()).To(Succeed()) })
+		client, err = engine.New(e.URL(), clientOpts...)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	stream := func(prompt string, maxTokens int) *engine.Response {
+		GinkgoHelper()
+		r, err := client.Stream(ctx, engine.Request{Body: body(prompt, maxTokens), RequestID: prompt[:min(len(prompt), 8)]})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		return r
+	}
+	text := func(prompt string, n int) string {
+		canonical, err := engine.PromptText(body(prompt, 0))
+		Expect(err).NotTo(HaveOccurred())
+		return standin.EngineText(canonical, n)
+	}
+
+	// Guards against wrong usage, which is what callers are billed for.
+	It("streams the whole answer with its usage", func() {
+		begin([]standin.EngineOption{standin.WithEngineAnswer(20, 20)})
+		a := read(stream("hello", 0))
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.text).To(Equal(text("hello", 20)))
+		Expect([]any{a.tokens, a.reason}).To(Equal([]any{20, "stop"}))
+		Expect([]int64{a.usage.PromptTokens, a.usage.CompletionTokens}).To(Equal([]int64{3, 20}))
+		short := read(stream("hello", 5))
+		Expect(short.text).To(Equal(text("hello", 5)))
+		Expect(short.reason).To(Equal("length"))
+		Expect(e.Runs()).To(HaveLen(2))
+		Expect(e.Runs()[0]).To(Equal(standin.EngineRun{
+			RequestID: "hello", Model: "m", Version: "v1", PromptTokens: 3, GeneratedTokens: 20, Outcome: "complete",
+		}))
+	})
+
+	// Guards against a truncated answer that is taken for a complete one, and
+	// against a failure whose execution is reported wrongly.
+	DescribeTable("faults", func(fault standin.TargetFault, check func(r *engine.Response, err error)) {
+		begin([]standin.EngineOption{standin.WithEngineAnswer(20, 20), standin.WithEngineFaults(fault)},
+			engine.WithHeaderTimeout(100*time.Millisecond), engine.WithSilenceTimeout(100*time.Millisecond))
+		r, err := client.Stream(ctx, engine.Request{Body: body("p", 0)})
+		if r != nil {
+			defer r.Close()
+		}
+		check(r, err)
+	},
+		Entry("refuses", standin.TargetFault{FailShare: 1, Status: 503}, func(_ *engine.Response, err error) {
+			var status *engine.StatusError
+			Expect(errors.As(err, &status)).To(BeTrue())
+			Expect(status.Status).To(Equal(503))
+			Expect(string(status.Body)).To(ContainSubstring("fault"))
+		}),
+		Entry("hangs before the header", standin.TargetFault{HangShare: 1}, func(_ *engine.Response, err error) {
+			var ambiguous *engine.AmbiguousError
+			Expect(errors.As(err, &ambiguous)).To(BeTrue(), "%v", err)
+		}),
+		Entry("closes in the stream", standin.TargetFault{CloseShare: 1, AfterTokens: 5}, func(r *engine.Response, err error) {
+			Expect(err).NotTo(HaveOccurred())
+			a := read(r)
+			var incomplete *engine.IncompleteError
+			Expect(errors.As(a.err, &incomplete)).To(BeTrue(), "%v", a.err)
+			Expect([]any{a.tokens, a.usage}).To(Equal([]any{5, (*engine.Usage)(nil)}))
+		}),
+		Entry("goes silent in the stream", standin.TargetFault{HangShare: 1, AfterTokens: 5}, func(r *engine.Response, err error) {
+			Expect(err).NotTo(HaveOccurred())
+			a := read(r)
+			var incomplete *engine.IncompleteError
+			Expect(errors.As(a.err, &incomplete)).To(BeTrue(), "%v", a.err)
+			Expect(a.tokens).To(Equal(5))
+		}),
+		Entry("only for another version", standin.TargetFault{FailShare: 1, Version: "v2"}, healthy),
+		Entry("only for another model", standin.TargetFault{FailShare: 1, Route: "other"}, healthy),
+		Entry("only above a load", standin.TargetFault{FailShare: 1, AboveLoad: 0.5}, healthy),
+		Entry("only later", standin.TargetFault{FailShare: 1, AfterMS: 60_000}, healthy),
+	)
+
+	It("reports that nothing was sent to an engine that is gone", func() {
+		begin(nil)
+		Expect(e.Close()).To(Succeed())
+		_, err := client.Stream(ctx, engine.Request{Body: body("p", 0)})
+		var notSent *engine.NotSentError
+		Expect(errors.As(err, &notSent)).To(BeTrue(), "%v", err)
+		cancelled, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = client.Stream(cancelled, engine.Request{Body: body("p", 0)})
+		Expect(errors.As(err, &notSent)).To(BeTrue(), "%v", err)
+		Expect(err).To(MatchError(context.Canceled))
+		var malformed *engine.BodyError
+		_, err = client.Stream(ctx, engine.Request{Body: []byte("[")})
+		Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
+	})
+
+	// Guards against an engine that goes on generating, and keeps its slot, for
+	// a caller that is gone.
+	DescribeTable("cancel frees the slot", func(fault standin.TargetFault, cancel func(r *engine.Response, cancel func())) {
+		begin([]standin.EngineOption{
+			standin.WithEngineAnswer(1_000_000, 1_000_000), standin.WithEngineRate(1000, 0), standin.WithEngineFaults(fault),
+		})
+		cancelled, stop := context.WithCancel(ctx)
+		defer stop()
+		if cancel == nil { // the header never comes
+			go func() {
+				defer GinkgoRecover()
+				Eventually(e.Running).Should(Equal(1))
+				stop()
+			}()
+			_, err := client.Stream(cancelled, engine.Request{Body: body("p", 0)})
+			Expect(err).To(MatchError(context.Canceled))
+		} else {
+			r, err := client.Stream(cancelled, engine.Request{Body: body("p", 0)})
+			Expect(err).NotTo(HaveOccurred())
+			defer r.Close()
+			_, err = r.Next()
+			Expect(err).NotTo(HaveOccurred())
+			cancel(r, stop)
+		}
+		Eventually(e.Running).Should(BeZero())
+		Expect(e.Runs()[0].Outcome).To(Equal("cancelled"))
+		Expect(e.Runs()[0].GeneratedTokens).To(BeNumerically("<", 1_000_000))
+	},
+		Entry("by Close", standin.TargetFault{}, func(r *engine.Response, _ func()) { r.Close() }),
+		Entry("by the context", standin.TargetFault{}, func(_ *engine.Response, stop func()) { stop() }),
+		Entry("by Close during Next", standin.TargetFault{HangShare: 1, AfterTokens: 3}, func(r *engine.Response, _ func()) {
+			go r.Close()
+			for {
+				if _, err := r.Next(); err != nil {
+					return
+				}
+			}
+		}),
+		Entry("before the header", standin.TargetFault{HangShare: 1}, nil),
+	)
+
+	// Guards against an engine that fills memory for a caller that does not
+	// read: tokens that are generated but not read are bounded by the buffers.
+	It("stops the generation when nobody reads", func() {
+		begin([]standin.EngineOption{standin.WithEngineAnswer(1_000_000, 1_000_000), standin.WithEngineCapacity(1, 1<<30)})
+		r := stream("p", 0)
+		_, err := r.Next()
+		Expect(err).NotTo(HaveOccurred())
+		generated := func() int64 { return e.Load().HeldTokens }
+		last := int64(-1)
+		Eventually(func() bool {
+			before := last
+			last = generated()
+			return last == before
+		}).WithPolling(20 * time.Millisecond).Should(BeTrue())
+		AddReportEntry("generated ahead of a stalled reader", fmt.Sprintf("%d tokens", generated()))
+		// About 180 bytes of stream for each token.
+		Expect(generated() * 180).To(BeNumerically("<", 64<<10))
+		r.Close()
+		Eventually(e.Running).Should(BeZero())
+	})
+
+	// Guards against requests that are repeated by the HTTP library.
+	It("does not repeat a request whose connection closes", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		accepted := make(chan int, 1)
+		go func() {
+			n := 0
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					accepted <- n
+					return
+				}
+				n++
+				_, _ = c.Read(make([]byte, 4096))
+				_ = c.Close()
+			}
+		}()
+		c, err := engine.New("http://" + listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Stream(context.Background(), engine.Request{Body: body("p", 0)})
+		var ambiguous *engine.AmbiguousError
+		Expect(errors.As(err, &ambiguous)).To(BeTrue(), "%v", err)
+		Expect(listener.Close()).To(Succeed())
+		Expect(<-accepted).To(Equal(1))
+	})
+
+	DescribeTable("orders", func(fencing bool, refused bool) {
+		begin([]standin.EngineOption{standin.WithEngineFencing(fencing)})
+		Expect(client.Order(ctx, engine.Order{Kind: "load", Version: "v3", FencingNumber: 3})).To(Succeed())
+		err := client.Order(ctx, engine.Order{Kind: "load", Version: "v2", FencingNumber: 2})
+		var fenced *engine.FencedError
+		Expect(errors.As(err, &fenced)).To(Equal(refused))
+		Expect(e.Load().Version == "v3").To(Equal(refused))
+	},
+		Entry("with an old number are refused", true, true),
+		Entry("with an old number are accepted by an engine that ignores it", false, false),
+	)
+
+	It("caches prefixes and reports it with delay", func() {
+		begin([]standin.EngineOption{standin.WithEngineCache(4)})
+		prompt := strings.Repeat("x", 3000)
+		Expect(read(stream(prompt+"a", 1)).usage.CachedTokens).To(BeZero())
+		Expect(read(stream(prompt+"b", 1)).usage.CachedTokens).To(Equal(int64(512)))
+		canonical, err := engine.PromptText(body(prompt, 0))
+		Expect(err).NotTo(HaveOccurred())
+		events := e.CacheEvents(0)
+		Expect(events[0].Kind).To(Equal("cached"))
+		Expect(events[0].Blocks).To(ConsistOf(target.PrefixHashes(canonical)))
+		Expect(read(stream(strings.Repeat("y", 5000), 1)).usage.CachedTokens).To(BeZero())
+		Expect(read(stream(prompt+"c", 1)).usage.CachedTokens).To(BeZero(), "evicted")
+	})
+
+	It("is slow above its capacity and refuses above twice of it", func() {
+		begin([]standin.EngineOption{standin.WithEngineCapacity(2, 1<<20), standin.WithEngineRate(0.001, 0)})
+		for i := range 4 {
+			stream(fmt.Sprint(i), 0)
+		}
+		_, err := client.Stream(ctx, engine.Request{Body: body("p", 0)})
+		var status *engine.StatusError
+		Expect(errors.As(err, &status)).To(BeTrue(), "%v", err)
+		Expect([]int{status.Status, e.Record().Refused, e.Record().MaxRunning}).To(Equal([]int{503, 1, 4}))
+	})
+})
+
+func healthy(r *engine.Response, err error) {
+	GinkgoHelper()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(read(r).err).NotTo(HaveOccurred())
+}
+
+// BenchmarkStream measures one request with an answer of 100 tokens.
+func BenchmarkStream(b *testing.B) {
+	e, err := standin.NewEngine(standin.WithEngineAnswer(100, 100))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = e.Close() }()
+	client, err := engine.New(e.URL())
+	if err != nil {
+		b.Fatal(err)
+	}
+	request := engine.Request{Body: []byte(`{"model":"m","messages":[{"role":"user","content":"p"}]}`)}
+	b.ReportAllocs()
+	for b.Loop() {
+		r, err := client.Stream(context.Background(), request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for err == nil {
+			_, err = r.Next()
+		}
+		r.Close()
+	}
+}
--- /dev/null
+++ b/service/suite_test.go
@@ -0,0 +1,19 @@
+package service_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+func TestService(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Service")
+	goleak.VerifyNone(t,
+		// fasthttp refreshes the date of its servers for ever.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"),
+	)
+}
--- a/standin/target_fault.go
+++ b/standin/target_fault.go
@@ -122,6 +122,7 @@
 			NoDefaultServerHeader: true,
 			ReadTimeout:           time.Minute,
 			IdleTimeout:           time.Minute,
+			ReadBufferSize:        16 << 10,
 			MaxRequestBodySize:    16 << 20,
 			MaxIdleWorkerDuration: 50 * time.Millisecond,
 			Logger:                targetLogger{},
