--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -206,7 +206,8 @@
 	)
 
 	// Guards against an engine that fills memory for a caller that does not
-	// read: tokens that are generated but not read are bounded by the buffers.
+	// read. The bound is the 16 KiB per stalled reader that the design allows
+	// on an agent, here for all buffers between the engine and the caller.
 	It("stops the generation when nobody reads", func() {
 		begin([]standin.EngineOption{standin.WithEngineAnswer(1_000_000, 1_000_000), standin.WithEngineCapacity(1, 1<<30)})
 		r := stream("p", 0)
@@ -221,7 +222,7 @@
 		}).WithPolling(20 * time.Millisecond).Should(BeTrue())
 		AddReportEntry("generated ahead of a stalled reader", fmt.Sprintf("%d tokens", generated()))
 		// About 180 bytes of stream for each token.
-		Expect(generated() * 180).To(BeNumerically("<", 64<<10))
+		Expect(generated() * 180).To(BeNumerically("<=", 16<<10))
 		r.Close()
 		Eventually(e.Running).Should(BeZero())
 	})
