Claim calls that may not be repeated

Cause: bookings ran twice when a caller sent the same key twice. The entry now drives the decisions of package claim, and the agent keeps its memory of attempts that may not be repeated. Before: the test of separate processes got two different bookings for one key.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"go.uber.org/dig"
 
 	"briarreach/admission"
+	"briarreach/claim"
 	"briarreach/config"
 	"briarreach/configsync"
 	"briarreach/engine"
@@ -44,10 +45,6 @@
 	// resumeTimeout is how long an attempt goes on without an entry that reads
 	// its answer.
 	resumeTimeout = 10 * time.Second
-	// clockMargin is how far the clocks of VMs may be apart, with a reserve.
-	clockMargin = 5 * time.Second
-	// maxStoredResponse bounds the response that a claim keeps.
-	maxStoredResponse = 16 << 10
 	// tailRetention is how long an ended answer waits for an entry that
 	// resumes it.
 	tailRetention = time.Minute
@@ -72,9 +69,9 @@
 	mu          sync.Mutex
 	admission   *admission.Controller
 	attempts    map[string]*attempt
-	ended       []*attempt // in the order in which they ended
-	refused     map[string]time.Time
-	forgotten   time.Time // attempts that ended before may have been forgotten
+	ended       []*attempt           // in the order in which they ended
+	refused     map[string]time.Time // repeatable attempts that were never seen when asked for
+	calls       *claim.Memory        // attempts that may not be repeated
 	unbilled    map[string]peer.UnbilledUsage
 	leaving     bool
 	subscribers map[*peer.Stream]subscriber
@@ -215,7 +212,7 @@
 		cancel:      cancel,
 		done:        make(chan struct{}),
 	}
-	a.forgotten = a.started
+	a.calls = claim.NewMemory(a.started, claim.WithMargin(s.Agent.ClockMargin.Duration), claim.WithKeep(attemptRetention))
 	a.registerMetrics()
 	h.serve, h.onChange = a.serve, a.notifyLoad
 	close(h.set)
@@ -351,9 +348,6 @@
 		}
 		a.ended = a.ended[1:]
 		delete(a.attempts, oldest.dispatch.Attempt)
-		if oldest.ended.After(a.forgotten) {
-			a.forgotten = oldest.ended
-		}
 	}
 	for i := len(a.ended) - 1; i >= 0; i-- {
 		at := a.ended[i]
@@ -368,9 +362,6 @@
 	for id, at := range a.refused {
 		if now.Sub(at) >= attemptRetention {
 			delete(a.refused, id)
-			if at.After(a.forgotten) {
-				a.forgotten = at
-			}
 		}
 	}
 	// The attempts of expired tickets end by their own deadline.
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -35,7 +35,6 @@
 	consumed  bool // the entry has consumed the whole answer
 	tokens    int64
 	progress  time.Time // last time the entry consumed bytes
-	response  []byte    // whole body of a call that may not be repeated
 
 	ended    time.Time // guarded by the agent's lock, as is released
 	released bool
--- a/agent/run.go
+++ b/agent/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 
+	"briarreach/claim"
 	"briarreach/engine"
 	"briarreach/peer"
 	"briarreach/service"
@@ -161,10 +162,10 @@
 		a.finish(at, final)
 		return
 	}
-	if !d.Repeatable && len(response.Body) <= maxStoredResponse {
-		at.mu.Lock()
-		at.response = response.Body
-		at.mu.Unlock()
+	if !d.Repeatable {
+		a.mu.Lock()
+		a.calls.Finish(a.clock.Now(), d.Attempt, claim.Response{Status: response.Status, ContentType: response.ContentType, Body: response.Body})
+		a.mu.Unlock()
 	}
 	at.setHead(peer.Head{Attempt: d.Attempt, Status: response.Status, ContentType: response.ContentType, Clock: a.events.Clock().Now()})
 	final := peer.Final{Usage: peer.Usage{Cost: d.Reserved}, Outcome: peer.Complete, Execution: peer.Ran}
@@ -187,6 +188,13 @@
 			Holder: d.Holder, Outcome: final.Outcome, Usage: final.Usage, At: now,
 		}
 	}
+	if !d.Repeatable && final.Outcome != peer.Complete {
+		if final.Execution == peer.NotRun {
+			a.calls.Refuse(now, d.Attempt)
+		} else {
+			a.calls.Fail(now, d.Attempt)
+		}
+	}
 	for _, ticket := range a.admission.Done(d.Attempt, now.Sub(at.accepted), final.Outcome == peer.Complete, now) {
 		a.admit(ticket)
 	}
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"briarreach/admission"
+	"briarreach/claim"
+	"briarreach/config"
 	"briarreach/peer"
 	"briarreach/timeline"
 )
@@ -86,54 +89,91 @@
 
 // accept decides whether a dispatch may run. The checks and the entry in the
 // table of attempts are one step under the lock, so that a holder that is
-// fenced afterwards has its attempt in the table.
+// fenced afterwards has its attempt in the table. The refusal of an attempt
+// that may not be repeated is permanent.
 func (a *Agent) accept(d peer.Dispatch) (*attempt, *peer.Refusal) {
 	document := a.follower.Current()
 	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	registered, known := a.registered(document)
+	if !d.Repeatable {
+		if refusal := a.begin(d, now); refusal != nil {
+			return nil, refusal
+		}
+	}
 	if _, seen := a.attempts[d.Attempt]; seen {
 		return nil, a.refusal(d, "duplicate_attempt", peer.Unknown)
 	}
+	reason := a.check(d, document, now)
+	var decision admission.Decision
+	if reason == "" {
+		registered, _ := a.registered(document)
+		a.admission.SetCapacity(admission.Capacity{MaxConcurrent: registered.MaxConcurrent, MaxTokens: registered.MaxTokens})
+		decision = a.admission.Offer(admission.Ticket{
+			Attempt: d.Attempt, Priority: d.Priority, Deadline: d.Deadline, Tokens: d.PromptTokens + d.MaxTokens,
+		}, now)
+		if refused, ok := decision.(admission.Refused); ok {
+			reason = string(refused.Reason)
+		}
+	}
+	if reason != "" {
+		if !d.Repeatable {
+			a.calls.Refuse(now, d.Attempt)
+		}
+		return nil, a.refusal(d, reason, peer.NotRun)
+	}
+	at := newAttempt(a.context, d, a.settings.Agent.StreamWindow, a.buffers, now)
+	a.attempts[d.Attempt] = at
+	if _, ok := decision.(admission.Admitted); ok {
+		close(at.admitted)
+	}
+	a.running.Add(1)
+	go func() { a.run(at) }()
+	return at, nil
+}
+
+// begin enters an attempt that may not be repeated in the agent's memory.
+func (a *Agent) begin(d peer.Dispatch, now time.Time) *peer.Refusal {
+	err := a.calls.Begin(now, d.Attempt)
+	if err == nil {
+		return nil
+	}
+	var seen *claim.SeenError
+	var stale *claim.StaleError
+	if errors.As(err, &seen) && seen.State == claim.AttemptNeverSeen || errors.As(err, &stale) && stale.State == claim.AttemptNeverSeen {
+		return a.refusal(d, "attempt_refused", peer.NotRun)
+	}
+	return a.refusal(d, "duplicate_attempt", peer.Unknown)
+}
+
+// check returns the reason for which a dispatch does not run, or "".
+func (a *Agent) check(d peer.Dispatch, document *config.Document, now time.Time) string {
+	registered, known := a.registered(document)
 	_, refusedBefore := a.refused[d.Attempt]
 	switch {
 	case document == nil || !a.follower.FencesKnown():
-		return nil, a.refusal(d, "not_ready", peer.NotRun)
+		return "not_ready"
 	case refusedBefore:
-		return nil, a.refusal(d, "attempt_refused", peer.NotRun)
+		return "attempt_refused"
 	case a.follower.Fenced(d.Holder):
-		return nil, a.refusal(d, "holder_fenced", peer.NotRun)
+		return "holder_fenced"
 	case d.ConfigNumber < document.Number:
-		return nil, a.refusal(d, "stale_config", peer.NotRun)
+		return "stale_config"
 	case !known || d.Target != registered.Name:
-		return nil, a.refusal(d, "unknown_target", peer.NotRun)
+		return "unknown_target"
 	case d.Version != registered.Version:
-		return nil, a.refusal(d, "wrong_version", peer.NotRun)
+		return "wrong_version"
 	case a.leaving || registered.Draining:
-		return nil, a.refusal(d, "leaving", peer.NotRun)
+		return "leaving"
 	case len(a.unbilled) >= maxUnbilled:
-		return nil, a.refusal(d, "usage_backlog", peer.NotRun)
+		return "usage_backlog"
 	case !d.Deadline.After(now):
-		return nil, a.refusal(d, "deadline_passed", peer.NotRun)
+		return "deadline_passed"
 	case a.buffers.Used()+int64(a.settings.Agent.StreamWindow) > a.buffers.Max():
-		return nil, a.refusal(d, "buffers_full", peer.NotRun)
-	}
-	a.admission.SetCapacity(admission.Capacity{MaxConcurrent: registered.MaxConcurrent, MaxTokens: registered.MaxTokens})
-	decision := a.admission.Offer(admission.Ticket{
-		Attempt: d.Attempt, Priority: d.Priority, Deadline: d.Deadline, Tokens: d.PromptTokens + d.MaxTokens,
-	}, now)
-	if refused, ok := decision.(admission.Refused); ok {
-		return nil, a.refusal(d, string(refused.Reason), peer.NotRun)
-	}
-	at := newAttempt(a.context, d, a.settings.Agent.StreamWindow, a.buffers, now)
-	a.attempts[d.Attempt] = at
-	if _, ok := decision.(admission.Admitted); ok {
-		close(at.admitted)
+		return "buffers_full"
+	default:
+		return ""
 	}
-	a.running.Add(1)
-	go func() { a.run(at) }()
-	return at, nil
 }
 
 // admit lets a queued attempt run. The caller holds the lock.
@@ -348,33 +388,23 @@
 }
 
 // resolve says what became of an attempt. An attempt that was never seen is
-// refused from now on. The agent can't tell for attempts that were claimed
-// before it started or whose record it may have dropped.
+// refused from now on.
 func (a *Agent) resolve(m peer.ResolveAttempt) peer.AttemptResult {
+	now := a.clock.Now()
 	a.mu.Lock()
-	at := a.attempts[m.Attempt]
-	if at == nil {
-		defer a.mu.Unlock()
-		result := peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptNeverSeen}
-		if m.Claimed.Before(a.forgotten.Add(clockMargin)) {
-			result.State = peer.AttemptUnknown
+	defer a.mu.Unlock()
+	if at := a.attempts[m.Attempt]; at != nil && at.dispatch.Repeatable {
+		if at.isFinished() {
+			return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptUnknown}
 		}
-		a.refused[m.Attempt] = a.clock.Now()
-		return result
-	}
-	a.mu.Unlock()
-	if !at.isFinished() {
 		return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptRunning}
 	}
-	at.mu.Lock()
-	defer at.mu.Unlock()
-	if at.final.Execution == peer.NotRun {
-		return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptNeverSeen}
-	}
-	if at.final.Outcome != peer.Complete || at.head == nil {
-		return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptUnknown}
+	state, response := a.calls.Resolve(now, m.Attempt)
+	if state == claim.AttemptNeverSeen {
+		a.refused[m.Attempt] = now
 	}
-	return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptDone, Status: at.head.Status, Body: at.response}
+	return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptState(state), Status: response.Status,
+		ContentType: response.ContentType, Body: response.Body, Oversize: response.Oversize}
 }
 
 // fence refuses the holder from now on, stops its model requests and returns
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -251,9 +251,6 @@
 		a.e.observeTry(x, a.t, a.first.Sub(a.t.started), result == target.Failed, now)
 	}
 	a.e.bill(x, a.t, usage, outcome)
-	if x.claim != nil {
-		x.claim.afterAnswer(a)
-	}
 	a.acknowledge()
 	a.e.observeAnswer(x, a, outcome, now)
 }
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -263,9 +263,6 @@
 // settleRefused gives the reservation of a request back that gave no answer.
 // The reservations of tries that may have run are held apart.
 func (e *Entry) settleRefused(x *exchange, _ *caller.Error) {
-	if x.claim != nil {
-		x.claim.afterRefusal()
-	}
 	if !x.reserved {
 		return
 	}
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -32,7 +32,6 @@
 	grants      *grants
 	reservation budget.Reservation
 	reserved    bool
-	claim       *claimHandle // of a call that may not be repeated
 }
 
 // cost bounds what a request may cost. Reserved is in budget tokens.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -67,11 +67,6 @@
 			}
 			break
 		}
-		if x.claim != nil {
-			if refusal := x.claim.beforeDispatch(ctx, t); refusal != nil {
-				return nil, refusal
-			}
-		}
 		a, err := e.send(ctx, x, t)
 		if err == nil {
 			return a, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,7 @@
 		configsync.WithPeers(endpoint, e.peers),
 		configsync.WithOnChange(e.configured))
 	e.keys = newKeyCache(store, clock, e.keysNumber)
-	e.filters = []filter{authenticate{e}, identify{e}, reserve{e}, claimKey{e}, dispatch{e}}
+	e.filters = []filter{authenticate{e}, identify{e}, reserve{e}, once{e}, dispatch{e}}
 	e.registerMetrics()
 	h.serve = e.servePeer
 	close(h.set)
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -156,9 +156,6 @@
 }
 
 func (e *Entry) attemptEnded(held heldReservation) bool {
-	ctx, cancel := context.WithTimeout(e.context, openTimeout)
-	defer cancel()
-	answer, err := e.endpoint.Call(ctx, held.agent, peer.ResolveAttempt{Attempt: held.attempt, Claimed: held.since})
-	result, ok := answer.(peer.AttemptResult)
-	return err == nil && ok && result.State != peer.AttemptRunning
+	result, ok := e.askAttempt(e.context, held.agent, held.attempt, held.since)
+	return ok && result.State != peer.AttemptRunning
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -223,6 +223,8 @@
 	s.Agent = &settings.Agent{
 		PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"),
 		Target:      target, TargetURL: url, Entries: f.entryPeers,
+		// All parts share one clock.
+		ClockMargin: settings.Duration{Duration: time.Millisecond},
 	}
 	s.Defaults()
 	f.options.adjust(s)
--- a/peer/message.go
+++ b/peer/message.go
@@ -215,13 +215,16 @@
 		Claimed time.Time `cbor:"claimed"`
 	}
 
-	// AttemptResult answers ResolveAttempt. Status and Body are set when State
-	// is AttemptDone.
+	// AttemptResult answers ResolveAttempt. Status, ContentType and Body are
+	// set when State is AttemptDone; Oversize says that the body was too large
+	// to keep.
 	AttemptResult struct {
-		Attempt string       `cbor:"attempt"`
-		State   AttemptState `cbor:"state"`
-		Status  int          `cbor:"status"`
-		Body    []byte       `cbor:"body"`
+		Attempt     string       `cbor:"attempt"`
+		State       AttemptState `cbor:"state"`
+		Status      int          `cbor:"status"`
+		ContentType string       `cbor:"content_type"`
+		Body        []byte       `cbor:"body"`
+		Oversize    bool         `cbor:"oversize,omitempty"`
 	}
 
 	// Load is pushed by an agent when its load or state changes.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,7 @@
 	MetricsAddress   netip.AddrPort   `toml:"metrics_address"`
 	ConfigInterval   Duration         `toml:"config_interval"`
 	StallTimeout     Duration         `toml:"stall_timeout"`
+	ClockMargin      Duration         `toml:"clock_margin"` // largest difference between the clocks of VMs
 	StreamWindow     int              `toml:"stream_window_bytes"`
 	MaxBufferedBytes int              `toml:"max_buffered_bytes"`
 }
@@ -159,6 +160,7 @@
 func (a *Agent) Defaults() {
 	duration(&a.ConfigInterval, 2*time.Second)
 	duration(&a.StallTimeout, 30*time.Second)
+	duration(&a.ClockMargin, 2*time.Second)
 	number(&a.StreamWindow, 16<<10)
 	number(&a.MaxBufferedBytes, 48<<20)
 }
@@ -352,6 +354,7 @@
 	c.url("agent.target_url", a.TargetURL, true)
 	c.duration("agent.config_interval", a.ConfigInterval, 50*time.Millisecond, 5*time.Second)
 	c.duration("agent.stall_timeout", a.StallTimeout, 100*time.Millisecond, 10*time.Minute)
+	c.duration("agent.clock_margin", a.ClockMargin, time.Millisecond, time.Minute)
 	c.number("agent.stream_window_bytes", a.StreamWindow, 1<<10, 1<<20)
 	c.number("agent.max_buffered_bytes", a.MaxBufferedBytes, 1<<20, 1<<30)
 }
