--- /dev/null
+++ b/claim/call_test.go
@@ -0,0 +1,272 @@
+package claim_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/claim"
+	"briarreach/table"
+)
+
+const foreign = "01ARZ3NDEKTSV4RRFFQ69G5FAV"
+
+var (
+	start    = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	response = claim.Response{Status: 200, Body: []byte("ok")}
+	second   = &claim.Try{Agent: "b"}
+)
+
+func newCall() *claim.Call {
+	return claim.New(claim.Request{Workspace: "w", Key: "k", Digest: "d", Holder: "h",
+		First: claim.Try{Agent: "a", Start: "1"}, Agents: []string{"a", "b"}, Deadline: start.Add(10 * time.Second)})
+}
+
+// found is a read of a row of another call.
+func found(state claim.State, r *claim.Response) claim.Found {
+	return claim.Found{Version: 3, Row: &claim.Row{Attempt: foreign, Holder: "other", Tried: []claim.Try{{Agent: "a", Start: "1"}},
+		Digest: "d", State: state, Response: r}}
+}
+
+func answers(states ...claim.AttemptState) claim.Resolved {
+	var out claim.Resolved
+	for i, s := range states {
+		if s == "" {
+			continue
+		}
+		a := claim.Answer{Agent: string(rune('a' + i)), State: s}
+		if s == claim.AttemptDone {
+			a.Response = response
+		}
+		out.Answers = append(out.Answers, a)
+	}
+	return out
+}
+
+// stored returns the row that an action writes.
+func stored(action claim.Action) *claim.Row {
+	GinkgoHelper()
+	write, ok := action.(claim.Write)
+	Expect(ok).To(BeTrue(), "%T", action)
+	row, err := claim.Decode(write.Transaction.Writes[0].Value)
+	Expect(err).NotTo(HaveOccurred())
+	return row
+}
+
+// describe returns the type of an action with what it is for.
+func describe(action claim.Action) string {
+	switch a := action.(type) {
+	case claim.Write:
+		row := stored(a)
+		return fmt.Sprintf("write %s %T %d", row.State, a.Transaction.Writes[0].Expect, len(row.Tried))
+	case claim.Dispatch:
+		return "dispatch " + a.To.Agent
+	case claim.Resolve:
+		return "resolve " + strings.Join(a.Agents, ",")
+	case claim.Answered:
+		return fmt.Sprintf("answered %v", a.Stored)
+	case claim.Replay:
+		return "replay " + string(a.Response.Body)
+	default:
+		return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", action), "claim."))
+	}
+}
+
+var _ = Describe("Call", func() {
+	own := func(c *claim.Call, state claim.State, tried ...claim.Try) claim.Found {
+		if tried == nil {
+			tried = []claim.Try{{Agent: "a", Start: "1"}}
+		}
+		return claim.Found{Version: 1, Row: &claim.Row{Attempt: c.Attempt(), Holder: "h", Tried: tried, Digest: "d", State: state}}
+	}
+
+	// Guards against a dispatch without a durable claim, a second dispatch
+	// after an ambiguous failure, and answers that claim more than is known.
+	// An event given as a function gets the call.
+	DescribeTable("decides", func(steps ...any) {
+		c := newCall()
+		random := rand.New(rand.NewPCG(1, 1))
+		action := c.Decide(start, random, claim.Start{})
+		Expect(describe(action)).To(Equal("write claimed table.Absent 1"))
+		for i := 0; i < len(steps); i += 2 {
+			var event claim.Event
+			switch e := steps[i].(type) {
+			case claim.Event:
+				event = e
+			case func(*claim.Call) claim.Found:
+				event = e(c)
+			}
+			action = c.Decide(start, random, event)
+			Expect(describe(action)).To(Equal(steps[i+1]), "step %d", i/2)
+		}
+	},
+		Entry("fresh claim", claim.Written{}, "dispatch a", claim.Completed{Response: response}, "write done table.Exactly 1", claim.Written{}, "answered true"),
+		Entry("platform down", claim.TableFailed{}, "refusenotrun"),
+		Entry("lost answer of the claim, applied", claim.Ambiguous{}, "read",
+			func(c *claim.Call) claim.Found { return own(c, claim.Claimed) }, "dispatch a"),
+		Entry("lost answer of the claim, not applied", claim.Ambiguous{}, "read", claim.Found{}, "write claimed table.Absent 1", claim.Written{}, "dispatch a"),
+		Entry("lost answer of the claim, then no read", claim.Ambiguous{}, "read", claim.TableFailed{}, "refusenotrun"),
+		Entry("own claim ended by another entry before the dispatch", claim.Ambiguous{}, "read",
+			func(c *claim.Call) claim.Found { return own(c, claim.Unknown) }, "write released table.Exactly 1", claim.Written{}, "refusenotrun"),
+		Entry("another digest", claim.Conflicted{}, "read", func(*claim.Call) claim.Found {
+			f := found(claim.Done, &response)
+			f.Row.Digest = "other"
+			return f
+		}, "mismatch"),
+		Entry("done", claim.Conflicted{}, "read", found(claim.Done, &response), "replay ok"),
+		Entry("unknown", claim.Conflicted{}, "read", found(claim.Unknown, nil), "reportunknown"),
+		Entry("released", claim.Conflicted{}, "read", found(claim.Released, nil), "write claimed table.Exactly 1", claim.Written{}, "dispatch a"),
+		Entry("claimed, never seen by all", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			answers(claim.AttemptNeverSeen, claim.AttemptNeverSeen), "write claimed table.Exactly 1", claim.Written{}, "dispatch a"),
+		Entry("claimed, take-over lost to another entry", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			answers(claim.AttemptNeverSeen, claim.AttemptNeverSeen), "write claimed table.Exactly 1", claim.Conflicted{}, "read",
+			claim.Found{Version: 4, Row: found(claim.Done, &response).Row}, "replay ok"),
+		Entry("claimed, done at an agent", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			answers(claim.AttemptDone, ""), "write done table.Exactly 1", claim.TableFailed{}, "replay ok"),
+		Entry("claimed, running", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			answers(claim.AttemptRunning, claim.AttemptUnknown), "await", claim.Waited{}, "read", found(claim.Done, &response), "replay ok"),
+		Entry("claimed, an agent does not answer", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			answers(claim.AttemptNeverSeen, ""), "reportunknown"),
+		Entry("claimed, an agent that was not tried may have forgotten", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			answers(claim.AttemptNeverSeen, claim.AttemptUnknown), "reportunknown"),
+		Entry("claimed, the agent that was tried has forgotten", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			answers(claim.AttemptUnknown, claim.AttemptNeverSeen), "write unknown table.Exactly 1", claim.Written{}, "reportunknown"),
+		Entry("claimed, the agent that was tried has restarted", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			claim.Resolved{Answers: []claim.Answer{{Agent: "a", Start: "2", State: claim.AttemptNeverSeen}, {Agent: "b", State: claim.AttemptNeverSeen}}},
+			"write unknown table.Exactly 1", claim.Conflicted{}, "read", claim.Found{Version: 4, Row: found(claim.Done, &response).Row}, "replay ok"),
+		Entry("claimed, then the platform is down", claim.Conflicted{}, "read", found(claim.Claimed, nil), "resolve a,b",
+			answers(claim.AttemptUnknown, claim.AttemptNeverSeen), "write unknown table.Exactly 1", claim.TableFailed{}, "reportunknown"),
+		Entry("refused, next agent", claim.Written{}, "dispatch a", claim.Refused{Next: second}, "write claimed table.Exactly 2", claim.Written{}, "dispatch b",
+			claim.Refused{}, "write released table.Exactly 2", claim.Written{}, "refusenotrun"),
+		Entry("refused, answer of the record lost, applied", claim.Written{}, "dispatch a", claim.Refused{Next: second}, "write claimed table.Exactly 2",
+			claim.Ambiguous{}, "read", func(c *claim.Call) claim.Found {
+				f := own(c, claim.Claimed, claim.Try{Agent: "a"}, claim.Try{Agent: "b"})
+				f.Version = 2
+				return f
+			}, "dispatch b"),
+		Entry("refused, answer of the record lost, not applied", claim.Written{}, "dispatch a", claim.Refused{Next: second}, "write claimed table.Exactly 2",
+			claim.Ambiguous{}, "read", func(c *claim.Call) claim.Found { return own(c, claim.Claimed) }, "write claimed table.Exactly 2", claim.TableFailed{}, "refusenotrun"),
+		Entry("refused, next agent was tried before", claim.Written{}, "dispatch a", claim.Refused{Next: &claim.Try{Agent: "a"}}, "write released table.Exactly 1"),
+		Entry("lost, never seen by all", claim.Written{}, "dispatch a", claim.Lost{}, "resolve a,b",
+			answers(claim.AttemptNeverSeen, claim.AttemptNeverSeen), "write released table.Exactly 1", claim.TableFailed{}, "refusenotrun"),
+		Entry("lost, done", claim.Written{}, "dispatch a", claim.Lost{}, "resolve a,b", answers(claim.AttemptDone, ""), "write done table.Exactly 1", claim.Written{}, "replay ok"),
+		Entry("lost, no answers", claim.Written{}, "dispatch a", claim.Lost{}, "resolve a,b", claim.Resolved{}, "reportunknown"),
+		Entry("completed, platform down", claim.Written{}, "dispatch a", claim.Completed{Response: response}, "write done table.Exactly 1", claim.TableFailed{}, "answered false"),
+		Entry("completed, marked unknown by another entry", claim.Written{}, "dispatch a", claim.Completed{Response: response}, "write done table.Exactly 1",
+			claim.Conflicted{}, "read", func(c *claim.Call) claim.Found {
+				f := own(c, claim.Unknown)
+				f.Version = 2
+				return f
+			}, "write done table.Exactly 1", claim.Written{}, "answered true"),
+		Entry("writes whose answers are always lost", claim.Ambiguous{}, "read", claim.Found{}, "write claimed table.Absent 1", claim.Ambiguous{}, "read",
+			claim.Found{}, "write claimed table.Absent 1", claim.Ambiguous{}, "read", claim.Found{}, "refusenotrun"),
+	)
+
+	// Guards against a wait without end, and a dispatch after the deadline.
+	It("stops at the deadline", func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		c := newCall()
+		c.Decide(start, random, claim.Start{})
+		Expect(describe(c.Decide(start.Add(11*time.Second), random, claim.Written{}))).To(Equal("write released table.Exactly 1"))
+
+		c = newCall()
+		c.Decide(start, random, claim.Start{})
+		c.Decide(start, random, claim.Conflicted{})
+		now, waits := start, 0
+		for action := c.Decide(now, random, found(claim.Claimed, nil)); ; waits++ {
+			Expect(describe(action)).To(Equal("resolve a,b"))
+			await, ok := c.Decide(now, random, answers(claim.AttemptRunning, "")).(claim.Await)
+			if !ok {
+				break
+			}
+			now = now.Add(await.Delay)
+			c.Decide(now, random, claim.Waited{})
+			action = c.Decide(now, random, found(claim.Claimed, nil))
+		}
+		Expect(now).To(BeTemporally("<", start.Add(10*time.Second)))
+		Expect(waits).To(BeNumerically("<", 20))
+	})
+
+	It("stores a response up to the bound, and only that it ran beyond", func() {
+		for size, oversize := range map[int]bool{claim.MaxResponseBytes: false, claim.MaxResponseBytes + 1: true} {
+			c := newCall()
+			random := rand.New(rand.NewPCG(1, 1))
+			c.Decide(start, random, claim.Start{})
+			c.Decide(start, random, claim.Written{})
+			row := stored(c.Decide(start, random, claim.Completed{Response: claim.Response{Status: 201, Body: bytes.Repeat([]byte{'x'}, size)}}))
+			Expect(row.Response.Oversize).To(Equal(oversize))
+			Expect(row.Response.Status).To(Equal(201))
+			Expect(len(row.Response.Body)).To(Equal(map[bool]int{false: size, true: 0}[oversize]))
+		}
+	})
+
+	It("writes transactions that the table accepts, each with an identifier of its own", func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		c := newCall()
+		ids := map[string]bool{}
+		for _, event := range []claim.Event{claim.Start{}, claim.Written{}, claim.Refused{Next: second}, claim.Written{}, claim.Completed{Response: response}} {
+			if write, ok := c.Decide(start, random, event).(claim.Write); ok {
+				Expect(write.Transaction.Validate()).To(Succeed())
+				Expect(write.Transaction.Writes[0].Key).To(Equal(table.Key{Partition: "claim/w", Sort: "k"}))
+				ids[write.Transaction.ID] = true
+			}
+		}
+		Expect(ids).To(HaveLen(3))
+	})
+})
+
+var _ = Describe("Memory", func() {
+	at := func(d time.Duration) string {
+		c := newCall()
+		c.Decide(start.Add(d), rand.New(rand.NewPCG(uint64(d), 1)), claim.Start{})
+		return c.Attempt()
+	}
+
+	// Guards against memory that grows without a bound, and a forgotten
+	// attempt that runs again or is reported as never seen.
+	It("stays within its bounds and refuses what it may have forgotten", func() {
+		m := claim.NewMemory(start.Add(-time.Hour), claim.WithMaxAttempts(10), claim.WithMaxBytes(100), claim.WithKeep(time.Minute))
+		for i := range 50 {
+			Expect(m.Begin(start, at(time.Duration(i)*time.Second))).To(Succeed())
+			m.Finish(start, at(time.Duration(i)*time.Second), claim.Response{Body: make([]byte, 40)})
+			Expect(m.Len()).To(BeNumerically("<=", 10))
+		}
+		state, r := m.Resolve(start, at(49*time.Second))
+		Expect(state).To(Equal(claim.AttemptDone))
+		Expect(len(r.Body) == 40 || r.Oversize).To(BeTrue())
+		var stale *claim.StaleError
+		Expect(errors.As(m.Begin(start, at(5*time.Second)), &stale)).To(BeTrue())
+		Expect(stale.State).To(Equal(claim.AttemptUnknown))
+		state, _ = m.Resolve(start, at(5*time.Second))
+		Expect(state).To(Equal(claim.AttemptUnknown))
+		state, _ = m.Resolve(start.Add(2*time.Minute), at(49*time.Second))
+		Expect(state).To(Equal(claim.AttemptUnknown))
+		Expect(m.Len()).To(BeZero())
+	})
+})
+
+// FuzzDecode guards against panics and against a row that changes when it is
+// written and read again.
+func FuzzDecode(f *testing.F) {
+	f.Add((&claim.Row{Attempt: foreign, Tried: []claim.Try{{Agent: "a"}}, Digest: "d", State: claim.Done, Response: &response}).Encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		row, err := claim.Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := claim.Decode(row.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(again.Encode(), row.Encode()) {
+			t.Fatalf("%s became %s", row.Encode(), again.Encode())
+		}
+	})
+}
--- /dev/null
+++ b/claim/row.go
@@ -0,0 +1,150 @@
+// Package claim decides how a call that must run at most once proceeds. A row
+// in the table reserves the call's idempotency key for one attempt before the
+// first dispatch.
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"briarreach/table"
+)
+
+// Bounds of a row.
+const (
+	MaxResponseBytes = 16 << 10
+	MaxTried         = 16
+	maxTextBytes     = 512
+)
+
+// State is the state of a claim.
+type State string
+
+// States of a claim.
+const (
+	Claimed  State = "claimed"
+	Done     State = "done"
+	Unknown  State = "unknown"  // it will never be known whether the attempt ran
+	Released State = "released" // proved: the attempt has not run and never will
+)
+
+// Try names an agent that may have been sent the attempt. Start identifies the
+// start of the agent's process and is empty if the entry didn't know it.
+type Try struct {
+	Agent string `json:"agent"`
+	Start string `json:"start,omitempty"`
+}
+
+// Response is the stored response of a call. Oversize says that the body had
+// more than MaxResponseBytes and was not stored.
+type Response struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	Oversize    bool   `json:"oversize,omitempty"`
+}
+
+// bounded returns the response without a body that is too large to store.
+func (r Response) bounded() Response {
+	if len(r.Body) > MaxResponseBytes {
+		r.Body, r.Oversize = nil, true
+	}
+	return r
+}
+
+// Row is a claim as it is stored. Tried lists the agents that the owner may
+// have sent the attempt to, because an agent is added before its dispatch.
+type Row struct {
+	Attempt  string    `json:"attempt"` // ULID, generated when the claim is made
+	Holder   string    `json:"holder"`  // of the entry that owns the claim
+	Tried    []Try     `json:"tried"`
+	Digest   string    `json:"digest"` // of the request's body
+	State    State     `json:"state"`
+	Response *Response `json:"response,omitempty"` // set when State is Done
+}
+
+// InvalidError reports a row or attempt that doesn't have the stored form.
+type InvalidError struct{ Reason string }
+
+func (e *InvalidError) Error() string { return "invalid claim: " + e.Reason }
+
+// Key returns the key of the claim of an idempotency key.
+func Key(workspace, idempotencyKey string) table.Key {
+	return table.Key{Partition: "claim/" + workspace, Sort: idempotencyKey}
+}
+
+// Encode returns the stored form, JSON.
+func (r *Row) Encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // no field of a row can fail to encode
+	}
+	return data
+}
+
+// Decode reads a stored row. It fails with *InvalidError.
+func Decode(data []byte) (*Row, error) {
+	var r Row
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, fmt.Errorf("claim.Decode: %w", &InvalidError{Reason: err.Error()})
+	}
+	if err := r.validate(); err != nil {
+		return nil, fmt.Errorf("claim.Decode: %w", err)
+	}
+	return &r, nil
+}
+
+func (r *Row) validate() error {
+	if _, err := ClaimedAt(r.Attempt); err != nil {
+		return err
+	}
+	if len(r.Holder) > maxTextBytes || r.Digest == "" || len(r.Digest) > maxTextBytes {
+		return &InvalidError{Reason: fmt.Sprintf("holder of %d and digest of %d bytes", len(r.Holder), len(r.Digest))}
+	}
+	if len(r.Tried) == 0 || len(r.Tried) > MaxTried {
+		return &InvalidError{Reason: fmt.Sprintf("%d agents tried, accepted are 1 to %d", len(r.Tried), MaxTried)}
+	}
+	for _, t := range r.Tried {
+		if t.Agent == "" || len(t.Agent) > maxTextBytes || len(t.Start) > maxTextBytes {
+			return &InvalidError{Reason: fmt.Sprintf("agent of %d and start of %d bytes", len(t.Agent), len(t.Start))}
+		}
+	}
+	switch r.State {
+	case Claimed, Unknown, Released:
+		if r.Response != nil {
+			return &InvalidError{Reason: fmt.Sprintf("response in the state %q", r.State)}
+		}
+	case Done:
+		if r.Response == nil || len(r.Response.Body) > MaxResponseBytes {
+			return &InvalidError{Reason: "no response, or one that is too large"}
+		}
+	default:
+		return &InvalidError{Reason: fmt.Sprintf("state %q", r.State)}
+	}
+	return nil
+}
+
+func (r *Row) clone() *Row {
+	out := *r
+	out.Tried = slices.Clone(r.Tried)
+	return &out
+}
+
+// tried reports whether the attempt may have been sent to an agent.
+func (r *Row) tried(agent string) bool {
+	return slices.ContainsFunc(r.Tried, func(t Try) bool { return t.Agent == agent })
+}
+
+// ClaimedAt returns when an attempt was claimed by the clock of its entry, in
+// milliseconds. It fails with *InvalidError.
+func ClaimedAt(attempt string) (time.Time, error) {
+	id, err := ulid.ParseStrict(attempt)
+	if err != nil {
+		return time.Time{}, &InvalidError{Reason: "attempt: " + err.Error()}
+	}
+	return ulid.Time(id.Time()), nil
+}
