--- /dev/null
+++ b/lease/row.go
@@ -0,0 +1,54 @@
+// Package lease decides who holds a control lease. A lease is a row in the
+// table that its holder renews; an observer takes it when the row has not
+// changed for the lease time on the observer's own clock.
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"briarreach/table"
+)
+
+const maxHolderBytes = 512
+
+// Row is a lease as it is stored. Number is the fencing number; it grows by
+// one with each new holder. Holder is empty if the lease was given up. Expires
+// informs operators only.
+type Row struct {
+	Holder  string    `json:"holder"`
+	Number  uint64    `json:"number"`
+	Expires time.Time `json:"expires"`
+}
+
+// InvalidError reports a row that doesn't have the stored form.
+type InvalidError struct{ Reason string }
+
+func (e *InvalidError) Error() string { return "invalid lease: " + e.Reason }
+
+// Key returns the key of a lease.
+func Key(name string) table.Key { return table.Key{Partition: "lease", Sort: name} }
+
+// Encode returns the stored form, JSON. It fails with *InvalidError when
+// Expires is outside the years 0 to 9999.
+func (r *Row) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("lease.Row.Encode: %w", &InvalidError{Reason: err.Error()})
+	}
+	return data, nil
+}
+
+// Decode reads a stored row. It fails with *InvalidError.
+func Decode(data []byte) (*Row, error) {
+	var r Row
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, fmt.Errorf("lease.Decode: %w", &InvalidError{Reason: err.Error()})
+	}
+	if r.Number == 0 || len(r.Holder) > maxHolderBytes {
+		return nil, fmt.Errorf("lease.Decode: %w", &InvalidError{
+			Reason: fmt.Sprintf("number %d and holder of %d bytes", r.Number, len(r.Holder))})
+	}
+	return &r, nil
+}
