Update the golden file of messages for the new fields

The wire form changed on purpose: frames carry the generated tokens, attempt results the content type and an oversize mark, the status the connected holders, and evidence is a new kind.

--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -43,7 +43,7 @@
 			Body: []byte(`{"stream":true}`), Credit: 16384, Clock: clock},
 		peer.Refusal{Attempt: "attempt-1", Reason: "leaving", Execution: peer.NotRun, ConfigNumber: 12, Load: load},
 		peer.Head{Attempt: "attempt-1", Status: 200, ContentType: "text/event-stream", Clock: clock},
-		peer.Frame{Offset: 4096, Data: []byte("data: {}\n\n")},
+		peer.Frame{Offset: 4096, Data: []byte("data: {}\n\n"), Tokens: 17},
 		peer.Final{Length: 5000, Checksum: 0xfedcba9876543210, Usage: usage, Outcome: peer.Failed,
 			Execution: peer.Unknown, Reason: "stalled", Load: load, Clock: clock},
 		peer.Credit{Offset: 8192, Limit: 24576},
@@ -56,7 +56,8 @@
 		peer.FenceHolder{Holder: "holder"},
 		peer.FenceResult{Holder: "holder", Unbilled: unbilled, Running: map[string]int64{"budget": 500}},
 		peer.ResolveAttempt{Attempt: "attempt-1", Claimed: at},
-		peer.AttemptResult{Attempt: "attempt-1", State: peer.AttemptDone, Status: 201, Body: []byte(`{}`)},
+		peer.AttemptResult{Attempt: "attempt-1", State: peer.AttemptDone, Status: 201,
+			ContentType: "application/json", Body: []byte(`{}`), Oversize: true},
 		peer.Load{Report: load, Clock: clock},
 		peer.ConfigNumber{Number: 12, Process: "entry-1"},
 		peer.FetchConfig{},
@@ -68,7 +69,8 @@
 			Workspace: "workspace", Target: "engine-1", Move: "move", ConfigNumber: 12, Detail: "detail"}}},
 		peer.StatusRequest{},
 		peer.Status{Process: "entry-1", Role: peer.EntryRole, Holder: "holder", ConfigNumber: 12, Started: at,
-			Address: netip.MustParseAddrPort("127.0.0.1:7000")},
+			Address: netip.MustParseAddrPort("127.0.0.1:7000"), Holders: []string{"holder"}},
+		peer.Evidence{Move: "move", Digest: []byte{0xa0}},
 	}
 }
 
