--- a/entry/control.go
+++ b/entry/control.go
@@ -3,19 +3,31 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"briarreach/holder"
+	"briarreach/lease"
 	"briarreach/ledger"
 	"briarreach/peer"
+	"briarreach/table"
 	"briarreach/timeline"
 )
 
-// controlInterval is how often the entry with the control lease looks for work.
-const controlInterval = 500 * time.Millisecond
+const (
+	// controlInterval is how often the entry with the control lease looks for
+	// work, and an entry without it at the lease's row.
+	controlInterval = 500 * time.Millisecond
+	// reclaimInterval is how often lost holders are looked for: it reads the
+	// tail of every ledger shard and asks every daemon.
+	reclaimInterval = 2 * time.Second
+	controlLease    = "control"
+)
 
 // fenceTimeout bounds one question to an agent about a fenced holder: the
 // agent waits up to 2 s for the holder's requests to end.
@@ -34,8 +46,8 @@
 }
 
 // step takes in what the ledger, the peers and the configuration say and does
-// what is due. All its writes are idempotent, so that two entries that do the
-// same work do no harm.
+// what is due. All its writes are idempotent, so that an entry that has lost the
+// lease without knowing it does no harm.
 func (r *reclaimer) step(ctx context.Context) {
 	e := r.e
 	j := e.journal.Load()
@@ -171,17 +183,83 @@
 	return errors.Join(errs...)
 }
 
-// controlLoop does the work that one entry at a time does.
+// controlLoop does the work that one entry at a time does, under a lease.
 func (e *Entry) controlLoop() {
-	r := newReclaimer(e)
+	observer := lease.New(controlLease, e.writer, lease.WithTime(e.settings.Entry.LeaseTime.Duration))
+	var reclaim *reclaimer
+	var movers *moveControllers
+	var reclaimed time.Time
 	ticker := e.clock.NewTicker(controlInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-e.context.Done():
+			e.releaseLease(observer)
 			return
 		case <-ticker.Chan():
-			r.step(e.context)
 		}
+		ctx, cancel := context.WithTimeout(e.context, e.settings.Table.Timeout.Duration)
+		err := e.keepLease(ctx, observer)
+		cancel()
+		if err != nil {
+			e.log.WithError(err).Debug("lease not read or written")
+		}
+		if !observer.Held(e.clock.Now()) {
+			reclaim, movers = nil, nil
+			continue
+		}
+		if reclaim == nil {
+			reclaim, movers = newReclaimer(e), newMoveControllers(e)
+			e.events.Record(timeline.Event{Kind: "control_lease_taken"})
+			e.log.WithField("number", observer.Number(e.clock.Now())).Info("control lease taken")
+		}
+		movers.step(e.context, observer)
+		if now := e.clock.Now(); now.Sub(reclaimed) >= reclaimInterval {
+			reclaimed = now
+			reclaim.step(e.context)
+		}
+	}
+}
+
+// keepLease reads the lease's row and takes or renews the lease if it is due.
+func (e *Entry) keepLease(ctx context.Context, observer *lease.Observer) error {
+	rows, err := e.store.Get(ctx, observer.Key())
+	if err != nil {
+		return fmt.Errorf("entry.keepLease: %w", err)
+	}
+	var row *lease.Row
+	if rows[0].Version > 0 {
+		if row, err = lease.Decode(rows[0].Value); err != nil {
+			return fmt.Errorf("entry.keepLease: %w", err)
+		}
+	}
+	observer.Observe(e.clock.Now(), row, rows[0].Version)
+	var write table.Write
+	switch a := observer.Decide(e.clock.Now()).(type) {
+	case lease.Take:
+		write = a.Write
+	case lease.Renew:
+		write = a.Write
+	default:
+		return nil
+	}
+	if err := e.store.Commit(ctx, table.Transaction{ID: ulid.Make().String(), Writes: []table.Write{write}}); err != nil {
+		return fmt.Errorf("entry.keepLease: %w", err)
+	}
+	observer.Committed(e.clock.Now())
+	return nil
+}
+
+// releaseLease gives the lease up, so that another entry need not wait for its
+// end.
+func (e *Entry) releaseLease(observer *lease.Observer) {
+	write, held := observer.Release(e.clock.Now())
+	if !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Table.Timeout.Duration)
+	defer cancel()
+	if err := e.store.Commit(ctx, table.Transaction{ID: ulid.Make().String(), Writes: []table.Write{write}}); err != nil {
+		e.log.WithError(err).Debug("lease not given up")
 	}
 }
--- /dev/null
+++ b/entry/movecontrol.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"github.com/oklog/ulid/v2"
+
+	"briarreach/config"
+	"briarreach/lease"
+	"briarreach/move"
+	"briarreach/table"
+	"briarreach/timeline"
+)
+
+// moveControllers steers the running version moves while this entry holds the
+// control lease. It is used by one goroutine.
+type moveControllers struct {
+	e      *Entry
+	byMove map[string]*move.Controller
+}
+
+func newMoveControllers(e *Entry) *moveControllers {
+	return &moveControllers{e: e, byMove: map[string]*move.Controller{}}
+}
+
+// step passes the digests of all entries on and writes what is due.
+func (c *moveControllers) step(ctx context.Context, observer *lease.Observer) {
+	e := c.e
+	document := e.follower.Current()
+	if document == nil {
+		return
+	}
+	for name, m := range document.Moves {
+		if m.State != config.MoveRunning {
+			delete(c.byMove, name)
+			continue
+		}
+		now := e.clock.Now()
+		controller := c.byMove[name]
+		if controller == nil {
+			controller = move.New(m)
+			c.byMove[name] = controller
+		}
+		controller.Update(m, now)
+		for _, digest := range e.moves.digests(name) {
+			controller.Observe(digest, now)
+		}
+		for _, action := range controller.Decide(now) {
+			check, held := observer.Check(e.clock.Now())
+			if !held {
+				return
+			}
+			c.write(ctx, document.Number, operationOf(name, action), check)
+		}
+	}
+}
+
+func operationOf(name string, action move.Action) config.Operation {
+	switch a := action.(type) {
+	case move.SetShare:
+		return config.SetShare{Move: name, Share: a.PPM, Evidence: a.Evidence.String()}
+	case move.Finish:
+		return config.FinishMove{Move: name, Evidence: a.Evidence.String()}
+	case move.RollBack:
+		return config.RollBackMove{Move: name, Evidence: a.Evidence.String()}
+	default:
+		return nil
+	}
+}
+
+// write submits one operation against the document that the decision saw. A
+// conflict is no failure: the next step decides on the newer document.
+func (c *moveControllers) write(ctx context.Context, base uint64, op config.Operation, check table.Check) {
+	e := c.e
+	if op == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Table.Timeout.Duration)
+	defer cancel()
+	_, err := e.patch(ctx, config.Patch{ID: ulid.Make().String(), Base: base, Operator: e.settings.Process,
+		Operations: []config.Operation{op}}, []table.Check{check})
+	var moved *config.ConflictError
+	var lost *table.ConflictError
+	switch {
+	case err == nil:
+		c.report(op)
+	case errors.As(err, &moved), errors.As(err, &lost):
+		e.log.WithError(err).Debug("decision on a move was overtaken")
+	default:
+		e.log.WithError(err).Warn("decision on a move not written")
+	}
+}
+
+// report tells operators of each step with its evidence.
+func (c *moveControllers) report(op config.Operation) {
+	e := c.e
+	event := timeline.Event{ConfigNumber: e.follower.Number()}
+	switch o := op.(type) {
+	case config.SetShare:
+		event.Kind, event.Move, event.Detail = "move_share_set", o.Move, o.Evidence
+	case config.FinishMove:
+		event.Kind, event.Move, event.Detail = "move_done", o.Move, o.Evidence
+	case config.RollBackMove:
+		event.Kind, event.Move, event.Detail = "move_rolled_back", o.Move, o.Evidence
+	}
+	e.events.Record(event)
+	e.log.WithField("move", event.Move).WithField("evidence", event.Detail).Info(event.Kind)
+}
