--- a/journal/commit.go
+++ b/journal/commit.go
@@ -102,7 +102,10 @@
 	if err == nil {
 		j.commits.Add(1)
 		for i, p := range c.parts {
-			p.results = p.shard.apply(batches[i])
+			// If others append, too, a read before the next append is cheaper than
+			// a conflict.
+			p.shard.stale = p.shard.foreign
+			p.results = p.shard.apply(batches[i], false)
 			j.records.Add(int64(len(p.records)))
 		}
 		return nil
--- a/journal/fault_test.go
+++ b/journal/fault_test.go
@@ -12,7 +12,6 @@
 
 	"briarreach/journal"
 	"briarreach/ledger"
-	"briarreach/table"
 )
 
 var _ = Describe("Journal with a failing store", func() {
@@ -20,20 +19,19 @@
 	// are lost, applied late, throttled or refused.
 	It("applies every record once", func(ctx context.Context) {
 		store := newMemoryStore()
+		const every = 8 // snapshots and deletions in between
 		seed := uint64(GinkgoRandomSeed())
 		store.randomFaults(rand.New(rand.NewPCG(seed, 1)), 0.3)
 		const writers, bills, cost = 3, 600, 7
 		var journals []*journal.Journal
-		for i := range writers {
-			journals = append(journals, start(store, 2, journal.WithWriter(fmt.Sprint("w", i))))
+		for range writers {
+			journals = append(journals, start(store, 2, journal.WithSnapshotEvery(every)))
 		}
-		_, err := journals[0].Transact(ctx, table.Transaction{}, []ledger.Record{ledger.OpenBudget{Budget: "x", Prepaid: 1 << 40, PatchID: "p"}})
-		Expect(err).NotTo(HaveOccurred())
+		open(ctx, journals[0], 1<<40, "x")
 		var wg sync.WaitGroup
 		for i, j := range journals {
 			holder := fmt.Sprint("w", i)
-			_, err := j.SubmitNow(ctx, "x", ledger.Draw{DrawID: "d" + holder, Budget: "x", Holder: holder, Min: bills * cost, Max: bills * cost})
-			Expect(err).NotTo(HaveOccurred())
+			submit(ctx, j, "x", draw("d"+holder, "x", holder, bills*cost))
 			for n := range bills {
 				wg.Add(1)
 				b := ledger.Bill{Identity: ledger.NewIdentity(holder, fmt.Sprint(n), nil), Budget: "x", Holder: holder, Attempt: fmt.Sprint(n), Cost: cost, At: time.Now()}
@@ -44,7 +42,7 @@
 					Expect(r.(ledger.Billed).Cost).To(BeEquivalentTo(cost))
 				})).To(Succeed())
 				if n%20 == 0 {
-					time.Sleep(time.Millisecond)
+					submit(ctx, j, "x", ledger.Fence{Holder: "nobody"})
 				}
 			}
 		}
--- a/journal/fence.go
+++ b/journal/fence.go
@@ -71,9 +71,13 @@
 }
 
 // ReleaseHolder returns the outstanding amounts of a fenced holder except for
-// held, the running reservations by budget. It fails with *RefusedError if the
-// holder is not fenced.
+// held, the running reservations by budget. Records submitted before are
+// appended first, so bills of the holder from the agents' answers count. It
+// fails with *RefusedError if the holder is not fenced.
 func (j *Journal) ReleaseHolder(ctx context.Context, holder string, held map[string]int64) error {
+	if err := j.drain(ctx); err != nil {
+		return fmt.Errorf("journal.ReleaseHolder: %w", err)
+	}
 	if err := j.Refresh(ctx); err != nil {
 		return fmt.Errorf("journal.ReleaseHolder: %w", err)
 	}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -66,6 +66,10 @@
 // all writers. The default is 15 minutes.
 func WithBillWindow(d time.Duration) Option { return func(j *Journal) { j.window = d } }
 
+// WithSnapshotEvery sets the number of batches between snapshots. The default
+// is 256.
+func WithSnapshotEvery(n int) Option { return func(j *Journal) { j.every = uint64(max(n, 1)) } }
+
 // WithObserver sets a function that is called once with each record submitted
 // through this journal when its result is known, before the record's own
 // callback, and also when the submitter has stopped waiting. A record that will
@@ -90,6 +94,7 @@
 	log        log.Interface
 	maxPending int64
 	window     time.Duration
+	every      uint64 // batches between snapshots
 	observe    func(ledger.Record, ledger.Result)
 
 	shards  []*shard
@@ -123,6 +128,7 @@
 		log:        &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		maxPending: 100_000,
 		window:     15 * time.Minute,
+		every:      256,
 		observe:    func(ledger.Record, ledger.Result) {},
 		closing:    make(chan struct{}),
 	}
@@ -131,7 +137,7 @@
 	}
 	j.ctx, j.cancel = context.WithCancel(context.Background())
 	for n := range shards {
-		s := newShard(n, j.window)
+		s := newShard(n, j.window, j.every)
 		j.shards = append(j.shards, s)
 		j.workers.Go(func() { j.run(s) })
 	}
@@ -295,30 +301,51 @@
 	}
 }
 
-// flush appends all waiting records of the shard.
+// flush appends the records that wait for the shard. Those that come meanwhile
+// wait for the next interval, so that a slow store makes larger batches instead
+// of more of them; when the journal closes, they are appended, too.
 func (j *Journal) flush(s *shard) {
-	for {
-		items := s.take(maxBatch)
-		if len(items) == 0 || j.ctx.Err() != nil {
-			s.putBack(items)
-			return
-		}
+	for more := true; more; {
 		if !s.acquire(j.ctx) {
-			s.putBack(items)
 			return
 		}
-		err := j.flushItems(s, items)
+		var items []*item
+		items, more = s.take(maxBatch)
+		err := j.flushItems(j.ctx, s, items)
 		s.release()
 		if err != nil && j.ctx.Err() == nil {
 			j.log.WithError(err).WithField("shard", s.number).Error("records can't be appended")
-			// Other writers may repair the rows, or an operator.
+			// Other writers or an operator may repair the rows.
 			j.wait(j.ctx, newBackOff().MaxInterval)
 		}
+		if j.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// drain appends the records that wait for any shard.
+func (j *Journal) drain(ctx context.Context) error {
+	for _, s := range j.shards {
+		for more := true; more; {
+			if !s.acquire(ctx) {
+				return ctx.Err()
+			}
+			var items []*item
+			items, more = s.take(maxBatch)
+			err := j.flushItems(ctx, s, items)
+			s.release()
+			if err != nil {
+				return err
+			}
+		}
 	}
+	return nil
 }
 
-// flushItems appends the items. Items for which it fails are put back.
-func (j *Journal) flushItems(s *shard, items []*item) error {
+// flushItems appends the items. Items for which it fails are put back. The
+// caller holds the turn.
+func (j *Journal) flushItems(ctx context.Context, s *shard, items []*item) error {
 	finish := func(it *item, r ledger.Result) {
 		j.pending.Add(-1)
 		it.done(r, nil)
@@ -328,7 +355,7 @@
 		for i, it := range items {
 			p.records[i] = it.record
 		}
-		err := j.commit(j.ctx, []*part{p}, table.Transaction{})
+		err := j.commit(ctx, []*part{p}, table.Transaction{})
 		var fenced *fencedError
 		var unresolved *UnresolvedError
 		var invalid *table.InvalidError
--- a/journal/shard.go
+++ b/journal/shard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -29,6 +28,7 @@
 	applied     uint64 // sequence number of the last batch in state
 	head        head   // of the last snapshot, without data
 	headVersion uint64
+	foreign     bool   // the last batch is another writer's
 	awaited     string // batch id to look for while reading
 	found       []ledger.Result
 	skipped     bool   // a snapshot was loaded while a batch was awaited
@@ -39,11 +39,11 @@
 	closed  bool
 }
 
-func newShard(number int, window time.Duration) *shard {
+func newShard(number int, window time.Duration, every uint64) *shard {
 	return &shard{
 		number:   number,
 		stale:    true,
-		patience: rand.Uint64N(snapshotJitter),
+		patience: jitter(every),
 		turn:     make(chan struct{}, 1),
 		wake:     make(chan struct{}, 1),
 		urgent:   make(chan struct{}, 1),
@@ -100,8 +100,8 @@
 }
 
 // take removes the first n records, or fewer if their draws name more than
-// maxDrawHolders holders.
-func (s *shard) take(n int) []*item {
+// maxDrawHolders holders. It reports whether more are to be appended at once.
+func (s *shard) take(n int) ([]*item, bool) {
 	s.queueMu.Lock()
 	defer s.queueMu.Unlock()
 	holders := map[string]bool{}
@@ -116,7 +116,7 @@
 	}
 	items := slices.Clone(s.queue[:count])
 	s.queue = slices.Delete(s.queue, 0, count)
-	return items
+	return items, len(s.queue) > 0 || s.closed && count > 0
 }
 
 func (s *shard) takeAll() []*item {
@@ -131,6 +131,7 @@
 	s.queueMu.Lock()
 	defer s.queueMu.Unlock()
 	s.queue = slices.Insert(s.queue, 0, items...)
+	notify(s.wake)
 }
 
 func (s *shard) withdraw(it *item) bool {
@@ -159,11 +160,12 @@
 }
 
 // apply applies the batch with the next sequence number.
-func (s *shard) apply(b ledger.Batch) []ledger.Result {
+func (s *shard) apply(b ledger.Batch, foreign bool) []ledger.Result {
 	s.mu.Lock()
 	results := s.state.Apply(b)
 	s.mu.Unlock()
 	s.applied++
+	s.foreign = foreign
 	if s.awaited != "" && b.BatchID == s.awaited {
 		s.found = results
 	}
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -15,24 +15,21 @@
 )
 
 const (
-	// snapshotEvery is the number of batches between snapshots.
-	snapshotEvery = 256
-
-	// keptRows rows before a snapshot are not deleted, so that a writer that is
-	// a little behind reads them instead of the whole snapshot.
-	keptRows = snapshotEvery
-
-	// snapshotJitter is the range of batches by which writers delay a snapshot,
-	// so that they do not all write the same one.
-	snapshotJitter = 64
-
 	// chunkBytes is the largest part of a snapshot in one row. Bills of 15
 	// minutes can exceed table.MaxValueBytes.
 	chunkBytes = 350 * 1024
 
 	queryLimit = 100
+
+	// maxDeletes rows are deleted after a snapshot at most, so that rows left by
+	// many failures don't delay the shard's records.
+	maxDeletes = 1000
 )
 
+// jitter is a random number of batches by which a writer delays a snapshot, so
+// that the writers do not all write the same one.
+func jitter(every uint64) uint64 { return rand.Uint64N(every/4 + 1) }
+
 // head is the value of a shard's snapshot row. The state is in Data or, if it
 // is too large for one row, in Chunks rows under ID.
 type head struct {
@@ -62,7 +59,7 @@
 				return &CorruptError{s.number, "snapshot head: " + err.Error()}
 			}
 		}
-		if h.Sequence > s.applied+keptRows {
+		if h.Sequence > s.applied+j.every {
 			if ok, err := j.loadSnapshot(ctx, s, h); err != nil {
 				return err
 			} else if !ok {
@@ -74,6 +71,9 @@
 			return err
 		}
 		if !complete || s.applied < h.Sequence {
+			if h.Sequence <= s.applied {
+				continue // a newer snapshot was written after Get
+			}
 			if ok, err := j.loadSnapshot(ctx, s, h); err != nil {
 				return err
 			} else if !ok {
@@ -108,7 +108,7 @@
 			if err != nil {
 				return false, fmt.Errorf("shard %d, row %s: %w", s.number, row.Sort, err)
 			}
-			s.apply(b)
+			s.apply(b, b.Writer != j.writer)
 		}
 		if len(rows) < queryLimit {
 			return true, nil
@@ -152,17 +152,19 @@
 	}
 	defer s.release()
 	behind := s.applied - s.head.Sequence
-	if s.stale || behind < snapshotEvery {
-		return
-	}
 	// Writers wait for different numbers of batches, so that usually one of them
 	// writes the snapshot.
-	if behind < snapshotEvery+s.patience {
+	if behind < j.every+s.patience {
 		return
 	}
-	s.patience = rand.Uint64N(snapshotJitter)
+	if s.stale {
+		if err := j.catchUp(j.ctx, s); err != nil || s.applied-s.head.Sequence < j.every {
+			return
+		}
+	}
+	s.patience = jitter(j.every)
 	if err := j.snapshot(j.ctx, s); err != nil {
-		j.log.WithError(err).WithField("shard", s.number).Warn("snapshot not written")
+		j.log.WithError(err).WithField("shard", s.number).Warn("snapshot not written or old rows not deleted")
 	}
 }
 
@@ -203,7 +205,9 @@
 // deleteOld deletes the rows that no reader needs any more. Rows left by a
 // failure are deleted after the next snapshot.
 func (j *Journal) deleteOld(ctx context.Context, s *shard) error {
-	if s.head.Sequence > keptRows {
+	// The rows of one interval are kept, so that a writer that is a little behind
+	// reads them instead of the whole snapshot.
+	if s.head.Sequence > j.every {
 		oldest, err := j.store.Query(ctx, s.logPartition(), "", 1)
 		if err != nil {
 			return err
@@ -216,7 +220,7 @@
 			return &CorruptError{s.number, "row " + oldest[0].Sort}
 		}
 		var keys []table.Key
-		for n := from; n <= s.head.Sequence-keptRows; n++ {
+		for n := from; n <= min(s.head.Sequence-j.every, from+maxDeletes); n++ {
 			keys = append(keys, s.logKey(n))
 		}
 		if err := j.delete(ctx, keys); err != nil {
--- a/journal/store_test.go
+++ b/journal/store_test.go
@@ -19,28 +19,44 @@
 	throttled
 	ambiguousApplied
 	ambiguousNotApplied
-	ambiguousDelayed // applied before the next call
+	ambiguousDelayed // applied before the next commit, after reads
 )
 
 var errInjected = errors.New("injected")
 
-// memoryStore is a table.Store in memory with faults.
+// memoryStore is a table.Store in memory. It has faults of its own and shares
+// its rows with its views.
 type memoryStore struct {
+	*rows
+	// onCommit and onRead choose the fault of a call; they may be nil and are
+	// called under the lock.
+	onCommit func(table.Transaction) fault
+	onRead   func() fault
+}
+
+type rows struct {
 	mu      sync.Mutex
 	rows    map[string]map[string]table.Row
 	seen    map[string]bool
 	delayed []table.Transaction
-	// onCommit and onRead choose the fault of a call; they may be nil.
-	onCommit             func(table.Transaction) fault
-	onRead               func() fault
-	commits, reads, rowN int
+	commits int
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{rows: map[string]map[string]table.Row{}, seen: map[string]bool{}}
+	return &memoryStore{rows: &rows{rows: map[string]map[string]table.Row{}, seen: map[string]bool{}}}
+}
+
+// view returns a store with the same rows and without faults.
+func (m *memoryStore) view() *memoryStore { return &memoryStore{rows: m.rows} }
+
+// count returns the number of rows of a partition.
+func (m *memoryStore) count(partition string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.rows.rows[partition])
 }
 
-// randomFaults fails the given share of calls. It is safe under the store's lock.
+// randomFaults fails the given share of calls.
 func (m *memoryStore) randomFaults(r *rand.Rand, share float64) {
 	m.onCommit = func(table.Transaction) fault {
 		if r.Float64() < share {
@@ -57,8 +73,6 @@
 }
 
 func (m *memoryStore) read() error {
-	m.reads++
-	m.applyDelayed()
 	if m.onRead != nil && m.onRead() != none {
 		return &table.UnavailableError{Err: errInjected}
 	}
@@ -73,7 +87,7 @@
 	}
 	rows := make([]table.Row, len(keys))
 	for i, k := range keys {
-		rows[i] = m.rows[k.Partition][k.Sort]
+		rows[i] = m.rows.rows[k.Partition][k.Sort]
 		rows[i].Key = k
 	}
 	return rows, nil
@@ -86,7 +100,7 @@
 		return nil, err
 	}
 	var rows []table.Row
-	for sort, row := range m.rows[partition] {
+	for sort, row := range m.rows.rows[partition] {
 		if sort > after {
 			rows = append(rows, row)
 		}
@@ -152,7 +166,7 @@
 			return &table.InvalidError{Reason: "row twice: " + k.String()}
 		}
 		keys[k] = true
-		version := m.rows[k.Partition][k.Sort].Version
+		version := m.rows.rows[k.Partition][k.Sort].Version
 		switch e := e.(type) {
 		case table.Absent:
 			if version != 0 {
@@ -183,19 +197,18 @@
 	}
 	m.seen[tx.ID] = true
 	for _, w := range tx.Writes {
-		m.rowN++
 		if w.Value == nil {
-			delete(m.rows[w.Partition], w.Sort)
+			delete(m.rows.rows[w.Partition], w.Sort)
 			continue
 		}
-		if m.rows[w.Partition] == nil {
-			m.rows[w.Partition] = map[string]table.Row{}
+		if m.rows.rows[w.Partition] == nil {
+			m.rows.rows[w.Partition] = map[string]table.Row{}
 		}
 		version := uint64(1)
 		if _, ok := w.Expect.(table.Exactly); ok {
-			version += m.rows[w.Partition][w.Sort].Version
+			version += m.rows.rows[w.Partition][w.Sort].Version
 		}
-		m.rows[w.Partition][w.Sort] = table.Row{Key: w.Key, Version: version, Value: w.Value}
+		m.rows.rows[w.Partition][w.Sort] = table.Row{Key: w.Key, Version: version, Value: w.Value}
 	}
 	return nil
 }
--- a/journal/suite_test.go
+++ b/journal/suite_test.go
@@ -5,9 +5,13 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
 )
 
 func TestSuite(t *testing.T) {
+	// Ginkgo keeps a goroutine for signals.
+	defer goleak.VerifyNone(t, goleak.IgnoreAnyFunction(
+		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "journal")
 }
