Let waiting records join a batch that the table service has refused

While the service throttles or is down, the records go back to the queue between tries, so the next try takes what has come meanwhile, and a waiting draw can be withdrawn. A throttled shard waits for at least about an interval.

--- a/journal/commit.go
+++ b/journal/commit.go
@@ -23,6 +23,9 @@
 	batchID string
 	// strict parts are not appended if a record would be refused.
 	strict bool
+	// yield ends the commit at the first error that leaves the records certainly
+	// not appended, so that records that came meanwhile can join the batch.
+	yield bool
 }
 
 // commit appends the parts together with the writes and checks of extra. The
@@ -48,6 +51,9 @@
 			}
 			return err
 		}
+		if len(parts) == 1 && parts[0].yield && !c.ambiguous && rejected(err) {
+			return err
+		}
 		waits := failures
 		if _, ok := errors.AsType[*table.ConflictError](err); ok {
 			waits = conflicts
@@ -110,6 +116,9 @@
 		}
 		return nil
 	}
+	if rejected(err) {
+		return permanent(err)
+	}
 	for _, p := range c.parts {
 		p.shard.stale = true
 	}
@@ -118,11 +127,9 @@
 		c.conflict = conflict
 		return err
 	}
-	if !rejected(err) {
-		j.ambiguous.Add(1)
-		c.ambiguous = true
-	}
-	return permanent(err)
+	j.ambiguous.Add(1)
+	c.ambiguous = true
+	return err
 }
 
 // rejected reports whether a failed commit was certainly not applied.
--- a/journal/fault_test.go
+++ b/journal/fault_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +13,7 @@
 
 	"briarreach/journal"
 	"briarreach/ledger"
+	"briarreach/table"
 )
 
 var _ = Describe("Journal with a failing store", func() {
@@ -50,4 +52,53 @@
 		Eventually(func() error { return journals[0].Refresh(ctx) }).Should(Succeed())
 		Expect(balance(journals[0], "x")).To(Equal(ledger.Balance{Prepaid: 1 << 40, Settled: writers * bills * cost, Outstanding: map[string]int64{}}))
 	})
+
+	DescribeTable("submits again when the row to read back was deleted", func(ctx context.Context, window time.Duration, match OmegaMatcher) {
+		// Guards against a batch taken for lost whose records took effect, and
+		// against a second effect when their identifiers may be forgotten.
+		store := newMemoryStore()
+		a := start(store, 1, journal.WithSnapshotEvery(8))
+		open(ctx, a, 1000, "x")
+		submit(ctx, a, "x", draw("d0", "x", "h", 100))
+		faulty := store.view()
+		var lost, cut atomic.Bool
+		faulty.onCommit = func(table.Transaction) fault {
+			if lost.CompareAndSwap(false, true) {
+				cut.Store(true)
+				return ambiguousApplied
+			}
+			return none
+		}
+		faulty.onRead = func() fault {
+			if cut.Load() {
+				return unavailable
+			}
+			return none
+		}
+		b := start(faulty, 1, journal.WithBillWindow(window), journal.WithFlushInterval(20*time.Millisecond))
+		results := make(chan ledger.Result, 3)
+		for _, r := range []ledger.Record{
+			draw("d1", "x", "h", 50), ledger.Return{ReturnID: "r", Budget: "x", Holder: "h", Amount: 30},
+			ledger.Bill{Identity: ledger.NewIdentity("w", "1", nil), Budget: "x", Holder: "h", Attempt: "a", Cost: 20},
+		} {
+			Expect(b.Submit(r, "x", func(r ledger.Result, _ error) { results <- r })).To(Succeed())
+		}
+		Eventually(cut.Load).Should(BeTrue())
+		turns(ctx, a, "x", 60)
+		cut.Store(false)
+		var got []ledger.Result
+		for range 3 {
+			var r ledger.Result
+			Eventually(results, "10s").Should(Receive(&r))
+			got = append(got, r)
+		}
+		Expect(got).To(match)
+		Expect(b.Refresh(ctx)).To(Succeed())
+		Expect(balance(b, "x")).To(Equal(ledger.Balance{Prepaid: 1000, Settled: 20, Outstanding: map[string]int64{"h": 100}}))
+	},
+		Entry("soon", 15*time.Minute, HaveExactElements(ledger.Drawn{Granted: 50, Available: 880, Duplicate: true},
+			ledger.Returned{Amount: 30, Duplicate: true}, ledger.Billed{Cost: 20, First: "a", Duplicate: true})),
+		Entry("late", time.Nanosecond, ConsistOf(HaveField("Err", match[*journal.UnresolvedError]()),
+			HaveField("Err", match[*journal.UnresolvedError]()), ledger.Billed{Cost: 20, First: "a", Duplicate: true})),
+	)
 })
--- a/journal/fence.go
+++ b/journal/fence.go
@@ -22,7 +22,8 @@
 
 // FenceHolder bars the holder from further draws: it writes the row
 // fence/<holder> and a Fence record to each shard in which the holder has
-// outstanding amounts. Calling it again completes an interrupted call.
+// outstanding amounts. It fails while the table service does not answer; calling
+// it again completes an interrupted call.
 func (j *Journal) FenceHolder(ctx context.Context, holder string) error {
 	key := table.Key{Partition: FencePartition, Sort: holder}
 	value, err := cbor.Marshal(FenceRow{holder, j.writer, j.clock.Now().UTC()})
@@ -73,7 +74,8 @@
 // ReleaseHolder returns the outstanding amounts of a fenced holder except for
 // held, the running reservations by budget. Records submitted before are
 // appended first, so bills of the holder from the agents' answers count. It
-// fails with *RefusedError if the holder is not fenced.
+// fails with *RefusedError if the holder is not fenced, and while the table
+// service does not answer; it may be called again.
 func (j *Journal) ReleaseHolder(ctx context.Context, holder string, held map[string]int64) error {
 	if err := j.drain(ctx); err != nil {
 		return fmt.Errorf("journal.ReleaseHolder: %w", err)
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -305,6 +305,12 @@
 // wait for the next interval, so that a slow store makes larger batches instead
 // of more of them; when the journal closes, they are appended, too.
 func (j *Journal) flush(s *shard) {
+	waits := newBackOff()
+	// A throttled shard waits for at least about an interval: sooner, the write
+	// would only take the place of another shard's.
+	throttled := newBackOff()
+	throttled.InitialInterval = max(throttled.InitialInterval, j.interval)
+	throttled.MaxInterval = max(throttled.MaxInterval, j.interval)
 	for more := true; more; {
 		if !s.acquire(j.ctx) {
 			return
@@ -313,14 +319,24 @@
 		items, more = s.take(maxBatch)
 		err := j.flushItems(j.ctx, s, items)
 		s.release()
-		if err != nil && j.ctx.Err() == nil {
-			j.log.WithError(err).WithField("shard", s.number).Error("records can't be appended")
+		if err == nil {
+			waits.Reset()
+			throttled.Reset()
+			continue
+		}
+		if !rejected(err) && j.ctx.Err() == nil {
 			// Other writers or an operator may repair the rows.
-			j.wait(j.ctx, newBackOff().MaxInterval)
+			j.log.WithError(err).WithField("shard", s.number).Error("records can't be appended")
+		}
+		wait := waits.NextBackOff()
+		if _, ok := errors.AsType[*table.ThrottledError](err); ok {
+			wait = throttled.NextBackOff()
 		}
-		if j.ctx.Err() != nil {
+		j.retries.Add(1)
+		if !j.wait(j.ctx, wait) {
 			return
 		}
+		more = true
 	}
 }
 
@@ -351,7 +367,7 @@
 		it.done(r, nil)
 	}
 	for len(items) > 0 {
-		p := &part{shard: s, records: make([]ledger.Record, len(items))}
+		p := &part{shard: s, records: make([]ledger.Record, len(items)), yield: true}
 		for i, it := range items {
 			p.records[i] = it.record
 		}
@@ -498,7 +514,8 @@
 	return parts, err
 }
 
-// Refresh reads what other writers have appended to all shards.
+// Refresh reads what other writers have appended to all shards. It fails while
+// the table service does not answer.
 func (j *Journal) Refresh(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(8)
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -175,9 +175,9 @@
 		down := store.view()
 		var broken atomic.Bool
 		broken.Store(true)
-		down.onRead = func() fault {
+		down.onCommit = func(table.Transaction) fault {
 			if broken.Load() {
-				return unavailable
+				return ambiguousNotApplied
 			}
 			return none
 		}
@@ -189,13 +189,13 @@
 			}
 		}))
 		if behind {
-			// The draw stays in the queue while this batch is tried again.
+			// The draw stays in the queue while the outcome of this batch is unknown.
 			Expect(j.Submit(ledger.Fence{Holder: "nobody"}, "x", nil)).To(Succeed())
-			Eventually(func() int64 { return j.Stats().Retries }).Should(BeNumerically(">", 0))
+			Eventually(func() int64 { return j.Stats().Ambiguous }).Should(BeNumerically(">", 0))
 		}
 		waiting, cancel := context.WithCancel(ctx)
 		go func() {
-			for j.Stats().Retries == 0 || behind && j.Pending() < 2 {
+			for j.Stats().Ambiguous == 0 || behind && j.Pending() < 2 {
 				runtime.Gosched()
 			}
 			cancel()
--- a/ledger/encoding.go
+++ b/ledger/encoding.go
@@ -150,11 +150,11 @@
 		Identity Identity
 		Budget   uint64 // index in Budgets
 		Attempt  string
-		Last     string
+		Last     uint64
 		Cost     int64
 		At       int64
 		Logged   int64
-		Repeats  int
+		Repeats  int32
 	}
 	wireID struct {
 		_      struct{} `cbor:",toarray"`
@@ -185,7 +185,7 @@
 		// An identity that was billed again after the window is listed twice;
 		// only its latest bill is remembered.
 		if b := s.bills[id]; b.logged == s.billOrder.at[i] {
-			w.Bills = append(w.Bills, wireBill{Identity: id, Budget: index[b.budget], Attempt: b.attempt, Last: b.last,
+			w.Bills = append(w.Bills, wireBill{Identity: id, Budget: index[b.account.name], Attempt: b.attempt, Last: b.last,
 				Cost: b.cost, At: b.at, Logged: b.logged, Repeats: b.repeats})
 		}
 	}
@@ -219,14 +219,14 @@
 		if a.Outstanding == nil {
 			a.Outstanding = map[string]int64{}
 		}
-		s.budgets[a.Name] = &account{a.PatchID, a.Prepaid, a.Settled, held, a.Outstanding}
+		s.budgets[a.Name] = &account{a.Name, a.PatchID, a.Prepaid, a.Settled, held, a.Outstanding}
 	}
 	s.billOrder.grow(len(w.Bills))
 	for _, b := range w.Bills {
 		if b.Budget >= uint64(len(w.Budgets)) {
 			return nil, fmt.Errorf("ledger.DecodeState: %w", &DecodeError{&UnknownBudgetError{fmt.Sprint(b.Budget)}})
 		}
-		s.bills[b.Identity] = &billed{w.Budgets[b.Budget].Name, b.Attempt, b.Last, b.Cost, b.At, b.Logged, b.Repeats}
+		s.bills[b.Identity] = &billed{s.budgets[w.Budgets[b.Budget].Name], b.Attempt, b.Last, b.Cost, b.At, b.Logged, b.Repeats}
 		s.billOrder.push(b.Identity, b.Logged)
 	}
 	for _, g := range w.Grants {
--- a/ledger/encoding_test.go
+++ b/ledger/encoding_test.go
@@ -51,5 +51,5 @@
 	Entry("another type", "text"),
 	Entry("an unknown kind", map[string]any{"records": []any{[]any{"gift", map[string]any{}}}, "bills": 1}),
 	Entry("a bill of a budget that is not there", map[string]any{
-		"records": []any{[]any{"fence", 1}}, "bills": []any{[]any{make([]byte, 16), 3, "", "", 0, 0, 0, 0}}}),
+		"records": []any{[]any{"fence", 1}}, "bills": []any{[]any{make([]byte, 16), 3, "", 0, 0, 0, 0, 0}}}),
 )
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -55,6 +57,7 @@
 }
 
 type account struct {
+	name        string
 	patchID     string
 	prepaid     int64
 	settled     int64
@@ -74,12 +77,15 @@
 	}
 }
 
+// billed is kept small: a shard remembers thousands.
 type billed struct {
-	budget, attempt, last string
-	cost                  int64
-	at                    int64 // the bill's own time
-	logged                int64 // log time
-	repeats               int
+	account *account
+	attempt string
+	last    uint64 // hash of the last attempt that was a repeat
+	cost    int64
+	at      int64 // the bill's own time
+	logged  int64 // log time
+	repeats int32
 }
 
 type identified struct{ amount, logged int64 }
@@ -249,7 +255,7 @@
 		}
 		return Opened{Prepaid: a.prepaid, Duplicate: true}
 	}
-	s.budgets[r.Budget] = &account{patchID: r.PatchID, prepaid: r.Prepaid, outstanding: map[string]int64{}}
+	s.budgets[r.Budget] = &account{name: r.Budget, patchID: r.PatchID, prepaid: r.Prepaid, outstanding: map[string]int64{}}
 	return Opened{Prepaid: r.Prepaid}
 }
 
@@ -302,8 +308,8 @@
 	}
 	at := r.At.UnixMilli()
 	if b, ok := s.bills[r.Identity]; ok && (b.attempt == r.Attempt || at-b.at < s.window) {
-		if r.Attempt != b.attempt && r.Attempt != b.last {
-			b.repeats, b.last = b.repeats+1, r.Attempt
+		if last := xxhash.Sum64String(r.Attempt); r.Attempt != b.attempt && last != b.last {
+			b.repeats, b.last = b.repeats+1, last
 		}
 		return Billed{Cost: b.cost, First: b.attempt, Duplicate: true}
 	}
@@ -315,7 +321,7 @@
 	}
 	a.take(r.Holder, r.Cost)
 	a.settled += r.Cost
-	s.bills[r.Identity] = &billed{budget: r.Budget, attempt: r.Attempt, cost: r.Cost, at: at, logged: s.now}
+	s.bills[r.Identity] = &billed{account: a, attempt: r.Attempt, cost: r.Cost, at: at, logged: s.now}
 	s.billOrder.push(r.Identity, s.now)
 	return Billed{Cost: r.Cost, First: r.Attempt}
 }
@@ -426,7 +432,7 @@
 	if !ok {
 		return BillInfo{}, false
 	}
-	return BillInfo{Budget: b.budget, Attempt: b.attempt, Cost: b.cost, At: time.UnixMilli(b.at).UTC(), Repeats: b.repeats}, true
+	return BillInfo{Budget: b.account.name, Attempt: b.attempt, Cost: b.cost, At: time.UnixMilli(b.at).UTC(), Repeats: int(b.repeats)}, true
 }
 
 // Fenced reports whether the holder is fenced in this shard.
@@ -450,6 +456,7 @@
 	c.bills = make(map[Identity]*billed, len(s.bills))
 	for id, b := range s.bills {
 		copied := *b
+		copied.account = c.budgets[b.account.name]
 		c.bills[id] = &copied
 	}
 	c.fenced = maps.Clone(s.fenced)
