--- /dev/null
+++ b/stream/bench_test.go
@@ -0,0 +1,35 @@
+package stream_test
+
+import (
+	"fmt"
+	"testing"
+
+	"briarreach/stream"
+)
+
+// BenchmarkTransfer moves frames from a Sender to a Receiver with credit.
+func BenchmarkTransfer(b *testing.B) {
+	for _, size := range []int{64, 1024} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r, s := stream.NewReceiver(16<<10), stream.NewSender(16<<10)
+			if err := s.Resume(0, r.Limit()); err != nil {
+				b.Fatal(err)
+			}
+			data := make([]byte, size)
+			b.SetBytes(int64(size))
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Write(data)
+				f, _ := s.Next(size)
+				if err := r.Accept(f); err != nil {
+					b.Fatal(err)
+				}
+				if c, ok := r.Consumed(len(r.Read(size))); ok {
+					if err := s.Acknowledge(c.Offset, c.Limit); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
