Dial from another socket after a silent connection

A path may lose packets by address and port rather than by connection, and a second connection from the same socket then stays silent too. The link stand-in learns to silence flows.

--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -79,7 +79,10 @@
 // either side or its connection closes.
 type Handler func(ctx context.Context, s *Stream)
 
-// Endpoint dials and accepts connections on one UDP socket.
+// Endpoint dials and accepts connections on one UDP socket. A connection that
+// replaces a silent one is dialled from a socket of its own: what has gone
+// silent may be the flow between the two addresses and ports rather than the
+// connection.
 type Endpoint struct {
 	listen      netip.AddrPort
 	credentials *Credentials
@@ -98,6 +101,7 @@
 	closing    bool
 	generation uint64
 	dialled    map[netip.AddrPort]*connection
+	suspect    map[netip.AddrPort]struct{} // a path to them has gone silent
 	live       map[*connection]struct{}
 	streams    int           // open streams of all connections
 	idle       chan struct{} // closed when closing and streams is 0
@@ -132,6 +136,7 @@
 		clock:   clockwork.NewRealClock(),
 		log:     &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
 		dialled: map[netip.AddrPort]*connection{},
+		suspect: map[netip.AddrPort]struct{}{},
 		live:    map[*connection]struct{}{},
 		idle:    make(chan struct{}),
 	}
@@ -254,10 +259,14 @@
 	}
 	c := e.dialled[address]
 	if c == nil || c.over() {
+		if c != nil && c.silent() {
+			e.suspectPath(address)
+		}
 		e.generation++
 		c = &connection{address: address, generation: e.generation, ready: make(chan struct{}), dialled: true}
 		e.dialled[address] = c
-		e.running.Go(func() { e.dial(c) })
+		_, suspect := e.suspect[address]
+		e.running.Go(func() { e.dial(c, suspect) })
 	}
 	c.streams++
 	e.streams++
@@ -277,17 +286,28 @@
 
 // dial is not bound to the context of the Open that caused it, since others
 // wait for the same connection.
-func (e *Endpoint) dial(c *connection) {
+func (e *Endpoint) dial(c *connection, suspect bool) {
 	defer close(c.ready)
 	ctx, cancel := context.WithTimeout(e.ctx, 2*handshakeTimeout)
 	defer cancel()
 	tls := e.credentials.config(e.clock.Now)
 	tls.ServerName = c.address.Addr().Unmap().WithZone("").String()
-	conn, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(c.address), tls, config(-1))
+	transport := e.transport
+	var err error
+	if suspect {
+		if err = c.ownSocket(e.listen.Addr()); err == nil {
+			transport = c.transport
+		}
+	}
+	var conn *quic.Conn
+	if err == nil {
+		conn, err = transport.Dial(ctx, net.UDPAddrFromAddrPort(c.address), tls, config(-1))
+	}
 	if err == nil {
 		err = c.identify(conn)
 	}
 	if err != nil {
+		c.closeSocket()
 		c.err = err
 		e.log.WithFields(log.Fields{"address": c.address.String()}).WithError(err).Warn("peer_dial_failed")
 		e.Drop(c.address, c.generation)
@@ -296,6 +316,15 @@
 	e.add(c)
 }
 
+// suspectPath makes later dials to the address use a socket of their own. The
+// caller holds mu.
+func (e *Endpoint) suspectPath(address netip.AddrPort) {
+	if len(e.suspect) >= maxConnections {
+		clear(e.suspect) // addresses that are still silent will be found again
+	}
+	e.suspect[address] = struct{}{}
+}
+
 func (e *Endpoint) accept() {
 	for {
 		conn, err := e.listener.Accept(e.ctx)
@@ -361,6 +390,9 @@
 			c.received, c.heard = received, now
 		} else if now.Sub(c.heard) >= silenceTimeout {
 			silent = append(silent, c)
+			if c.dialled {
+				e.suspectPath(c.address)
+			}
 		}
 	}
 	e.mu.Unlock()
@@ -383,16 +415,22 @@
 	e.mu.Unlock()
 	if refused {
 		_ = c.quic.CloseWithError(codeRefused, "closing or too many connections")
+		c.closeSocket()
 		return
 	}
 	e.log.WithFields(c.fields()).Info("peer_connected")
-	context.AfterFunc(c.quic.Context(), func() {
+	e.running.Go(func() {
+		<-c.quic.Context().Done()
 		e.mu.Lock()
 		delete(e.live, c)
 		if e.dialled[c.address] == c {
 			delete(e.dialled, c.address)
 		}
+		if c.dialled && c.silent() {
+			e.suspectPath(c.address)
+		}
 		e.mu.Unlock()
+		c.closeSocket()
 		e.log.WithFields(c.fields()).WithError(context.Cause(c.quic.Context())).Info("peer_disconnected")
 	})
 }
@@ -426,7 +464,8 @@
 }
 
 // Drop makes the next Open to the address dial anew, if the connection that
-// Open uses now is the one of the given generation. Streams on the dropped
+// Open uses now is the one of the given generation, and from another socket.
+// Streams on the dropped
 // connection go on; it is closed with the last of them.
 func (e *Endpoint) Drop(address netip.AddrPort, generation uint64) {
 	e.mu.Lock()
@@ -436,6 +475,7 @@
 		return
 	}
 	c.drop(e)
+	e.suspectPath(address)
 	unused := c.streams == 0
 	e.mu.Unlock()
 	if unused {
@@ -526,6 +566,10 @@
 	generation uint64
 	dialled    bool
 
+	// socket and transport are nil unless the connection has its own.
+	socket    *net.UDPConn
+	transport *quic.Transport
+
 	ready   chan struct{} // closed when quic or err is set
 	err     error
 	quic    *quic.Conn
@@ -557,6 +601,36 @@
 	return nil
 }
 
+// ownSocket opens a socket for this connection alone.
+func (c *connection) ownSocket(local netip.Addr) error {
+	var err error
+	if c.socket, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(local, 0))); err != nil {
+		return err
+	}
+	c.transport = &quic.Transport{Conn: c.socket}
+	return nil
+}
+
+// closeSocket closes what ownSocket opened, after the connection has closed.
+func (c *connection) closeSocket() {
+	if c.socket != nil {
+		_ = c.transport.Close()
+		_ = c.socket.Close()
+	}
+}
+
+// silent reports whether a closed connection was closed because one side
+// received nothing.
+func (c *connection) silent() bool {
+	if c.err != nil {
+		return true // nothing is known of a path on which a dial has failed
+	}
+	cause := context.Cause(c.quic.Context())
+	var application *quic.ApplicationError
+	return errors.As(cause, new(*quic.IdleTimeoutError)) ||
+		errors.As(cause, &application) && application.ErrorCode == codeSilent
+}
+
 // drop keeps Open from using the connection again. The caller holds the
 // endpoint's mutex.
 func (c *connection) drop(e *Endpoint) {
--- a/standin/link_test.go
+++ b/standin/link_test.go
@@ -122,6 +122,21 @@
 		}
 	})
 
+	It("silences the senders that have used it and no others", func() {
+		send("one")
+		Eventually(received).Should(Receive(Equal("one")))
+		Eventually(answered).Should(Receive(Equal("one")))
+		link.Set(standin.ToTarget, standin.LinkFault{SilentFlow: true})
+		send("two")
+		other, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(link.Addr()))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = other.Close() }()
+		_, err = other.Write([]byte("three"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(received).Should(Receive(Equal("three")))
+		Expect(link.Stats(standin.ToTarget).Dropped).To(Equal(1))
+	})
+
 	It("silences the QUIC connections that have used it and no others", func() {
 		send("\x40AAAA1")
 		Eventually(received).Should(Receive())
