Bound the receive buffers of an endpoint

A request that does not fit is refused unread, so its opener knows that it did not run. Shown red without the bound and without giving back.

--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -32,6 +33,10 @@
 	// the others.
 	connectionWindow = 64 << 20
 
+	// maxBuffered has room for 16 requests of the largest body, 4 MiB, that
+	// arrive at the same time.
+	maxBuffered = 64 << 20
+
 	// A connection on which nothing is received for silenceTimeout is closed. An
 	// idle connection receives a packet every keepAlive, so that two of them may
 	// be lost. silenceTimeout and one watchInterval stay below the 2 s in which
@@ -85,6 +90,8 @@
 // connection.
 type Endpoint struct {
 	listen      netip.AddrPort
+	maxBuffered int64
+	buffered    atomic.Int64 // receive buffers larger than readBytes
 	credentials *Credentials
 	handler     func(context.Context, *Stream)
 	clock       clockwork.Clock
@@ -126,19 +133,24 @@
 // and of the validity of certificates.
 func WithClock(c clockwork.Clock) Option { return func(e *Endpoint) { e.clock = c } }
 
+// WithMaxBuffered bounds the bytes of messages larger than 4 KiB that are being
+// received on all streams together. The default is 64 MiB.
+func WithMaxBuffered(n int64) Option { return func(e *Endpoint) { e.maxBuffered = n } }
+
 // WithLog sets where connections and their failures are logged.
 func WithLog(l log.Interface) Option { return func(e *Endpoint) { e.log = l } }
 
 // New opens the socket and starts to accept connections.
 func New(opts ...Option) (*Endpoint, error) {
 	e := &Endpoint{
-		listen:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0),
-		clock:   clockwork.NewRealClock(),
-		log:     &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
-		dialled: map[netip.AddrPort]*connection{},
-		suspect: map[netip.AddrPort]struct{}{},
-		live:    map[*connection]struct{}{},
-		idle:    make(chan struct{}),
+		listen:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0),
+		maxBuffered: maxBuffered,
+		clock:       clockwork.NewRealClock(),
+		log:         &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
+		dialled:     map[netip.AddrPort]*connection{},
+		suspect:     map[netip.AddrPort]struct{}{},
+		live:        map[*connection]struct{}{},
+		idle:        make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(e)
--- a/peer/endpoint_test.go
+++ b/peer/endpoint_test.go
@@ -285,6 +285,24 @@
 		}).Should(Receive(Equal("peer_disconnected")))
 	})
 
+	It("refuses messages that do not fit into its receive buffers", func() {
+		// Guards against memory that grows with the large requests on their way.
+		server := serve(echo, peer.WithMaxBuffered(1<<20))
+		small, large := peer.Frame{Data: make([]byte, 200<<10)}, peer.Frame{Data: make([]byte, 4<<20)}
+		for range 5 {
+			_, err := client.Call(ctx, server.Addr(), large)
+			Expect(errors.As(err, new(*peer.DialError))).To(BeTrue(), "%v", err)
+			Expect(client.Call(ctx, server.Addr(), small)).To(Equal(peer.Message(small)), "room is given back")
+		}
+		s := open(server.Addr())
+		exchange(s)
+		if err := s.Send(large); err == nil {
+			_, err = s.Receive()
+			Expect(errors.As(err, new(*peer.StreamError))).To(BeTrue(), "the stream was served before: %v", err)
+		}
+		Expect(client.Call(ctx, server.Addr(), small)).To(Equal(peer.Message(small)))
+	})
+
 	It("bounds a Send that the other process does not take", func() {
 		// Guards against a goroutine that is blocked for ever by a stalled peer.
 		server := serve(func(ctx context.Context, _ *peer.Stream) { <-ctx.Done() })
--- a/peer/error.go
+++ b/peer/error.go
@@ -84,3 +84,11 @@
 type ClosedError struct{}
 
 func (e *ClosedError) Error() string { return "peer: endpoint is closed" }
+
+// FullError says that the messages that are being received leave no room for
+// Wanted more bytes.
+type FullError struct{ Wanted, Max int64 }
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("peer: no room for %d bytes of a message, at most %d", e.Wanted, e.Max)
+}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -39,6 +40,8 @@
 	receiveDeadline deadline
 	buffer          []byte // nil, or the storage of pending
 	pending         []byte // received and not decoded
+	counted         atomic.Int64
+	received        bool // a message
 
 	sendMu       sync.Mutex
 	sendDeadline deadline
@@ -123,6 +126,7 @@
 			m, rest, err := Decode(s.pending)
 			if err == nil {
 				s.pending = rest
+				s.received = true
 				s.releaseEmpty()
 				return m, nil
 			}
@@ -153,7 +157,11 @@
 	if cap(s.pending) == len(s.pending) {
 		next := s.buffer
 		if len(s.pending) > len(s.buffer)/2 {
-			next = make([]byte, min(2*len(s.buffer), MaxMessageBytes))
+			size := min(2*len(s.buffer), MaxMessageBytes)
+			if err := s.count(size); err != nil {
+				return err
+			}
+			next = make([]byte, size)
 		}
 		n := copy(next, s.pending)
 		s.recycle(next)
@@ -170,11 +178,35 @@
 	return nil
 }
 
+// count replaces what the stream has counted of the endpoint's bound by size. A
+// stream whose first message does not fit is refused unread.
+func (s *Stream) count(size int) error {
+	more := int64(size) - s.counted.Load()
+	if used := s.endpoint.buffered.Add(more); more > 0 && used > s.endpoint.maxBuffered {
+		s.endpoint.buffered.Add(-more)
+		code := quic.StreamErrorCode(codeRefused)
+		if s.received {
+			code = codeAborted
+		}
+		return s.rejectWith(code, &FullError{Wanted: more, Max: s.endpoint.maxBuffered})
+	}
+	s.counted.Add(more)
+	if s.ctx.Err() != nil { // Abort may have given back what was counted before
+		s.uncount()
+	}
+	return nil
+}
+
+func (s *Stream) uncount() { s.endpoint.buffered.Add(-s.counted.Swap(0)) }
+
 // recycle replaces the buffer.
 func (s *Stream) recycle(next []byte) {
 	if len(s.buffer) == readBytes && (len(next) == 0 || &next[0] != &s.buffer[0]) {
 		readBuffers.Put((*[readBytes]byte)(s.buffer))
 	}
+	if len(next) <= readBytes {
+		s.uncount()
+	}
 	s.buffer = next
 }
 
@@ -217,10 +249,12 @@
 }
 
 // reject ends the stream after a message that cannot be decoded.
-func (s *Stream) reject(err error) error {
+func (s *Stream) reject(err error) error { return s.rejectWith(codeProtocol, err) }
+
+func (s *Stream) rejectWith(code quic.StreamErrorCode, err error) error {
 	s.endpoint.log.WithFields(s.connection.fields()).WithError(err).Warn("peer_message_rejected")
-	s.quic.CancelRead(codeProtocol)
-	s.quic.CancelWrite(codeProtocol)
+	s.quic.CancelRead(code)
+	s.quic.CancelWrite(code)
 	s.sendMu.Lock()
 	if s.sendErr == nil {
 		s.sendErr = err
@@ -260,6 +294,7 @@
 		s.sendMu.Unlock()
 		s.unwatch()
 		s.cancel(nil)
+		s.uncount()
 		s.receiveDeadline.stop()
 		s.sendDeadline.stop()
 		s.endpoint.leave(s.connection)
