--- a/config/spread.go
+++ b/config/spread.go
@@ -113,6 +113,11 @@
 // Known returns the newest number that the daemon has heard of.
 func (s *Spread) Known() uint64 { return s.known }
 
+// Accepts reports whether an agent may run a dispatch under the number. It
+// refuses older ones: an entry that is cut off from the configuration must not
+// go on under what was changed.
+func (s *Spread) Accepts(number uint64) bool { return number >= s.number }
+
 // Connected records a connection to a peer.
 func (s *Spread) Connected(peer string) {
 	if s.peers[peer] == nil {
