move: compare failures in windows of the fleet, longer windows and doubt on sparse routes

Guard.Update takes the time.

Two tests changed with the mechanism: the doubt of a move of one hour lasts 3 min, and digests are compared after the same first digest, which a controller treats apart.

--- a/move/controller.go
+++ b/move/controller.go
@@ -39,6 +39,13 @@
 	// testedRequests is the number of requests to the new version after which
 	// a route counts as tested.
 	testedRequests = 60
+	// holdLatest is the part of the duration after which suspicion holds the
+	// share no more.
+	holdLatest = 0.97
+	// settleTime is the time after a change of the share for which digests hold
+	// requests under both shares: entries learn of it within a second or two
+	// and send a digest every 2 s.
+	settleTime = 5 * time.Second
 	// maxEntries bounds the guards whose sums the controller keeps.
 	maxEntries = 1024
 )
@@ -60,12 +67,21 @@
 	held    time.Duration // time for which suspicion held the share
 }
 
+// fleetCell sums a cell over all guards. Failures are compared in windows of
+// the whole fleet: at a few requests a minute, the windows of one entry seldom
+// hold both versions. Latencies are compared by the guards.
 type fleetCell struct {
 	old, new Counts
-	pending  [metrics]ratios // digests since the last Decide
+	window   fleetWindow
+	pending  [metrics]ratios // digests since the tests were brought up to date
 	tests    [metrics]test
 }
 
+type fleetWindow struct {
+	opened   time.Time
+	old, new Counts
+}
+
 type entryState struct {
 	start  string
 	number uint64
@@ -89,6 +105,12 @@
 func (c *Controller) Update(m config.Move, now time.Time) {
 	if m.Share != c.move.Share {
 		c.changed = now
+		for _, cell := range c.cells {
+			for i, r := range cell.close(now, 0) {
+				cell.pending[Failures][i] += r
+			}
+			cell.window = fleetWindow{opened: now}
+		}
 	}
 	c.move = m
 	c.plan = Plan{Started: m.Started, Deadline: m.Deadline}
@@ -104,7 +126,8 @@
 		c.stop = o.Reason
 	}
 	entry := c.entries[o.Entry]
-	if entry == nil || entry.start != o.Start {
+	known := entry != nil && entry.start == o.Start
+	if !known {
 		if entry == nil && len(c.entries) >= maxEntries {
 			return
 		}
@@ -116,9 +139,14 @@
 	}
 	entry.number = o.Number
 	for _, cell := range o.Cells {
+		if !cell.finite() {
+			continue // would disable the test of the cell
+		}
 		key := cellKey{cell.Route, cell.Level}
 		if fleet := c.cell(key, now); fleet != nil {
-			fleet.add(cell, entry.cells[key])
+			// Digests that mix two shares would bias the fleet's windows.
+			mixed := now.Sub(c.changed) < settleTime && c.move.Share > 0
+			fleet.add(cell, entry.cells[key], known, mixed)
 			entry.cells[key] = cell
 		}
 	}
@@ -127,7 +155,7 @@
 func (c *Controller) cell(key cellKey, now time.Time) *fleetCell {
 	cell := c.cells[key]
 	if cell == nil && len(c.cells) < maxCells {
-		cell = &fleetCell{}
+		cell = &fleetCell{window: fleetWindow{opened: now}}
 		for m := range cell.tests {
 			cell.tests[m] = newTest(now)
 		}
@@ -136,11 +164,21 @@
 	return cell
 }
 
-// add adds the difference between two digests of one guard.
-func (f *fleetCell) add(now, before Cell) {
-	f.old.add(now.Old.sub(before.Old))
-	f.new.add(now.New.sub(before.New))
+// add adds the difference between two digests of one guard. The first digest
+// that the controller gets from a guard may cover many shares; its failures
+// count as the guard has compared them.
+func (f *fleetCell) add(now, before Cell, known, mixed bool) {
+	oldCounts, newCounts := now.Old.sub(before.Old), now.New.sub(before.New)
+	f.old.add(oldCounts)
+	f.new.add(newCounts)
+	if known && !mixed {
+		f.window.old.add(oldCounts)
+		f.window.new.add(newCounts)
+	}
 	for m := range f.pending {
+		if known && Metric(m) == Failures {
+			continue
+		}
 		for i := range f.pending[m] {
 			if i >= len(now.Ratios[m]) {
 				continue // a guard of another release
@@ -149,14 +187,49 @@
 			if i < len(before.Ratios[m]) {
 				difference -= float64(before.Ratios[m][i])
 			}
-			if math.IsNaN(difference) || math.IsInf(difference, 0) {
-				continue // would disable the test of the cell
-			}
 			f.pending[m][i] += difference
 		}
 	}
 }
 
+func (c Cell) finite() bool {
+	for _, r := range c.Ratios {
+		for _, v := range r {
+			if math.IsNaN(float64(v)) || math.IsInf(float64(v), 0) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// close returns the ratios of the failures if the window is complete.
+func (f *fleetCell) close(now time.Time, duration time.Duration) ratios {
+	w := f.window
+	if !complete(now.Sub(w.opened), duration, w.old.Requests+w.new.Requests, w.old.Failed+w.new.Failed) {
+		return ratios{}
+	}
+	f.window = fleetWindow{opened: now}
+	return logRatios(int(w.new.Failed), int(w.new.Requests), int(w.old.Failed), int(w.old.Requests))
+}
+
+// update brings the tests up to date, once a second.
+func (c *Controller) update(now time.Time) {
+	if now.Sub(c.added) < time.Second {
+		return
+	}
+	c.added = now
+	for _, cell := range c.cells {
+		for i, r := range cell.close(now, c.plan.Duration()) {
+			cell.pending[Failures][i] += r
+		}
+		for m := range cell.tests {
+			cell.tests[m].add(cell.pending[m].capped(), now, c.plan.Duration())
+			cell.pending[m] = ratios{}
+		}
+	}
+}
+
 // Decide returns the action that is due, or none. An action is returned again
 // until Update shows its effect.
 func (c *Controller) Decide(now time.Time) []Action {
@@ -171,15 +244,7 @@
 		elapsed = max(0, now.Sub(c.decided))
 	}
 	c.decided = now
-	if now.Sub(c.added) >= time.Second {
-		c.added = now
-		for _, cell := range c.cells {
-			for m := range cell.tests {
-				cell.tests[m].add(cell.pending[m].capped(), now, c.plan.Duration())
-				cell.pending[m] = ratios{}
-			}
-		}
-	}
+	c.update(now)
 	evidence := c.Evidence()
 	if c.stop != nil {
 		return []Action{RollBack{Evidence: *c.stop}}
@@ -192,7 +257,7 @@
 	}
 	// Suspicion holds the share, but not for so long that a good version with a
 	// sparse route would miss its deadline.
-	if evidence.Value > limit(holdAlpha) && c.held < c.plan.Duration()/10 {
+	if evidence.Value > limit(holdAlpha, len(c.cells)) && c.held < c.plan.Duration()/10 && c.plan.fraction(now) < holdLatest {
 		c.held += elapsed
 		return nil
 	}
@@ -239,7 +304,7 @@
 
 // Evidence returns the comparison that speaks most against the new version.
 func (c *Controller) Evidence() Evidence {
-	e := Evidence{Move: c.move.Name, From: c.move.From, To: c.move.To, Level: AnyLevel, Value: math.Inf(-1), Limit: limit(controllerAlpha)}
+	e := Evidence{Move: c.move.Name, From: c.move.From, To: c.move.To, Level: AnyLevel, Value: math.Inf(-1), Limit: limit(controllerAlpha, len(c.cells))}
 	for _, key := range slices.SortedFunc(maps.Keys(c.cells), cellKey.compare) {
 		cell := c.cells[key]
 		for m := range cell.tests {
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -102,19 +102,23 @@
 }
 
 const (
-	// changePoints is the number of times at which a fault may start. Half of
-	// the mixture's weight is on the start of the move, the other half is
-	// spread over them.
-	changePoints = 500
-	// changeSpan is the number of change points in the planned duration. The
-	// rest is for moves that end late.
-	changeSpan = 400
+	// changePoints is the number of times at which a fault may start: so many
+	// in the planned duration, and no more for a move that ends late.
+	changePoints = 400
+	// Half of the mixture's weight is on the start of the move, a quarter is
+	// spread over the change points, and a quarter over every coarsePoint-th of
+	// them. The many ones find a fault at once where there is much traffic; the
+	// few ones find it with fewer requests.
+	coarsePoint  = 25
+	startWeight  = 0.5
+	fineWeight   = 0.25 / changePoints
+	coarseWeight = 0.25 / (changePoints / coarsePoint)
 )
 
 func newTest(now time.Time) test {
 	var t test
 	for i := range t.logs {
-		t.logs[i] = math.Log(0.5)
+		t.logs[i] = math.Log(startWeight)
 	}
 	t.nextTime = now
 	return t
@@ -124,10 +128,14 @@
 // is that of the move.
 func (t *test) add(r ratios, now time.Time, duration time.Duration) {
 	if t.started < changePoints && !now.Before(t.nextTime) {
+		weight := fineWeight
+		if t.started%coarsePoint == 0 {
+			weight += coarseWeight
+		}
 		t.started++
-		t.nextTime = now.Add(duration / changeSpan)
+		t.nextTime = now.Add(duration / changePoints)
 		for i := range t.logs {
-			t.logs[i] = logAdd(t.logs[i], math.Log(0.5/changePoints))
+			t.logs[i] = logAdd(t.logs[i], math.Log(weight))
 		}
 	}
 	for i := range t.logs {
@@ -147,13 +155,19 @@
 	return a + math.Log1p(math.Exp(b-a))
 }
 
-// maxCells bounds the cells of a move: the tests are corrected for their
-// number.
-const maxCells = 64
+const (
+	// maxCells bounds the cells of a move.
+	maxCells = 64
+	// usualCells are those of five routes at three load levels with the pooled
+	// ones. The tests are corrected for at least their number.
+	usualCells = 24
+)
 
 // limit returns the logarithm of the value above which a test rejects, if all
-// tests of a move together may do so with probability alpha.
-func limit(alpha float64) float64 { return math.Log(maxCells * float64(metrics) / alpha) }
+// tests of all cells together may do so with probability alpha.
+func limit(alpha float64, cells int) float64 {
+	return math.Log(float64(max(cells, usualCells)*int(metrics)) / alpha)
+}
 
 // AnyRoute and AnyLevel mark the cells that pool requests.
 const (
--- a/move/guard.go
+++ b/move/guard.go
@@ -11,7 +11,9 @@
 )
 
 const (
-	// A window ends when it has enough requests, or some failures, or is old.
+	// A window ends when it has enough requests, or some failures, or is old
+	// (windowMaxAge or a twentieth of the move; on a route with a request a
+	// minute, shorter windows would seldom hold both versions).
 	// The rule looks at both versions together, never at the version of a
 	// request: a rule that did would bias the comparison.
 	windowMinAge    = time.Second
@@ -31,7 +33,8 @@
 	// slowBucket is the bucket of a scaled latency of the new version of 1.4
 	// times the old one's mean.
 	slowBucket = buckets/2 + bucketsPerTwice/2 - toleratedBuckets
-	// doubtTime is the time for which a suspicious window lowers the share.
+	// doubtTime is the time for which a suspicious window lowers the share, or a
+	// twentieth of the move if that is longer.
 	doubtTime = time.Minute
 
 	// latencyFloor is added to each latency. Targets of the versions may be in
@@ -71,7 +74,7 @@
 	entry    string
 	start    string
 	move     config.Move
-	limit    float64
+	alpha    float64
 	number   uint64
 	cells    map[cellKey]*guardCell
 	order    []*guardCell // the cells by key
@@ -132,21 +135,32 @@
 // WithEntries sets the number of entries, among which the probability of a
 // false local stop is divided. The default is 8.
 func WithEntries(n int) GuardOption {
-	return func(g *Guard) { g.limit = limit(guardAlpha / float64(max(n, 1))) }
+	return func(g *Guard) { g.alpha = guardAlpha / float64(max(n, 1)) }
 }
 
 // NewGuard returns the guard of a running move at an entry. start identifies
 // this start of the guard, for example the holder id of the entry.
 func NewGuard(entry, start string, m config.Move, opts ...GuardOption) *Guard {
-	g := &Guard{entry: entry, start: start, move: m, limit: limit(guardAlpha / 8), cells: map[cellKey]*guardCell{}, routes: map[string]*mean{}}
+	g := &Guard{entry: entry, start: start, move: m, alpha: guardAlpha / 8, cells: map[cellKey]*guardCell{}, routes: map[string]*mean{}}
 	for _, opt := range opts {
 		opt(g)
 	}
 	return g
 }
 
-// Update takes the move's state from a newer document.
-func (g *Guard) Update(m config.Move) { g.move = m }
+// Update takes the move's state from a newer document. A changed share ends
+// the windows: inside one the share is constant, so that a change of the load
+// or the platform in it affects both versions alike.
+func (g *Guard) Update(m config.Move, now time.Time) {
+	changed := m.Share != g.move.Share
+	g.move = m
+	if !changed {
+		return
+	}
+	for _, cell := range g.order {
+		g.closeCell(cell, now)
+	}
+}
 
 // Observe records a request that ended: its first try only, since retries go
 // to the old version, and not if it was refused as not_run. level is the load
@@ -160,6 +174,7 @@
 	g.close(now)
 	log := math.Log((max(latency, 0) + latencyFloor).Seconds())
 	g.observe(cellKey{route, level}, isNew, failed, log, log, true, now)
+	g.observe(cellKey{route, AnyLevel}, isNew, failed, log, log, true, now)
 	reference := g.routes[route]
 	if reference == nil {
 		if len(g.routes) >= maxCells {
@@ -230,7 +245,7 @@
 	}
 	doubted := g.doubting
 	for _, cell := range g.order {
-		if cell.window.complete(now) {
+		if cell.window.complete(now, g.duration()) {
 			g.closeCell(cell, now)
 		}
 	}
@@ -247,33 +262,39 @@
 	}
 }
 
-func (w *window) complete(now time.Time) bool {
-	age := now.Sub(w.opened)
-	requests := w.old.requests + w.new.requests
-	failures := w.old.failed + w.new.failed
-	return age >= windowMinAge && (requests >= windowRequests || age >= windowMaxAge ||
-		requests >= windowFewest && failures >= windowFailures)
+func (w *window) complete(now time.Time, duration time.Duration) bool {
+	return complete(now.Sub(w.opened), duration, int64(w.old.requests+w.new.requests), int64(w.old.failed+w.new.failed))
+}
+
+// complete reports whether a window of a move with the duration ends.
+func complete(age, duration time.Duration, requests, failures int64) bool {
+	if age < windowMinAge {
+		return false
+	}
+	return requests >= windowRequests || age >= max(windowMaxAge, duration/20) ||
+		requests >= windowFewest && failures >= windowFailures
 }
 
 func (g *Guard) closeCell(cell *guardCell, now time.Time) {
 	w, key := &cell.window, cell.key
 	if w.suspicious(key.route == AnyRoute, cell.old, cell.new) {
-		g.doubting, g.doubtUntil = true, now.Add(doubtTime)
+		g.doubting, g.doubtUntil = true, now.Add(max(doubtTime, g.duration()/20))
 	}
 	cell.old.add(w.old.counts())
 	cell.new.add(w.new.counts())
+	bound := limit(g.alpha, len(g.cells))
 	for m, r := range w.ratios() {
 		for i := range r {
 			cell.sums[m][i] += r[i]
 		}
 		t := &cell.tests[m]
 		t.add(r.capped(), now, g.duration())
-		if value := t.value(); value > g.limit && !g.stopped {
+		if value := t.value(); value > bound && !g.stopped {
 			g.stopped = true
 			g.evidence = Evidence{
 				Move: g.move.Name, From: g.move.From, To: g.move.To, Entry: g.entry,
 				Route: key.route, Level: key.level, Metric: Metric(m),
-				Value: value, Limit: g.limit, Old: cell.old, New: cell.new,
+				Value: value, Limit: bound, Old: cell.old, New: cell.new,
 			}
 		}
 	}
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -89,7 +89,7 @@
 			now = now.Add(time.Second)
 		}
 		Expect(g.MaxShare(now)).To(Equal(config.FullShare / 2))
-		for range 70 {
+		for range 190 { // the doubt lasts a twentieth of the move
 			feed(g, random, now, 50, 0, 0, 100*time.Millisecond)
 			now = now.Add(time.Second)
 		}
@@ -129,16 +129,25 @@
 
 var _ = Describe("Controller", func() {
 	// drive applies the controller's actions to the document for a time and
-	// returns the document and the largest step up.
+	// returns the document and the largest step up. A lower share or a step
+	// before the planned hold has passed fails the test.
 	drive := func(c *move.Controller, m config.Move, from, to time.Time) (config.Move, float64) {
+		GinkgoHelper()
 		factor := 0.0
+		var last time.Time
 		for now := from; now.Before(to) && m.State == config.MoveRunning; now = now.Add(time.Second) {
 			for _, action := range c.Decide(now) {
 				switch action := action.(type) {
 				case move.SetShare:
+					Expect(action.PPM).To(BeNumerically(">", m.Share), "the share is lowered")
 					if m.Share > 0 {
 						factor = max(factor, float64(action.PPM)/float64(m.Share))
 					}
+					if !last.IsZero() {
+						hold := move.Plan{Started: m.Started, Deadline: m.Deadline}.Hold()
+						Expect(now.Sub(last)).To(BeNumerically(">=", hold), "a step follows at once")
+					}
+					last = now
 					m.Share = action.PPM
 				case move.Finish:
 					m.State, m.Ended = config.MoveDone, now
@@ -208,7 +217,7 @@
 			all.Observe(d, now)
 		}
 		last := digests[len(digests)-1]
-		for _, d := range []move.Observation{digests[7], digests[2], digests[7], last, digests[9], last} {
+		for _, d := range []move.Observation{digests[0], digests[7], digests[2], digests[7], last, digests[9]} {
 			some.Observe(d, now)
 		}
 		all.Decide(now)
@@ -238,9 +247,18 @@
 	It("ignores digests of another move and malformed ones", func() {
 		c := move.New(running(200_000))
 		c.Observe(move.Observation{Move: "y", Stopped: true, Reason: &move.Evidence{}}, begin)
-		c.Observe(move.Observation{Entry: "a", Move: "x", Number: 1, Cells: []move.Cell{{Route: "r", Ratios: [3][]float32{{float32(math.NaN())}, make([]float32, 99), nil}}}}, begin)
-		c.Decide(begin)
-		Expect(c.Evidence().Route).To(Equal("r"), "the cell is disabled")
-		Expect(math.IsNaN(c.Evidence().Value)).To(BeFalse())
+		cell := func(ratio float64) []move.Cell {
+			r := []float32{float32(ratio), float32(ratio), 0}
+			return []move.Cell{{Route: "r", Ratios: [3][]float32{nil, r, make([]float32, 99)}}}
+		}
+		c.Observe(move.Observation{Entry: "a", Move: "x", Number: 1, Cells: cell(math.NaN())}, begin)
+		Expect(c.Decide(begin)).To(BeEmpty())
+		now := begin
+		for i := range 20 {
+			now = now.Add(time.Second)
+			c.Observe(move.Observation{Entry: "a", Move: "x", Number: uint64(i) + 2, Cells: cell(float64(3 * i))}, now)
+			c.Decide(now)
+		}
+		Expect(c.Decide(now)).To(ContainElement(BeAssignableToTypeOf(move.RollBack{})), "a malformed digest disabled the test of the cell")
 	})
 })
--- a/move/simulation_test.go
+++ b/move/simulation_test.go
@@ -173,7 +173,7 @@
 					kept = append(kept, d)
 				case d.document != nil && d.number > e.number:
 					e.document, e.number = *d.document, d.number
-					e.guard.Update(*d.document)
+					e.guard.Update(*d.document, local)
 				case d.observation != nil:
 					e.guard.Hear(*d.observation)
 				}
@@ -278,6 +278,7 @@
 			case move.Finish:
 				document.State = config.MoveDone
 				document.Share = config.FullShare
+				result.evidence = action.Evidence.String()
 				result.finished, result.onTime = true, !now.After(document.Deadline)
 			case move.RollBack:
 				document.State = config.MoveRolledBack
