Apply the expected time to waiting requests only

A request that finds room is admitted whatever the mean time of other requests is, since it may be a short one. The test of expiry fails without the expected time.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -133,7 +133,7 @@
 		return Refused{Duplicate}
 	case c.capacity.MaxConcurrent < 1, c.capacity.MaxTokens > 0 && t.Tokens > c.capacity.MaxTokens:
 		return Refused{TooLarge}
-	case c.tooLate(t, now):
+	case !t.Deadline.IsZero() && !now.Before(t.Deadline):
 		return Refused{Expired}
 	}
 	c.sequence++
@@ -143,6 +143,9 @@
 		c.start(e)
 		return Admitted{}
 	}
+	if c.tooLate(t, now) {
+		return Refused{Expired}
+	}
 	var displaced *Ticket
 	if len(c.queue)+len(c.expired) >= c.maxQueue() {
 		last := c.last()
@@ -334,8 +337,10 @@
 
 func (e *entry) holds() int64 { return max(e.Tokens, e.generated) }
 
-// tooLate reports whether the request would miss its deadline if it started
-// now. With an idle target only the deadline itself counts, so that a wrong
+// tooLate reports whether a waiting request would miss its deadline if it
+// started now and took the expected time. It is not asked when there is room at
+// once: the expected time is that of all requests, and a short one may be
+// faster. With an idle target only the deadline itself counts, so that a wrong
 // expectation is corrected.
 func (c *Controller) tooLate(t Ticket, now time.Time) bool {
 	if t.Deadline.IsZero() {
