--- a/entry/entry.go
+++ b/entry/entry.go
@@ -270,7 +270,7 @@
 // configured is called with each new document, in order.
 func (e *Entry) configured(d *config.Document) {
 	e.pool.Update(d)
-	e.moves.update(d)
+	e.moves.update(d, e.clock.Now())
 	e.agents.update(d)
 	e.events.Record(timeline.Event{Kind: "config_applied", ConfigNumber: d.Number})
 	e.log.WithField("config_number", d.Number).Info("configuration applied")
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -48,7 +48,7 @@
 }
 
 // update takes over the running moves of a document.
-func (m *moves) update(d *config.Document) {
+func (m *moves) update(d *config.Document, now time.Time) {
 	earlier := *m.running.Load()
 	next := map[string]*runningMove{}
 	for _, state := range d.Moves {
@@ -62,7 +62,7 @@
 		}
 		r.state.Store(&state)
 		r.mu.Lock()
-		r.guard.Update(state)
+		r.guard.Update(state, now)
 		r.mu.Unlock()
 		next[state.Subject] = r
 	}
