--- a/agent/agent.go
+++ b/agent/agent.go
@@ -76,6 +76,7 @@
 	leaving     bool
 	subscribers map[*peer.Stream]subscriber
 
+	status  *statusServer // nil without a metrics address
 	running atomic.Int64
 	pumps   sync.WaitGroup
 	cancel  context.CancelFunc
@@ -121,6 +122,11 @@
 	if err := c.Invoke(func(made *Agent) { a = made }); err != nil {
 		return nil, fmt.Errorf("agent.New: %w", dig.RootCause(err))
 	}
+	if listen := s.Agent.MetricsAddress; listen.IsValid() {
+		if a.status, err = newStatusServer(a, listen); err != nil {
+			return nil, errors.Join(fmt.Errorf("agent.New: %w", err), a.Close(context.Background()))
+		}
+	}
 	return a, nil
 }
 
@@ -268,6 +274,9 @@
 	a.cancel()
 	<-a.done
 	a.follower.Close()
+	if a.status != nil {
+		err = errors.Join(err, a.status.close())
+	}
 	return errors.Join(err, a.endpoint.Close())
 }
 
