--- a/agent/agent.go
+++ b/agent/agent.go
@@ -69,7 +69,8 @@
 	mu          sync.Mutex
 	admission   *admission.Controller
 	attempts    map[string]*attempt
-	ended       []*attempt           // in the order in which they ended
+	ended       []*attempt           // ended, with an answer that may not be consumed yet
+	finished    map[string]time.Time // ids of ended attempts whose answer was given up
 	refused     map[string]time.Time // repeatable attempts that were never seen when asked for
 	calls       *claim.Memory        // attempts that may not be repeated
 	unbilled    map[string]peer.UnbilledUsage
@@ -212,6 +213,7 @@
 		admission:   admission.New(admission.Capacity{}),
 		attempts:    map[string]*attempt{},
 		refused:     map[string]time.Time{},
+		finished:    map[string]time.Time{},
 		unbilled:    map[string]peer.UnbilledUsage{},
 		subscribers: map[*peer.Stream]subscriber{},
 		context:     ctx,
@@ -345,27 +347,29 @@
 
 func (a *Agent) count(name string) { a.metrics.GetOrCreateCounter(name).Inc() }
 
-// expire forgets attempts and refusals that are older than their retention,
-// and cancels attempts whose entry is gone.
+// expire gives up what ended answers hold and forgets attempts and refusals
+// that are older than their retention.
 func (a *Agent) expire(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for len(a.ended) > 0 {
-		oldest := a.ended[0]
-		if now.Sub(oldest.ended) < attemptRetention && len(a.ended) <= maxAttempts {
-			break
-		}
-		a.ended = a.ended[1:]
-		delete(a.attempts, oldest.dispatch.Attempt)
-	}
-	for i := len(a.ended) - 1; i >= 0; i-- {
-		at := a.ended[i]
-		if at.released {
+	kept := a.ended[:0]
+	for _, at := range a.ended {
+		if !at.isConsumed() && now.Sub(at.ended) <= tailRetention {
+			kept = append(kept, at)
 			continue
 		}
-		if at.isConsumed() || now.Sub(at.ended) > tailRetention {
-			at.released = true
-			at.release()
+		at.release()
+		delete(a.attempts, at.dispatch.Attempt)
+		// Package claim remembers the attempts that may not be repeated.
+		if at.dispatch.Repeatable && len(a.finished) < maxAttempts {
+			a.finished[at.dispatch.Attempt] = at.ended
+		}
+	}
+	clear(a.ended[len(kept):])
+	a.ended = kept
+	for id, at := range a.finished {
+		if now.Sub(at) >= attemptRetention {
+			delete(a.finished, id)
 		}
 	}
 	for id, at := range a.refused {
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -36,8 +36,7 @@
 	tokens    int64
 	progress  time.Time // last time the entry consumed bytes
 
-	ended    time.Time // guarded by the agent's lock, as is released
-	released bool
+	ended time.Time // guarded by the agent's lock
 }
 
 func newAttempt(parent context.Context, d peer.Dispatch, tail int, buffers *stream.Limiter, now time.Time) *attempt {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -101,7 +101,8 @@
 			return nil, refusal
 		}
 	}
-	if _, seen := a.attempts[d.Attempt]; seen {
+	_, finished := a.finished[d.Attempt]
+	if _, seen := a.attempts[d.Attempt]; seen || finished {
 		return nil, a.refusal(d, "duplicate_attempt", peer.Unknown)
 	}
 	reason := a.check(d, document, now)
@@ -399,6 +400,9 @@
 		}
 		return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptRunning}
 	}
+	if _, finished := a.finished[m.Attempt]; finished {
+		return peer.AttemptResult{Attempt: m.Attempt, State: peer.AttemptUnknown}
+	}
 	state, response := a.calls.Resolve(now, m.Attempt)
 	if state == claim.AttemptNeverSeen {
 		a.refused[m.Attempt] = now
--- a/cmd/briarreach/daemon.go
+++ b/cmd/briarreach/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
@@ -15,6 +16,11 @@
 	"briarreach/settings"
 )
 
+// gcPercent trades processor time for memory: with the default of 100 the
+// process holds as much garbage as live memory, most of it buffers of slow
+// readers.
+const gcPercent = 50
+
 // drainTimeout bounds a graceful shutdown.
 const drainTimeout = 10 * time.Minute
 
@@ -78,6 +84,7 @@
 
 // untilSignal waits for a signal and then closes the process gracefully.
 func untilSignal(ctx context.Context, closeAll func(context.Context) error) error {
+	debug.SetGCPercent(gcPercent)
 	<-ctx.Done()
 	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
--- a/fleet/move_test.go
+++ b/fleet/move_test.go
@@ -132,8 +132,8 @@
 		bad = runsOf(engines) - bad
 		t.stop()
 		total := t.whole.Load() + t.failed.Load()
-		Expect(float64(t.failed.Load())/float64(total)).To(BeNumerically("<=", 0.01))
-		Expect(float64(runsOf(engines))/float64(total)).To(BeNumerically("<=", 0.05))
+		Expect(float64(t.failed.Load()) / float64(total)).To(BeNumerically("<=", 0.01))
+		Expect(float64(runsOf(engines)) / float64(total)).To(BeNumerically("<=", 0.05))
 		Expect(bad).To(BeZero())
 	}, SpecTimeout(60*time.Second))
 })
