--- a/budget/account.go
+++ b/budget/account.go
@@ -41,12 +41,13 @@
 	name    string
 	stripes []stripe
 
-	mu             sync.Mutex // guards the fields below and movements between stripes
-	credited       int64      // grants less returns
-	draw           string     // id of the draw in flight
-	waiting        int64      // largest reservation that failed since the last draw
-	largest        int64      // largest reservation that needed a draw
-	available      int64      // what the ledger had for others after the last draw
+	mu             sync.Mutex    // guards the fields below and movements between stripes
+	credited       int64         // grants less returns
+	draw           string        // id of the draw in flight
+	drawn          chan struct{} // closed when it is observed
+	waiting        int64         // largest reservation that failed since the last draw
+	largest        int64         // largest reservation that needed a draw
+	available      int64         // what the ledger had for others after the last draw
 	knowsAvailable bool
 	exhaustedUntil time.Time
 	nextRecall     time.Time // peers are not asked before
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -253,10 +253,27 @@
 
 // startDraw returns a draw of at least need.
 func (w *Wallet) startDraw(a *account, need int64) ledger.Draw {
-	a.draw, a.waiting = w.id("draw"), 0
+	w.begin(a)
+	a.waiting = 0
 	return ledger.Draw{DrawID: a.draw, Budget: a.name, Holder: w.holder, Min: need, Max: max(need, w.size(a))}
 }
 
+// begin marks a draw as in flight.
+func (w *Wallet) begin(a *account) { a.draw, a.drawn = w.id("draw"), make(chan struct{}) }
+
+// Drawing returns a channel that is closed when the result of the budget's draw
+// in flight has been observed, for a request to wait for before it reserves
+// again. It returns false if no draw is in flight.
+func (w *Wallet) Drawing(budget string) (<-chan struct{}, bool) {
+	a := w.find(budget)
+	if a == nil {
+		return nil, false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.drawn, a.draw != ""
+}
+
 // target is the balance that covers the demand of one horizon.
 func (w *Wallet) target(a *account) int64 {
 	if w.fixed > 0 {
@@ -339,7 +356,7 @@
 		case balance < w.target(a)/2 && !now.Before(a.exhaustedUntil):
 			// A draw smaller than one request would only add to the log.
 			if size := w.size(a); size >= max(1, min(a.largest, w.target(a)/4)) {
-				a.draw = w.id("draw")
+				w.begin(a)
 				records = append(records, ledger.Draw{DrawID: a.draw, Budget: a.name, Holder: w.holder, Min: 1, Max: size})
 			}
 		}
@@ -472,6 +489,7 @@
 		return
 	}
 	a.draw = ""
+	close(a.drawn)
 	switch drawn := result.(type) {
 	case ledger.Drawn:
 		a.available, a.knowsAvailable = drawn.Available, true
--- a/journal/fence.go
+++ b/journal/fence.go
@@ -97,9 +97,13 @@
 		for _, n := range group {
 			parts[n] = []ledger.Record{ledger.Release{Holder: holder, Held: heldBy[n]}}
 		}
-		if _, err := j.transact(ctx, table.Transaction{}, parts); err != nil {
+		appended, err := j.transact(ctx, table.Transaction{}, parts)
+		if err != nil {
 			return fmt.Errorf("journal.ReleaseHolder: %w", err)
 		}
+		for _, p := range appended {
+			j.observe(p.records[0], p.results[0])
+		}
 	}
 	return nil
 }
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -21,6 +21,10 @@
 
 	queryLimit = 100
 
+	// pageBytes of values may be a page that the table service has cut short: it
+	// ends pages at 1 MB, and the row that would exceed it is missing.
+	pageBytes = 1_000_000 - table.MaxValueBytes
+
 	// maxDeletes rows are deleted after a snapshot at most, so that rows left by
 	// many failures don't delay the shard's records.
 	maxDeletes = 1000
@@ -100,7 +104,9 @@
 		if err != nil {
 			return false, err
 		}
+		bytes := 0
 		for _, row := range rows {
+			bytes += len(row.Value)
 			if row.Sort != sequenceKey(s.applied+1) {
 				return false, nil
 			}
@@ -110,7 +116,7 @@
 			}
 			s.apply(b, b.Writer != j.writer)
 		}
-		if len(rows) < queryLimit {
+		if len(rows) < queryLimit && bytes < pageBytes {
 			return true, nil
 		}
 	}
