--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -35,6 +35,7 @@
 
 	row     *claim.Row
 	version uint64
+	first   string // attempt of the first claim
 	applied map[string]bool
 	late    []table.Transaction
 	agents  []*agent
@@ -301,6 +302,9 @@
 	}
 	row, err := claim.Decode(write.Value)
 	Expect(err).NotTo(HaveOccurred())
+	if w.version == 0 {
+		w.first = row.Attempt
+	}
 	w.row, w.version, w.applied[tx.ID] = row, w.version+1, true
 	return true
 }
@@ -501,10 +505,13 @@
 				results[fmt.Sprintf("%T", c.result)]++
 			}
 			results[fmt.Sprintf("%d executions", w.executions)]++
+			if w.executions == 1 && w.executed[w.first] == 0 {
+				results["executed after a take-over"]++
+			}
 		})
 		GinkgoWriter.Println(results)
 		// A model in which little happens would prove nothing.
-		for _, kind := range []string{"claim.Answered", "claim.Replay", "claim.RefuseNotRun", "claim.ReportUnknown", "claim.Mismatch", "1 executions"} {
+		for _, kind := range []string{"claim.Answered", "claim.Replay", "claim.RefuseNotRun", "claim.ReportUnknown", "claim.Mismatch", "1 executions", "executed after a take-over"} {
 			Expect(results[kind]).To(BeNumerically(">", 0), kind)
 		}
 	})
