Wait for the engine to end a cancelled stream

Response.Cancel closes the connection for writing and waits until the engine has closed it, so that an agent does not admit the next request while the engine still holds the cancelled one. Without the wait an engine of 4 slots ran 5 requests, and the test failed.

--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"briarreach/admission"
 	"briarreach/engine"
 	"briarreach/standin"
 	"briarreach/target"
@@ -228,6 +230,100 @@
 		Eventually(e.Running).Should(BeZero())
 	})
 
+	// Guards against a request that is admitted in place of a cancelled one
+	// while the engine still runs that.
+	DescribeTable("Cancel waits until the slot is free", func(opts ...standin.EngineOption) {
+		begin(append(opts, standin.WithEngineAnswer(1_000_000, 1_000_000), standin.WithEngineCapacity(1, 1<<30)))
+		r := stream("p", 0)
+		_, err := r.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Cancel(5 * time.Second)).To(BeTrue())
+		Expect(e.Running()).To(BeZero())
+		_, err = r.Next()
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("while it generates", standin.WithEngineRate(1000, 0)),
+		Entry("between two tokens", standin.WithEngineRate(5, 0)),
+		Entry("while it waits for a stalled reader"),
+		Entry("while it is silent", standin.WithEngineFaults(standin.TargetFault{HangShare: 1, AfterTokens: 3})),
+	)
+
+	It("reports an engine that does not end a cancelled stream", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = listener.Close() }()
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+			_, _ = io.Copy(io.Discard, c) // until the client closes
+			for err == nil {
+				_, err = io.WriteString(c, ": alive\n\n")
+			}
+			_ = c.Close()
+		}()
+		c, err := engine.New("http://" + listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		r, err := c.Stream(context.Background(), engine.Request{Body: body("p", 0)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Cancel(50 * time.Millisecond)).To(BeFalse())
+		Eventually(served).Should(BeClosed())
+	})
+
+	// Guards against work above the stated capacity as the engine itself counts
+	// it, with three entries that do not know of each other and callers that
+	// give up.
+	It("never holds more than its capacity behind an admission controller", func() {
+		const slots, maxTokens = 4, 400
+		begin([]standin.EngineOption{standin.WithEngineCapacity(slots, maxTokens), standin.WithEngineAnswer(30, 90)})
+		controller := admission.New(admission.Capacity{MaxConcurrent: slots, MaxTokens: maxTokens})
+		var group sync.WaitGroup
+		var run func(id string, giveUp int)
+		admit := func(tickets []admission.Ticket) {
+			for _, t := range tickets {
+				group.Go(func() { run(t.Attempt, len(t.Attempt)%3) })
+			}
+		}
+		run = func(id string, giveUp int) {
+			defer GinkgoRecover()
+			begun := time.Now()
+			r, err := client.Stream(ctx, engine.Request{Body: body("prompt", 90), RequestID: id})
+			Expect(err).NotTo(HaveOccurred())
+			defer r.Close()
+			for n := 0; err == nil; n++ {
+				if _, err = r.Next(); giveUp > 0 && n == giveUp {
+					Expect(r.Cancel(5 * time.Second)).To(BeTrue())
+					admit(controller.Cancel(id, time.Now()))
+					return
+				}
+			}
+			admit(controller.Done(id, time.Since(begun), errors.Is(err, io.EOF), time.Now()))
+		}
+		for worker := range 12 { // four of each entry
+			group.Go(func() {
+				for i := range 25 {
+					id := fmt.Sprintf("entry%d/%d/%d", worker%3, worker, i*i)
+					// A prompt of 4 tokens by the engine's count, and max_tokens.
+					ticket := admission.Ticket{Attempt: id, Tokens: 4 + 90}
+					if _, ok := controller.Offer(ticket, time.Now()).(admission.Admitted); ok {
+						run(id, i%3)
+					}
+				}
+			})
+		}
+		group.Wait()
+		record := e.Record()
+		AddReportEntry("held", fmt.Sprintf("%d started, most running %d of %d, most tokens %d of %d",
+			record.Started, record.MaxRunning, slots, record.MaxHeldTokens, maxTokens))
+		Expect(record.MaxRunning).To(BeNumerically("<=", slots))
+		Expect(record.MaxHeldTokens).To(BeNumerically("<=", maxTokens))
+		Expect(record.Refused).To(BeZero())
+	})
+
 	// Guards against requests that are repeated by the HTTP library.
 	It("does not repeat a request whose connection closes", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/engine/response.go
+++ b/engine/response.go
@@ -109,6 +109,21 @@
 
 func (e *ClosedError) Error() string { return "response is closed" }
 
+// Cancel cancels the engine's stream, waits until the engine has ended it, but
+// not longer than wait, and closes the response. It reports whether the engine
+// has ended the stream; its slot and tokens are free then. An agent that admits
+// the next request earlier may exceed the engine's capacity.
+func (r *Response) Cancel(wait time.Duration) bool {
+	defer r.Close()
+	timer := time.AfterFunc(wait, r.exchange.Interrupt)
+	defer timer.Stop()
+	// If the connection is closed already, Drain says by whom.
+	_ = r.exchange.CloseWrite()
+	r.reading.Lock()
+	defer r.reading.Unlock()
+	return !r.closed && r.exchange.Drain()
+}
+
 // Close cancels the engine's stream by closing its connection. It ends a call
 // of Next in another goroutine.
 func (r *Response) Close() {
--- a/roundtrip/roundtrip.go
+++ b/roundtrip/roundtrip.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -176,6 +178,25 @@
 	return 0, io.EOF // a status without a body, for example 204
 }
 
+// CloseWrite tells the target that nothing more will be sent, which servers
+// take as a cancel while they answer.
+func (x *Exchange) CloseWrite() error {
+	if err := x.conn.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+		return fmt.Errorf("roundtrip.CloseWrite: %w", err)
+	}
+	return nil
+}
+
+// Drain discards what the target still sends, and reports whether the target
+// has closed the connection. Interrupt ends it. Nothing can be read afterwards.
+func (x *Exchange) Drain() bool {
+	if err := x.SetReadDeadline(time.Time{}); err != nil {
+		return false
+	}
+	_, err := io.Copy(io.Discard, x.conn.Conn)
+	return err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Interrupt closes the connection, which ends a Read in another goroutine.
 func (x *Exchange) Interrupt() {
 	if x.conn != nil {
