--- a/peer/codec.go
+++ b/peer/codec.go
@@ -33,11 +33,13 @@
 		panic(err)
 	}
 	dec, err := cbor.DecOptions{
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-		MaxNestedLevels:   8,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  8,
+		// The encoder does not check text either, and a caller's path may be any.
+		UTF8:              cbor.UTF8DecodeInvalid,
 		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 	}.DecMode()
 	if err != nil {
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -116,6 +116,16 @@
 		}
 	})
 
+	It("carries text that is not UTF-8", func() {
+		// Guards against a caller's path or a target's reason that breaks a stream.
+		want := peer.Refusal{Attempt: "a", Reason: "\xff\xfe"}
+		b, err := peer.Encode(want)
+		Expect(err).NotTo(HaveOccurred())
+		got, _, err := peer.Decode(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(peer.Message(want)))
+	})
+
 	It("keeps the wire form", func() {
 		// Guards against a change that processes of the version before cannot read.
 		var text strings.Builder
--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -95,7 +95,7 @@
 	maxBuffered int64
 	buffered    atomic.Int64 // receive buffers larger than readBytes
 	credentials *Credentials
-	handler     func(context.Context, *Stream)
+	handler     Handler
 	clock       clockwork.Clock
 	log         log.Interface
 
@@ -127,9 +127,7 @@
 
 // WithHandler accepts connections and serves each of their streams with h in a
 // goroutine of its own. Without it, the endpoint only dials.
-func WithHandler(h func(ctx context.Context, s *Stream)) Option {
-	return func(e *Endpoint) { e.handler = h }
-}
+func WithHandler(h Handler) Option { return func(e *Endpoint) { e.handler = h } }
 
 // WithClock sets the clock of deadlines, of the watch for silent connections
 // and of the validity of certificates.
@@ -331,7 +329,9 @@
 		e.Drop(c.address, c.generation)
 		return
 	}
-	e.add(c)
+	if !e.add(c) {
+		c.err = &ClosedError{}
+	}
 }
 
 // suspectPath makes later dials to the address use a socket of their own. The
@@ -358,8 +358,9 @@
 		e.generation++
 		c.generation = e.generation
 		e.mu.Unlock()
-		e.add(c)
-		e.running.Go(func() { e.serve(c) })
+		if e.add(c) {
+			e.running.Go(func() { e.serve(c) })
+		}
 	}
 }
 
@@ -423,8 +424,9 @@
 	}
 }
 
-// add registers an open connection until it closes.
-func (e *Endpoint) add(c *connection) {
+// add registers an open connection until it closes. It refuses the connection
+// and returns false when the endpoint is closing or has too many.
+func (e *Endpoint) add(c *connection) bool {
 	e.mu.Lock()
 	refused := e.closing || len(e.live) >= maxConnections
 	if !refused {
@@ -434,7 +436,10 @@
 	if refused {
 		_ = c.quic.CloseWithError(codeRefused, "closing or too many connections")
 		c.closeSocket()
-		return
+		return false
+	}
+	if err := e.credentials.Failure(); err != nil {
+		e.log.WithError(err).Warn("peer_credentials_not_reloaded")
 	}
 	e.log.WithFields(c.fields()).Info("peer_connected")
 	e.running.Go(func() {
@@ -451,6 +456,7 @@
 		c.closeSocket()
 		e.log.WithFields(c.fields()).WithError(context.Cause(c.quic.Context())).Info("peer_disconnected")
 	})
+	return true
 }
 
 // join counts a stream of the connection, unless the endpoint is closing.
