--- a/move/controller.go
+++ b/move/controller.go
@@ -57,6 +57,7 @@
 type Controller struct {
 	move    config.Move
 	plan    Plan
+	alpha   float64
 	cells   map[cellKey]*fleetCell
 	entries map[string]*entryState
 	stop    *Evidence // of a guard
@@ -91,9 +92,13 @@
 // Option changes a Controller.
 type Option func(*Controller)
 
+// WithFalseRollBacks sets the probability that the controller takes back a
+// version that is as good as the old one. The default is 0.005.
+func WithFalseRollBacks(alpha float64) Option { return func(c *Controller) { c.alpha = alpha } }
+
 // New returns the controller of a running move at its state in the document.
 func New(m config.Move, opts ...Option) *Controller {
-	c := &Controller{move: m, cells: map[cellKey]*fleetCell{}, entries: map[string]*entryState{}}
+	c := &Controller{move: m, alpha: controllerAlpha, cells: map[cellKey]*fleetCell{}, entries: map[string]*entryState{}}
 	c.plan = Plan{Started: m.Started, Deadline: m.Deadline}
 	for _, opt := range opts {
 		opt(c)
@@ -304,7 +309,7 @@
 
 // Evidence returns the comparison that speaks most against the new version.
 func (c *Controller) Evidence() Evidence {
-	e := Evidence{Move: c.move.Name, From: c.move.From, To: c.move.To, Level: AnyLevel, Value: math.Inf(-1), Limit: limit(controllerAlpha, len(c.cells))}
+	e := Evidence{Move: c.move.Name, From: c.move.From, To: c.move.To, Level: AnyLevel, Value: math.Inf(-1), Limit: limit(c.alpha, len(c.cells))}
 	for _, key := range slices.SortedFunc(maps.Keys(c.cells), cellKey.compare) {
 		cell := c.cells[key]
 		for m := range cell.tests {
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
@@ -104,6 +105,18 @@
 		Expect(g.ReportAfter("POST /book")).To(BeNumerically("~", time.Second, 100*time.Millisecond))
 	})
 
+	It("gives a digest that CBOR keeps", func() {
+		random := rand.New(rand.NewSource(1))
+		g := move.NewGuard("a", "1", running(200_000))
+		feed(g, random, begin, 200, 0.5, 0, 100*time.Millisecond)
+		digest := g.Digest(begin.Add(2 * time.Second))
+		data, err := cbor.Marshal(digest)
+		Expect(err).NotTo(HaveOccurred())
+		var back move.Observation
+		Expect(cbor.Unmarshal(data, &back)).To(Succeed())
+		Expect(back).To(Equal(digest))
+	})
+
 	It("keeps a bounded number of cells", func() {
 		g := move.NewGuard("a", "1", running(200_000))
 		for i := range 10_000 {
