--- a/move/controller.go
+++ b/move/controller.go
@@ -121,8 +121,9 @@
 	c.plan = Plan{Started: m.Started, Deadline: m.Deadline}
 }
 
-// Observe adds the digest of a guard. Digests that arrive out of order, or of
-// another move, are ignored.
+// Observe adds the digest of a guard. Digests that arrive out of order, of an
+// earlier start of the guard or of another move are ignored. Starts are ULIDs,
+// which sort by time.
 func (c *Controller) Observe(o Observation, now time.Time) {
 	if o.Move != c.move.Name {
 		return
@@ -131,6 +132,9 @@
 		c.stop = o.Reason
 	}
 	entry := c.entries[o.Entry]
+	if entry != nil && o.Start < entry.start {
+		return // an earlier start of the guard
+	}
 	known := entry != nil && entry.start == o.Start
 	if !known {
 		if entry == nil && len(c.entries) >= maxEntries {
--- a/move/guard.go
+++ b/move/guard.go
@@ -51,7 +51,7 @@
 type Observation struct {
 	Entry   string    `cbor:"entry"`
 	Move    string    `cbor:"move"`
-	Start   string    `cbor:"start"` // identifies the start of the guard
+	Start   string    `cbor:"start"` // identifies the start of the guard; a ULID
 	Number  uint64    `cbor:"number"`
 	Cells   []Cell    `cbor:"cells"`
 	Stopped bool      `cbor:"stopped"`
@@ -139,7 +139,7 @@
 }
 
 // NewGuard returns the guard of a running move at an entry. start identifies
-// this start of the guard, for example the holder id of the entry.
+// this start of the guard: the holder id of the entry, a ULID.
 func NewGuard(entry, start string, m config.Move, opts ...GuardOption) *Guard {
 	g := &Guard{entry: entry, start: start, move: m, alpha: guardAlpha / 8, cells: map[cellKey]*guardCell{}, routes: map[string]*mean{}}
 	for _, opt := range opts {
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -233,6 +233,10 @@
 		for _, d := range []move.Observation{digests[0], digests[7], digests[2], digests[7], last, digests[9]} {
 			some.Observe(d, now)
 		}
+		old := last
+		old.Start, old.Number = "0", 999
+		some.Observe(old, now)
+		some.Observe(last, now)
 		all.Decide(now)
 		some.Decide(now)
 		Expect(some.Evidence().Value).To(BeNumerically("~", all.Evidence().Value, 0.01))
