Lower the admission limit only above a share of 20 % of failures

One failure in a window lowered the limit; a window of 64 requests nearly always has one at 5 % of failures. The new test fails with that rule.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -302,6 +302,23 @@
 		slow("AIMD", true, 5*time.Second)
 	})
 
+	// Guards against refusals because of failures that have nothing to do with
+	// the load.
+	It("does not fall for a few failures, but for many", func() {
+		limit := func(failEvery int) int {
+			const slots = 64
+			c := admission.New(admission.Capacity{MaxConcurrent: slots})
+			for i := range 5000 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				c.Offer(admission.Ticket{Attempt: fmt.Sprint(i)}, now)
+				c.Done(fmt.Sprint(i-slots/2), 100*time.Millisecond, i%failEvery != 0, now)
+			}
+			return c.Load().Limit
+		}
+		Expect(limit(20)).To(Equal(64))
+		Expect(limit(2)).To(BeNumerically("<", 64))
+	})
+
 	// Guards against a limit that takes long requests for a slow target, which
 	// is why AIMD with its fixed threshold is not the default.
 	It("does not lower the limit for requests that are always long", func() {
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -45,6 +45,10 @@
 	// gradientMin bounds the fall in one window, so that one outlier does not
 	// empty the target.
 	gradientMin = 0.5
+	// maxFailed is the share of failures in a window above which the limit falls.
+	// A few failures are no sign of too much load, and a large window nearly
+	// always has one.
+	maxFailed = 0.2
 	// minWindow is the least number of samples for one change of the limit.
 	minWindow = 5
 	// gradientFloor is the least limit, as a part of the stated capacity.
@@ -87,8 +91,8 @@
 // window sums the samples since the last change of the limit.
 type window struct {
 	count, running, most int
+	failed               int
 	latency              float64
-	failed               bool
 }
 
 func (w *window) add(s sample) {
@@ -96,7 +100,9 @@
 	w.running += s.running
 	w.most = max(w.most, s.running)
 	w.latency += s.latency.Seconds()
-	w.failed = w.failed || !s.ok
+	if !s.ok {
+		w.failed++
+	}
 }
 
 // compare reports whether two windows have enough difference in running
@@ -154,7 +160,7 @@
 		g.before = window{}
 	}
 	ratio := max(gradientMin, min(1, gradientTolerance*g.usual/mean))
-	if w.failed {
+	if float64(w.failed) > maxFailed*float64(w.count) {
 		ratio = min(ratio, aimdDecrease)
 	}
 	switch {
