Bill cancelled requests at the engine's counts

Cause: a cancelled stream has no final usage, so the bound on prompt tokens was charged. Seen by the test that kills an entry: 824 billed, 544 run. Ruled out: double bills (the ledger had one bill for each identity). The engine is now asked for the usage so far in each chunk, and a cancelled stream is read to its end before the place is freed, so that the engine never holds more than the agent admits.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,6 +45,8 @@
 	// resumeTimeout is how long an attempt goes on without an entry that reads
 	// its answer.
 	resumeTimeout = 10 * time.Second
+	// stopTimeout bounds the wait for an engine that was asked to end a stream.
+	stopTimeout = 2 * time.Second
 	// tailRetention is how long an ended answer waits for an entry that
 	// resumes it.
 	tailRetention = time.Minute
--- a/engine/client.go
+++ b/engine/client.go
@@ -244,6 +244,9 @@
 		streamOptions = map[string]json.RawMessage{}
 	}
 	streamOptions["include_usage"] = json.RawMessage("true")
+	// Extension of vLLM and others: each chunk has the usage so far, so that a
+	// cancelled request is billed at the engine's counts.
+	streamOptions["continuous_usage_stats"] = json.RawMessage("true")
 	raw, err := json.Marshal(streamOptions)
 	if err != nil {
 		return nil, &BodyError{err}
--- a/engine/response.go
+++ b/engine/response.go
@@ -20,10 +20,11 @@
 	// Delta is one chunk of the answer. Raw is its JSON object. Tokens is the
 	// number of generated tokens that it carries: by the chunk's own usage if
 	// the engine sends it, otherwise one for each choice with content. The
-	// final Usage is authoritative.
+	// final Usage is authoritative. PromptTokens is 0 if the chunk has no usage.
 	Delta struct {
-		Raw    []byte
-		Tokens int
+		Raw          []byte
+		Tokens       int
+		PromptTokens int64
 	}
 	// Usage is the usage of the whole request, at its end. Raw is the chunk's
 	// JSON object.
@@ -124,6 +125,13 @@
 	return !r.closed && r.exchange.Drain()
 }
 
+// Stop asks the engine to end the stream. Next goes on with what the engine
+// has sent before, until the engine has ended the stream.
+func (r *Response) Stop() {
+	// If the connection is closed already, Next says so.
+	_ = r.exchange.CloseWrite()
+}
+
 // Close cancels the engine's stream by closing its connection. It ends a call
 // of Next in another goroutine.
 func (r *Response) Close() {
@@ -270,6 +278,7 @@
 	}
 	if c.Usage != nil {
 		delta.Tokens = int(max(0, c.Usage.CompletionTokens-d.tokens))
+		delta.PromptTokens = c.Usage.PromptTokens
 		d.tokens = max(d.tokens, c.Usage.CompletionTokens)
 	}
 	events[0] = delta
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -181,7 +181,7 @@
 		return err
 	}
 	offset := a.receiver.Offset()
-	if err := s.Send(peer.Resume{Attempt: a.t.attempt, Offset: offset, Credit: int64(a.e.settings.Entry.StreamWindow)}); err != nil {
+	if err := s.Send(peer.Resume{Attempt: a.t.attempt, Offset: offset, Credit: a.receiver.Limit() - offset}); err != nil {
 		s.Abort()
 		return err
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -325,7 +325,8 @@
 		MaxCompletionTokens int    `json:"max_completion_tokens"`
 		Priority            int    `json:"priority"`
 		StreamOptions       struct {
-			IncludeUsage bool `json:"include_usage"`
+			IncludeUsage         bool `json:"include_usage"`
+			ContinuousUsageStats bool `json:"continuous_usage_stats"`
 		} `json:"stream_options"`
 	}
 	prompt, err := engine.PromptText(ctx.PostBody())
@@ -354,7 +355,8 @@
 	}
 	s := &engineStream{
 		engine: e, effect: effect, hash: hash, total: total, reason: reason, usage: body.StreamOptions.IncludeUsage,
-		id: strconv.FormatUint(ctx.ID(), 16), created: now.Unix(),
+		continuous: body.StreamOptions.ContinuousUsageStats,
+		id:         strconv.FormatUint(ctx.ID(), 16), created: now.Unix(),
 		run: EngineRun{
 			RequestID: string(ctx.Request.Header.Peek("X-Request-Id")), Model: body.Model, Version: version,
 			Priority: body.Priority, PromptTokens: EngineTokens(prompt),
@@ -425,20 +427,22 @@
 // engineStream generates the answer while the server reads it, so that a slow
 // reader stops the generation.
 type engineStream struct {
-	engine    *Engine
-	effect    targetEffect
-	gone      <-chan struct{}
-	run       EngineRun
-	id        string
-	created   int64
-	hash      uint64
-	total     int
-	reason    string
-	usage     bool
-	prefilled bool
-	ended     bool
-	pending   []byte
-	once      sync.Once
+	engine  *Engine
+	effect  targetEffect
+	gone    <-chan struct{}
+	run     EngineRun
+	id      string
+	created int64
+	hash    uint64
+	total   int
+	reason  string
+	usage   bool
+	// continuous says that each chunk has the usage so far.
+	continuous bool
+	prefilled  bool
+	ended      bool
+	pending    []byte
+	once       sync.Once
 }
 
 // engineGoneError reports that the client has closed the connection.
@@ -523,7 +527,12 @@
 	if generated == 0 {
 		role = `"role":"assistant",`
 	}
-	s.event(`"choices":[{"index":0,"delta":{%s"content":%q},"finish_reason":null}]`, role, engineToken(s.hash, generated))
+	usage := ""
+	if s.continuous {
+		usage = fmt.Sprintf(`,"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}`,
+			s.run.PromptTokens, generated+1, s.run.PromptTokens+int64(generated)+1)
+	}
+	s.event(`"choices":[{"index":0,"delta":{%s"content":%q},"finish_reason":null}]%s`, role, engineToken(s.hash, generated), usage)
 	return nil
 }
 
