Recall idle amounts from other entries and bound free repeats

When the ledger has nothing left of a budget, the other entries are asked for what they do not use. A request that is billed may run again twice with its key; then the caller gets 409.

--- a/entry/backend.go
+++ b/entry/backend.go
@@ -35,11 +35,6 @@
 // backend serves the operators' API.
 type backend struct{ *Entry }
 
-func amountOf(record ledger.Record) (int64, bool) {
-	r, ok := record.(ledger.Return)
-	return r.Amount, ok
-}
-
 // Authorize returns the role of an operator's key.
 func (b backend) Authorize(ctx context.Context, secret string) (operator.Role, error) {
 	if secret == "" {
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -18,10 +19,12 @@
 )
 
 const (
-	drawInterval = 50 * time.Millisecond
+	drawInterval = 500 * time.Millisecond
 	// drawTimeout is how long a request waits for a grant.
 	drawTimeout = 1500 * time.Millisecond
-	ackInterval = 250 * time.Millisecond
+	// recallTimeout bounds the question to the other entries for idle amounts.
+	recallTimeout = 500 * time.Millisecond
+	ackInterval   = 250 * time.Millisecond
 	// usageInterval is how often an entry takes over usage that another entry
 	// did not bill, and how old that usage must be.
 	usageInterval = 5 * time.Second
@@ -38,7 +41,17 @@
 func (e *Entry) newGrants() *grants {
 	holder := ulid.Make().String()
 	return &grants{holder: holder, wallet: budget.New(holder,
-		budget.WithHorizon(e.settings.Entry.DrawHorizon.Duration), budget.WithHolders(e.liveHolders))}
+		budget.WithHorizon(e.settings.Entry.DrawHorizon.Duration), budget.WithHolders(e.liveHolders),
+		budget.WithAvailable(e.available))}
+}
+
+// available returns what the ledger has left of a budget, as far as this
+// entry has read its log.
+func (e *Entry) available(name string) (amount int64, known bool) {
+	if j := e.journal.Load(); j != nil {
+		j.Read(name, func(s *ledger.State) { amount, known = s.Available(name) })
+	}
+	return amount, known
 }
 
 // renewHolder replaces a fenced holder. What it had outstanding is recovered
@@ -100,7 +113,8 @@
 }
 
 // reserve takes amount from the entry's grants of a budget. A request that
-// finds too little waits for a draw.
+// finds too little waits for a draw; when the ledger has nothing left, the
+// other entries are asked once for what they don't use.
 func (e *Entry) reserve(ctx context.Context, g *grants, name string, amount int64) (budget.Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
@@ -109,7 +123,16 @@
 		now := e.clock.Now()
 		reservation, err := g.wallet.Reserve(name, amount, now)
 		var pending *budget.PendingError
-		if err == nil || !errors.As(err, &pending) {
+		var exhausted *budget.ExhaustedError
+		switch {
+		case errors.As(err, &exhausted):
+			ask, ok := g.wallet.ShouldRecall(name, amount, now)
+			if !ok || e.recallFromPeers(ctx, name, ask) == 0 {
+				return reservation, err
+			}
+			g.wallet.Forget(name)
+			continue
+		case err == nil || !errors.As(err, &pending):
 			return reservation, err
 		}
 		if j := e.journal.Load(); j != nil {
@@ -128,15 +151,31 @@
 	}
 }
 
+// recallFromPeers asks the other entries for idle amounts of a budget and
+// returns what is on its way back. A lost message costs availability only.
+func (e *Entry) recallFromPeers(ctx context.Context, name string, amount int64) int64 {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	var sum atomic.Int64
+	var group sync.WaitGroup
+	for _, addr := range e.settings.Entry.Entries {
+		group.Go(func() {
+			answer, err := e.endpoint.Call(ctx, addr, peer.Recall{Budget: name, Amount: amount})
+			if recalled, ok := answer.(peer.Recalled); ok && err == nil {
+				sum.Add(recalled.Amount)
+			}
+		})
+	}
+	group.Wait()
+	return sum.Load()
+}
+
 // observeRecord tells the wallet the result of a record of this holder.
 func (e *Entry) observeRecord(record ledger.Record, result ledger.Result) {
 	g := e.grants.Load()
 	g.wallet.Observe(record, result)
-	if draw, ok := record.(ledger.Draw); ok && draw.Holder == g.holder {
-		var fenced *ledger.FencedError
-		if refused, ok := result.(ledger.Refused); ok && errors.As(refused.Err, &fenced) {
-			e.renewHolder(g)
-		}
+	if g.wallet.Fenced() {
+		e.renewHolder(g)
 	}
 	e.drawn.notify()
 }
@@ -208,7 +247,7 @@
 		return
 	}
 	x.reserved = false
-	x.reservation.Settle(usage.Cost)
+	usage.Cost, _ = x.reservation.Settle(usage.Cost)
 	if usage.Cost == 0 {
 		return
 	}
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -149,6 +149,10 @@
 	if !ok {
 		return caller.Refuse(http.StatusNotFound, caller.UnknownModel, "model %q is unknown", r.Model)
 	}
+	if repeats := f.repeats(x); repeats > maxRepeats {
+		return caller.Fail(http.StatusConflict, caller.AlreadyRan, peer.Ran,
+			"the request with this idempotency key ran %d times already", repeats+1)
+	}
 	maxTokens := r.MaxTokens
 	if maxTokens == 0 || maxTokens > model.MaxTokens {
 		maxTokens = model.MaxTokens
@@ -162,6 +166,26 @@
 	return nil
 }
 
+// maxRepeats is how often a request that is billed already may run again free
+// of charge, for callers that lost the answer.
+const maxRepeats = 2
+
+// repeats returns how often the request was repeated after its bill, or 0 if
+// it is not billed.
+func (f identify) repeats(x *exchange) int {
+	j := f.e.journal.Load()
+	if x.envelope.Generated || j == nil {
+		return 0
+	}
+	repeats := 0
+	j.Read(x.key.Budget, func(s *ledger.State) {
+		if bill, ok := s.BillOf(x.identity); ok {
+			repeats = bill.Repeats + 1
+		}
+	})
+	return repeats
+}
+
 func (f identify) call(x *exchange, r *caller.Call) caller.Reply {
 	service, ok := x.document.Services[r.Service]
 	if !ok {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 
+	"briarreach/ledger"
 	"briarreach/peer"
 )
 
 // servePeer answers one stream of another process of the fleet.
-func (e *Entry) servePeer(_ context.Context, s *peer.Stream) {
+func (e *Entry) servePeer(ctx context.Context, s *peer.Stream) {
 	m, err := s.Receive()
 	if err != nil {
 		s.Abort()
@@ -28,7 +29,7 @@
 		e.hearEvidence(m)
 		_ = s.CloseSend()
 	case peer.Recall:
-		e.answerPeer(s, peer.Recalled{Amount: e.recall(m)})
+		e.answerPeer(s, peer.Recalled{Amount: e.recall(ctx, m)})
 	default:
 		e.log.WithError(&UnexpectedMessageError{Message: m}).Warn("stream refused")
 		s.Abort()
@@ -43,17 +44,20 @@
 	_ = s.CloseSend()
 }
 
-// recall gives idle amounts of a budget back for another entry that is short.
-func (e *Entry) recall(m peer.Recall) int64 {
+// recall gives idle amounts of a budget back for another entry that is short,
+// and returns what the ledger has taken back.
+func (e *Entry) recall(ctx context.Context, m peer.Recall) int64 {
 	j := e.journal.Load()
 	if j == nil {
 		return 0
 	}
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
 	var sum int64
 	for _, record := range e.grants.Load().wallet.Recall(m.Budget, m.Amount, e.clock.Now()) {
-		e.submit(j, record)
-		if r, ok := amountOf(record); ok {
-			sum += r
+		result, err := j.SubmitNow(ctx, m.Budget, record)
+		if returned, ok := result.(ledger.Returned); ok && err == nil {
+			sum += returned.Amount
 		}
 	}
 	return sum
