--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -173,7 +173,8 @@
 		e.pool.Report(refused.Refusal.Load, now)
 	}
 	e.pool.End(t.target.Name, t.tokens, outcome, now.Sub(t.started), now)
-	if outcome == target.Failed {
+	// An agent that can't be reached says nothing about the version.
+	if execution, _, _ := classify(err); execution != peer.NotRun {
 		e.observeTry(x, t, now.Sub(t.started), true, now)
 	}
 }
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -30,12 +30,12 @@
 	heard map[string]map[string]move.Observation // digests of other entries, by move and entry
 }
 
-// runningMove is a move with this entry's guard. Allowed is what the guard
-// says, so that the request path takes no lock.
+// runningMove is a move with this entry's guard. Only requests for a subject
+// that moves take its lock.
 type runningMove struct {
-	state   atomic.Pointer[config.Move]
-	allowed atomic.Bool
-	stopped chan struct{} // signals the local stop
+	state    atomic.Pointer[config.Move]
+	reported atomic.Bool   // the local stop has been signalled
+	stopped  chan struct{} // signals the local stop
 
 	mu    sync.Mutex
 	guard *move.Guard
@@ -58,7 +58,6 @@
 		r := earlier[state.Subject]
 		if r == nil || r.state.Load().Name != state.Name {
 			r = &runningMove{guard: move.NewGuard(m.process, m.holder, state, move.WithEntries(m.entries)), stopped: make(chan struct{}, 1)}
-			r.allowed.Store(true)
 		}
 		r.state.Store(&state)
 		r.mu.Lock()
@@ -79,24 +78,21 @@
 func (m *moves) of(subject string) *runningMove { return (*m.running.Load())[subject] }
 
 // version returns the version that a request for the subject goes to.
-func (m *moves) version(d *config.Document, subject string, retry bool, _ time.Time) string {
+func (m *moves) version(d *config.Document, subject string, retry bool, now time.Time) string {
 	r := m.of(subject)
 	if r == nil {
 		current, _ := d.CurrentVersion(subject)
 		return current
 	}
-	return move.Pick(*r.state.Load(), r.allowed.Load(), retry, rand.New(random{}))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.guard.Pick(retry, now, rand.New(random{}))
 }
 
-// refresh stores whether the guard allows the new version. The caller holds
-// the lock.
-func (r *runningMove) refresh(now time.Time) {
-	allowed := r.guard.Allow(now)
-	if r.allowed.Swap(allowed) && !allowed {
-		select {
-		case r.stopped <- struct{}{}:
-		default:
-		}
+// refresh signals a local stop once. The caller holds the lock.
+func (r *runningMove) refresh() {
+	if _, stopped := r.guard.Stopped(); stopped && !r.reported.Swap(true) {
+		r.stopped <- struct{}{} // has room for the only signal
 	}
 }
 
@@ -110,7 +106,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.guard.Observe(t.version, x.cost.route, level, latency, failed, now)
-	r.refresh(now)
+	r.refresh()
 }
 
 // evidenceLoop sends the digests of the running moves to the other entries.
@@ -155,7 +151,7 @@
 func (e *Entry) sendEvidence(r *runningMove, now time.Time) {
 	r.mu.Lock()
 	digest := r.guard.Digest(now)
-	r.refresh(now)
+	r.refresh()
 	r.mu.Unlock()
 	e.moves.hear(digest)
 	data, err := cbor.Marshal(digest)
@@ -184,7 +180,7 @@
 		}
 		r.mu.Lock()
 		r.guard.Hear(digest)
-		r.refresh(e.clock.Now())
+		r.refresh()
 		r.mu.Unlock()
 		e.moves.hear(digest)
 	}
