Hold less for slow readers: 4 KiB windows, smaller buffers, GC at 25 %

Cause: quic-go keeps each small frame in a packet buffer of 1,452 bytes, so a window of 8 KiB held about 24 KiB; and the garbage collector lets garbage grow to the size of live memory.

--- a/caller/server.go
+++ b/caller/server.go
@@ -139,6 +139,7 @@
 		ReadBufferSize:        o.maxHeaderBytes,
 		ReadTimeout:           o.readTimeout,
 		WriteTimeout:          o.writeTimeout,
+		WriteBufferSize:       2 << 10,
 		IdleTimeout:           2 * time.Minute,
 		Concurrency:           o.maxConnections,
 		MaxConnsPerIP:         o.maxPerAddress,
--- a/cmd/briarreach/daemon.go
+++ b/cmd/briarreach/daemon.go
@@ -19,7 +19,7 @@
 // gcPercent trades processor time for memory: with the default of 100 the
 // process holds as much garbage as live memory, most of it buffers of slow
 // readers.
-const gcPercent = 50
+const gcPercent = 25
 
 // drainTimeout bounds a graceful shutdown.
 const drainTimeout = 10 * time.Minute
--- a/engine/response.go
+++ b/engine/response.go
@@ -155,7 +155,7 @@
 }
 
 func newDecoder(r io.Reader, maxEvent int) *decoder {
-	return &decoder{reader: bufio.NewReaderSize(r, 4<<10), maxEvent: maxEvent}
+	return &decoder{reader: bufio.NewReaderSize(r, 1<<10), maxEvent: maxEvent}
 }
 
 func (d *decoder) next() (Event, error) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -151,7 +151,7 @@
 	number(&e.MaxHeaderBytes, 16<<10)
 	duration(&e.ReadTimeout, 30*time.Second)
 	duration(&e.RequestTimeout, 10*time.Minute)
-	number(&e.StreamWindow, 8<<10)
+	number(&e.StreamWindow, 4<<10)
 	number(&e.MaxBufferedBytes, 48<<20)
 	number(&e.MaxRequests, 20_000)
 }
@@ -161,7 +161,7 @@
 	duration(&a.ConfigInterval, 2*time.Second)
 	duration(&a.StallTimeout, 30*time.Second)
 	duration(&a.ClockMargin, 2*time.Second)
-	number(&a.StreamWindow, 8<<10)
+	number(&a.StreamWindow, 4<<10)
 	number(&a.MaxBufferedBytes, 48<<20)
 }
 
