Send answers from the goroutines that produce and acknowledge them

A goroutine per attempt is saved, and heartbeats come from one loop. A heartbeat is now also sent while the entry has not yet acknowledged bytes that it reads: before, an answer with a pause of 2 s between tokens was resumed without need.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -81,7 +81,6 @@
 
 	status  *statusServer // nil without a metrics address
 	running atomic.Int64
-	pumps   sync.WaitGroup
 	cancel  context.CancelFunc
 	context context.Context
 	done    chan struct{}
@@ -228,13 +227,16 @@
 	close(h.set)
 	go func() {
 		defer close(a.done)
-		ticker := clock.NewTicker(loadInterval)
+		ticker := clock.NewTicker(heartbeatInterval / 2)
 		defer ticker.Stop()
-		for {
+		for n := 1; ; n++ {
 			select {
 			case <-ctx.Done():
 				return
 			case <-ticker.Chan():
+			}
+			a.sendHeartbeats(clock.Now())
+			if n%4 == 0 {
 				a.expire(clock.Now())
 			}
 		}
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -22,7 +22,6 @@
 	context  context.Context
 	cancel   context.CancelFunc
 
-	ready chan struct{} // signals the pump; one pending signal suffices
 	space chan struct{} // signals the runner that the tail has room
 
 	mu        sync.Mutex
@@ -30,6 +29,9 @@
 	head      *peer.Head
 	final     *peer.Final
 	attached  *peer.Stream // the stream that carries the answer now
+	flushing  bool         // a goroutine sends; others leave their messages to it
+	sent      time.Time    // of the last message to the entry
+	heartbeat bool         // a heartbeat is due
 	headSent  bool
 	finalSent bool
 	consumed  bool // the entry has consumed the whole answer
@@ -48,7 +50,6 @@
 		finished: make(chan struct{}),
 		context:  ctx,
 		cancel:   cancel,
-		ready:    make(chan struct{}, 1),
 		space:    make(chan struct{}, 1),
 		sender:   stream.NewSender(tail, stream.WithLimiter(buffers)),
 		progress: now,
@@ -74,7 +75,6 @@
 	if earlier != nil {
 		earlier.Abort()
 	}
-	signal(a.ready)
 }
 
 func (a *attempt) acknowledge(c peer.Credit, now time.Time) error {
@@ -85,7 +85,6 @@
 	}
 	a.progress = now
 	a.releaseIfConsumed()
-	signal(a.ready)
 	signal(a.space)
 	return nil
 }
@@ -109,7 +108,7 @@
 
 // write keeps data for the entry and waits while the tail is full. It fails
 // when the attempt is cancelled or the reader makes no progress for stall.
-func (a *attempt) write(data []byte, stall time.Duration) error {
+func (a *attempt) write(data []byte, stall time.Duration, flush func()) error {
 	for {
 		a.mu.Lock()
 		n := a.sender.Write(data)
@@ -117,7 +116,7 @@
 		a.mu.Unlock()
 		data = data[n:]
 		if n > 0 {
-			signal(a.ready)
+			flush()
 		}
 		if len(data) == 0 {
 			return nil
@@ -145,7 +144,6 @@
 	a.mu.Lock()
 	a.head = &h
 	a.mu.Unlock()
-	signal(a.ready)
 }
 
 func (a *attempt) setFinal(f peer.Final) {
@@ -156,7 +154,6 @@
 	a.mu.Unlock()
 	close(a.finished)
 	a.cancel()
-	signal(a.ready)
 }
 
 // addTokens counts generated tokens and returns the sum.
@@ -167,35 +164,44 @@
 	return a.tokens
 }
 
-// next returns what the attached stream must send next. ended is set when the
-// stream is no longer the attached one or everything was sent.
-func (a *attempt) next(s *peer.Stream) (m peer.Message, ended bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.attached != s {
-		return nil, true
+// next returns the stream that carries the answer and what it must send next,
+// or nil. last is set with the message that ends the answer. The caller holds
+// the lock.
+func (a *attempt) next() (s *peer.Stream, m peer.Message, last bool) {
+	if a.attached == nil {
+		return nil, nil, false
 	}
 	if a.head != nil && !a.headSent {
 		a.headSent = true
-		return *a.head, false
+		return a.attached, *a.head, false
 	}
 	if frame, ok := a.sender.Next(maxFrameBytes); ok {
 		frame.Tokens = a.tokens
-		return frame, false
+		return a.attached, frame, false
 	}
 	if a.final != nil && !a.finalSent && a.sender.Done() {
 		a.finalSent = true
 		a.releaseIfConsumed()
-		return *a.final, false
+		return a.attached, *a.final, true
+	}
+	if a.heartbeat {
+		a.heartbeat = false
+		return a.attached, peer.Heartbeat{}, false
 	}
-	return nil, a.finalSent
+	return nil, nil, false
 }
 
-// blocked reports whether bytes wait for credit.
-func (a *attempt) blocked() bool {
+// needsHeartbeat marks a heartbeat as due if the stream was silent for the
+// interval. None is sent while bytes wait for credit: the entry does not read
+// then, and unread heartbeats would pile up.
+func (a *attempt) needsHeartbeat(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.sender.Buffered() > 0
+	if a.attached == nil || a.finalSent || a.sender.Blocked() || now.Sub(a.sent) < heartbeatInterval {
+		return false
+	}
+	a.heartbeat = true
+	return true
 }
 
 func (a *attempt) isFinished() bool {
--- a/agent/run.go
+++ b/agent/run.go
@@ -132,7 +132,7 @@
 		}
 		data, err := r.delta(delta)
 		if err == nil {
-			err = at.write(data, stall)
+			err = at.write(data, stall, func() { a.flush(at) })
 		}
 		if err != nil {
 			failed = err
@@ -147,7 +147,7 @@
 	if err != nil {
 		return usage, err
 	}
-	return usage, at.write(end, stall)
+	return usage, at.write(end, stall, func() { a.flush(at) })
 }
 
 // measure adds an event to the usage.
@@ -202,7 +202,7 @@
 	}
 	at.setHead(peer.Head{Attempt: d.Attempt, Status: response.Status, ContentType: response.ContentType, Clock: a.events.Clock().Now()})
 	final := peer.Final{Usage: peer.Usage{Cost: d.Reserved}, Outcome: peer.Complete, Execution: peer.Ran}
-	if err := at.write(response.Body, a.settings.Agent.StallTimeout.Duration); err != nil {
+	if err := at.write(response.Body, a.settings.Agent.StallTimeout.Duration, func() { a.flush(at) }); err != nil {
 		final.Reason = reasonOf(err)
 	}
 	a.finish(at, final)
@@ -239,6 +239,7 @@
 	a.events.Record(timeline.Event{Kind: "attempt_" + string(final.Outcome), Request: d.RequestID, Workspace: d.Workspace,
 		Target: d.Target, ConfigNumber: d.ConfigNumber, Detail: final.Reason})
 	at.setFinal(final)
+	a.flush(at)
 }
 
 func reasonOf(err error) string {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -79,7 +79,7 @@
 	a.count("briarreach_agent_dispatches_total")
 	a.events.Record(timeline.Event{Kind: "dispatch_accepted", Request: d.RequestID, Workspace: d.Workspace,
 		Target: d.Target, ConfigNumber: d.ConfigNumber, Detail: d.Attempt})
-	a.carry(ctx, s, at)
+	a.carry(s, at)
 }
 
 func (a *Agent) refusal(d peer.Dispatch, reason string, execution peer.Execution) *peer.Refusal {
@@ -200,18 +200,14 @@
 		return
 	}
 	a.count("briarreach_agent_resumes_total")
-	a.carry(ctx, s, at)
+	a.carry(s, at)
 }
 
 // carry sends the answer of an attempt on a stream and takes the entry's
 // credit until the answer is consumed or another stream takes over.
-func (a *Agent) carry(ctx context.Context, s *peer.Stream, at *attempt) {
+func (a *Agent) carry(s *peer.Stream, at *attempt) {
 	at.attach(s)
-	a.pumps.Add(1)
-	go func() {
-		defer a.pumps.Done()
-		a.pump(ctx, s, at)
-	}()
+	a.flush(at)
 	for {
 		m, err := s.Receive()
 		if err != nil {
@@ -225,6 +221,7 @@
 				s.Abort()
 				return
 			}
+			a.flush(at)
 		case peer.Cancel:
 			a.cancelAttempt(at.dispatch.Attempt)
 		case peer.Heartbeat:
@@ -249,7 +246,7 @@
 	case <-a.context.Done():
 	case <-timer.Chan():
 		at.mu.Lock()
-		still := at.attached == s
+		still := at.attached == s || at.attached == nil
 		at.mu.Unlock()
 		if still {
 			a.cancelCause(at, &EntryGoneError{})
@@ -257,46 +254,63 @@
 	}
 }
 
-// pump sends what the attempt has for the stream. Heartbeats are sent while
-// there is nothing else to send, but not while bytes wait for credit: the
-// entry does not read then, and unread heartbeats would pile up.
-func (a *Agent) pump(ctx context.Context, s *peer.Stream, at *attempt) {
-	timer := time.NewTimer(heartbeatInterval)
-	defer timer.Stop()
+// flush sends what the attempt has for the entry. One goroutine at a time
+// sends; a call meanwhile returns at once, since the sender looks again. The
+// answer needs no goroutine of its own, which saves a stack for each stalled
+// reader.
+func (a *Agent) flush(at *attempt) {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.flushing {
+		return
+	}
+	at.flushing = true
+	defer func() { at.flushing = false }()
 	for {
-		m, ended := at.next(s)
-		if m != nil {
-			if f, ok := m.(peer.Final); ok {
-				f.Clock = a.events.Clock().Now()
-				m = f
-			}
-			if err := s.Send(m); err != nil {
-				s.Abort()
-				return
-			}
-			continue
-		}
-		if ended {
-			_ = s.CloseSend()
+		s, m, last := at.next()
+		if m == nil {
 			return
 		}
-		timer.Reset(heartbeatInterval)
-		select {
-		case <-at.ready:
-		case <-ctx.Done():
-			return
-		case <-s.Context().Done():
-			return
-		case <-timer.C:
-			if at.blocked() {
-				continue
-			}
-			if err := s.Send(peer.Heartbeat{ConfigNumber: a.follower.Number(), Clock: a.events.Clock().Now()}); err != nil {
-				s.Abort()
-				return
-			}
+		at.sent = a.clock.Now()
+		at.mu.Unlock()
+		err := s.Send(a.stamped(m))
+		if err == nil && last {
+			err = s.CloseSend()
+		}
+		at.mu.Lock()
+		if err != nil && at.attached == s {
+			s.Abort()
+			at.attached = nil // the entry resumes on another stream
+		}
+	}
+}
+
+// stamped sets what a message says of the agent at the time of sending.
+func (a *Agent) stamped(m peer.Message) peer.Message {
+	switch m := m.(type) {
+	case peer.Final:
+		m.Clock = a.events.Clock().Now()
+		return m
+	case peer.Heartbeat:
+		return peer.Heartbeat{ConfigNumber: a.follower.Number(), Clock: a.events.Clock().Now()}
+	default:
+		return m
+	}
+}
+
+// sendHeartbeats keeps silent streams alive.
+func (a *Agent) sendHeartbeats(now time.Time) {
+	a.mu.Lock()
+	var silent []*attempt
+	for _, at := range a.attempts {
+		if at.needsHeartbeat(now) {
+			silent = append(silent, at)
 		}
 	}
+	a.mu.Unlock()
+	for _, at := range silent {
+		go func() { a.flush(at) }()
+	}
 }
 
 func (a *Agent) cancelAttempt(id string) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -99,7 +99,7 @@
 			Connect:       time.Second,
 			Write:         5 * time.Second,
 			Header:        30 * time.Second,
-			BufferSize:    4 << 10,
+			BufferSize:    2 << 10,
 			ReceiveBuffer: 8 << 10,
 		},
 		silence:  30 * time.Second,
--- a/roundtrip/roundtrip.go
+++ b/roundtrip/roundtrip.go
@@ -128,7 +128,7 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		ReadBufferSize:            e.limits.BufferSize,
-		WriteBufferSize:           4 << 10,
+		WriteBufferSize:           1 << 10,
 		ReadTimeout:               e.limits.Header,
 		WriteTimeout:              e.limits.Write,
 		StreamResponseBody:        true,
--- a/stream/sender.go
+++ b/stream/sender.go
@@ -134,6 +134,9 @@
 // Finish says that the answer ends after what was written.
 func (s *Sender) Finish() { s.finished = true }
 
+// Blocked reports whether bytes wait for credit.
+func (s *Sender) Blocked() bool { return s.next < s.length && s.next >= s.credit }
+
 // Done reports whether the answer is finished and all of it has been sent since
 // the last Resume, so that its end may be sent.
 func (s *Sender) Done() bool { return s.finished && !s.closed && s.next == s.length }
