--- /dev/null
+++ b/caller/server_test.go
@@ -0,0 +1,133 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/caller"
+	"briarreach/peer"
+)
+
+// errorBody is the JSON form of an error, as callers read it.
+type errorBody struct {
+	Error struct {
+		Type      caller.ErrorType
+		Execution peer.Execution
+	}
+}
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "caller")
+}
+
+// brokenBody ends with an error after some bytes.
+type brokenBody struct{ io.Reader }
+
+var errBroken = errors.New("broken")
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errBroken
+	}
+	return n, err
+}
+func (brokenBody) Close() error { return nil }
+
+var _ = Describe("callers' HTTP", func() {
+	var server *caller.Server
+	var seen []caller.Request
+	var reply caller.Reply
+	BeforeEach(func() {
+		seen = nil
+		reply = &caller.Body{Status: http.StatusOK, ContentType: "application/json", Body: []byte("{}")}
+		var err error
+		server, err = caller.New(func(_ context.Context, r caller.Request) caller.Reply {
+			seen = append(seen, r)
+			return reply
+		}, func() error { return nil }, caller.WithLimits(2<<10, 2<<10, 2*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func(ctx SpecContext) { Expect(server.Close(ctx)).To(Succeed()) })
+	})
+	do := func(method, path, body string, headers ...string) (*http.Response, string, error) {
+		r, err := http.NewRequest(method, "http://"+server.Addr().String()+path, strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		r.Close = true
+		r.Header.Set("Authorization", "Bearer key")
+		for i := 0; i+1 < len(headers); i += 2 {
+			r.Header.Set(headers[i], headers[i+1])
+		}
+		response, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		data, err := io.ReadAll(response.Body)
+		return response, string(data), err
+	}
+	const chat = "/v1/chat/completions"
+
+	// Guards against bad input that reaches the chain, or that gets an answer
+	// which programs can't read.
+	DescribeTable("bad input gets a typed 4xx and goes no further",
+		func(method, path, body string, status int, kind caller.ErrorType, headers ...string) {
+			response, data, err := do(method, path, body, headers...)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(status))
+			var fault errorBody
+			Expect(json.Unmarshal([]byte(data), &fault)).To(Succeed(), data)
+			Expect(fault.Error.Type).To(Equal(kind))
+			Expect(fault.Error.Execution).To(Equal(peer.NotRun))
+			Expect(seen).To(BeEmpty())
+		},
+		Entry("malformed JSON", "POST", chat, "{", 400, caller.InvalidRequest),
+		Entry("wrong type", "POST", chat, `{"model":7}`, 400, caller.InvalidRequest),
+		Entry("no model", "POST", chat, `{"messages":[{}]}`, 400, caller.InvalidRequest),
+		Entry("no messages", "POST", chat, `{"model":"m"}`, 400, caller.InvalidRequest),
+		Entry("max_tokens below one", "POST", chat, `{"model":"m","messages":[{}],"max_tokens":0}`, 400, caller.InvalidRequest),
+		Entry("several choices", "POST", chat, `{"model":"m","messages":[{}],"n":2}`, 400, caller.InvalidRequest),
+		Entry("no key", "POST", chat, `{}`, 401, caller.Unauthorized, "Authorization", ""),
+		Entry("another scheme", "POST", chat, `{}`, 401, caller.Unauthorized, "Authorization", "Basic key"),
+		Entry("long idempotency key", "POST", chat, `{}`, 400, caller.InvalidRequest, "Idempotency-Key", strings.Repeat("k", 256)),
+		Entry("large body", "POST", chat, strings.Repeat(" ", 4<<10), 413, caller.TooLarge),
+		Entry("large header", "POST", chat, `{}`, 431, caller.TooLarge, "X-Long", strings.Repeat("x", 4<<10)),
+		Entry("unknown path", "GET", "/v2", "", 404, caller.UnknownRoute),
+		Entry("wrong method", "GET", chat, "", 405, caller.UnknownRoute),
+	)
+
+	// Guards against an incomplete answer that looks whole to the caller.
+	It("ends a broken answer without the end of the chunked body", func() {
+		reply = &caller.Stream{Status: 200, ContentType: "text/event-stream", Body: brokenBody{strings.NewReader("data: 1\n\n")}}
+		_, data, err := do("POST", chat, `{"model":"m","messages":[{"content":"x"}]}`)
+		Expect(data).To(Equal("data: 1\n\n"))
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	It("returns the generated idempotency key and bounds the prompt", func() {
+		response, _, err := do("POST", chat, `{"model":"m","messages":[{"content":"x"},{"content":"y"}]}`)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Header.Get("Idempotency-Key")).To(Equal(caller.EnvelopeOf(seen[0]).Key))
+		Expect(seen[0].(*caller.Chat).PromptTokens).To(Equal(int64(2*len(`{"content":"x"}`) + 2*caller.TokensPerMessage)))
+	})
+})
+
+// Guards against a panic on any body that callers can send.
+func FuzzParseChat(f *testing.F) {
+	for _, seed := range []string{`{}`, `{"model":"m","messages":[{"role":"user"}],"max_tokens":-1}`, `{"messages":null,"n":1}`, `[`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		chat, fault := caller.ParseChat(caller.Envelope{Body: body})
+		if (chat == nil) == (fault == nil) {
+			t.Fatal("want either a request or a refusal")
+		}
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,20 +16,17 @@
 )
 
 // Duration is a time.Duration written as text, for example "250ms".
-type Duration struct{ time.Duration }
-
-// DurationError reports a duration without a unit or with a wrong one.
-type DurationError struct{ Text string }
-
-func (e *DurationError) Error() string {
-	return fmt.Sprintf(`%q is not a duration: a number with the unit ns, us, ms, s, m or h is accepted, for example "250ms"`, e.Text)
+type Duration struct {
+	time.Duration
+	invalid string // what the file has in place of a duration
 }
 
-// UnmarshalText parses a duration with its unit.
+// UnmarshalText parses a duration with its unit. Text that is no duration is
+// kept for Validate, which knows the key and its line.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	if err != nil {
-		return &DurationError{Text: string(text)}
+		d.invalid = string(text)
 	}
 	d.Duration = v
 	return nil
@@ -178,7 +175,7 @@
 }
 
 func duration(v *Duration, def time.Duration) {
-	if v.Duration == 0 {
+	if v.Duration == 0 && v.invalid == "" {
 		v.Duration = def
 	}
 }
@@ -388,8 +385,12 @@
 }
 
 func (c *checker) duration(key string, value Duration, low, high time.Duration) {
-	if value.Duration < low || value.Duration > high {
-		c.add(key, value.String(), fmt.Sprintf("%v to %v", low, high))
+	accepted := fmt.Sprintf("%v to %v, with the unit ns, us, ms, s, m or h", low, high)
+	switch {
+	case value.invalid != "":
+		c.add(key, fmt.Sprintf("%q", value.invalid), accepted)
+	case value.Duration < low || value.Duration > high:
+		c.add(key, value.String(), accepted)
 	}
 }
 
