Take the VM list into account and resume answers before their first byte

Cause: when a connection went silent before the first byte, a request with one target left was answered as unknown.

--- a/cmd/briarreach/standin.go
+++ b/cmd/briarreach/standin.go
@@ -53,6 +53,10 @@
 						standin.WithEngineRate(c.Float("rate"), 0),
 						standin.WithEngineCapacity(c.Int("slots"), int64(c.Int("slots"))*32_768), standin.WithEngineAnswer(8, c.Int("answer-tokens")))
 				})},
+			{Name: "vm-list", Usage: "list of VMs, set with PUT /vms", Flags: []cli.Flag{port},
+				Action: run(func(c *cli.Command) (interface{ Close() error }, error) {
+					return standin.NewVMList(standin.WithVMListListen(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), c.Uint16("port"))))
+				})},
 			{Name: "service", Usage: "plain service", Flags: []cli.Flag{port, version},
 				Action: run(func(c *cli.Command) (interface{ Close() error }, error) {
 					return standin.NewService(standin.WithServicePort(c.Uint16("port")), standin.WithServiceVersion(c.String("version")))
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -49,7 +49,15 @@
 	for {
 		m, err := a.receive()
 		if err != nil {
-			return err
+			// A repeatable request goes to another target rather than wait.
+			tries := maxResumes
+			if a.x.cost.repeatable {
+				tries = 1
+			}
+			if a.resume(err, tries) != nil {
+				return err
+			}
+			continue
 		}
 		switch m := m.(type) {
 		case peer.Heartbeat:
@@ -135,7 +143,7 @@
 func (a *answer) next() error {
 	m, err := a.receive()
 	if err != nil {
-		return a.resume(err)
+		return a.resume(err, maxResumes)
 	}
 	switch m := m.(type) {
 	case peer.Frame:
@@ -157,8 +165,9 @@
 	}
 }
 
-func (a *answer) resume(cause error) error {
-	for n := range maxResumes {
+// resume continues the answer on a new connection.
+func (a *answer) resume(cause error, tries int) error {
+	for n := range tries {
 		a.e.metrics.GetOrCreateCounter("briarreach_entry_resumes_total").Inc()
 		a.e.events.Record(timeline.Event{Kind: "stream_resumed", Request: a.x.envelope.RequestID,
 			Workspace: a.x.key.Workspace, Target: a.t.target.Name, Detail: cause.Error()})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,7 @@
 	retries  *target.RetryBudget
 	moves    *moves
 	agents   *agents
+	vms      *vms
 	acks     *acknowledgements
 	held     *heldReservations
 	writer   string // identifies this start of the process
@@ -172,6 +173,7 @@
 	e.grants.Store(e.newGrants())
 	e.moves = newMoves(s.Process, writer, 1+len(s.Entry.Entries))
 	e.agents = newAgents(e)
+	e.vms = newVMs(e)
 	e.follower = configsync.New(store, configsync.WithClock(clock), configsync.WithLog(e.log),
 		configsync.WithInterval(s.Entry.ConfigInterval.Duration),
 		configsync.WithPeers(endpoint, e.peers),
@@ -261,6 +263,7 @@
 	e.acknowledge(ctx)
 	e.cancel()
 	e.agents.close()
+	e.vms.close()
 	e.workers.Wait()
 	e.follower.Close()
 	errs = append(errs, e.endpoint.Close())
@@ -272,6 +275,7 @@
 	e.pool.Update(d)
 	e.moves.update(d, e.clock.Now())
 	e.agents.update(d)
+	e.vms.update(d, e)
 	e.events.Record(timeline.Event{Kind: "config_applied", ConfigNumber: d.Number})
 	e.log.WithField("config_number", d.Number).Info("configuration applied")
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,9 @@
 	return nil
 }
 
+// Valid reports whether the text was a duration.
+func (d Duration) Valid() bool { return d.invalid == "" }
+
 // MarshalText returns the duration with its unit.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -209,6 +209,9 @@
 // SetFaults replaces the faults in force. It fails when the address can't be
 // listened on after an outage.
 func (t *Table) SetFaults(f TableFaults) error {
+	if !f.Latency.Valid() {
+		return fmt.Errorf("standin.Table.SetFaults: %w", &table.InvalidError{Reason: "latency is not a duration"})
+	}
 	t.faultMu.Lock()
 	defer t.faultMu.Unlock()
 	t.mu.Lock()
--- a/standin/vmlist.go
+++ b/standin/vmlist.go
@@ -162,6 +162,10 @@
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
+		if !f.Lag.Valid() || !f.Latency.Valid() {
+			ctx.Error("lag or latency is not a duration", fasthttp.StatusBadRequest)
+			return
+		}
 		v.SetFaults(f)
 	case path == "/vms" && ctx.IsPut():
 		list := vmlist.List{AsOf: v.clock.Now()}
