Share the parts that entries and agents are made of

Package daemon holds the constructors that stood twice, and every() the loop that stood five times. The follower's first document now waits until the entry is complete: it could start streams that used a field not set yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,12 +15,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
-	"go.uber.org/dig"
 
 	"briarreach/admission"
 	"briarreach/claim"
 	"briarreach/config"
 	"briarreach/configsync"
+	"briarreach/daemon"
 	"briarreach/engine"
 	"briarreach/peer"
 	"briarreach/service"
@@ -94,38 +94,17 @@
 	changed chan struct{}
 }
 
-// Option changes a default of New.
-type Option func(*options)
-
-type options struct {
-	clock clockwork.Clock
-	log   log.Interface
-	store table.Store
-}
-
-// WithClock sets the clock.
-func WithClock(c clockwork.Clock) Option { return func(o *options) { o.clock = c } }
-
-// WithLog sets the log.
-func WithLog(l log.Interface) Option { return func(o *options) { o.log = l } }
-
-// WithStore sets the table store instead of a client made from the settings.
-func WithStore(s table.Store) Option { return func(o *options) { o.store = s } }
-
 // New starts an agent.
-func New(s *settings.Settings, opts ...Option) (*Agent, error) {
-	o := options{clock: clockwork.NewRealClock(), log: log.Log}
-	for _, opt := range opts {
-		opt(&o)
-	}
-	c, err := container(s, o)
+func New(s *settings.Settings, opts ...daemon.Option) (*Agent, error) {
+	a, err := daemon.New[*Agent](s, s.Agent.PeerAddress, opts,
+		func() *changes { return &changes{} },
+		newFollower,
+		func() (*engine.Client, error) { return engine.New(s.Agent.TargetURL) },
+		func() (*service.Client, error) { return service.New(s.Agent.TargetURL) },
+		start)
 	if err != nil {
 		return nil, fmt.Errorf("agent.New: %w", err)
 	}
-	var a *Agent
-	if err := c.Invoke(func(made *Agent) { a = made }); err != nil {
-		return nil, fmt.Errorf("agent.New: %w", dig.RootCause(err))
-	}
 	if listen := s.Agent.MetricsAddress; listen.IsValid() {
 		if a.status, err = newStatusServer(a, listen); err != nil {
 			return nil, errors.Join(fmt.Errorf("agent.New: %w", err), a.Close(context.Background()))
@@ -134,79 +113,26 @@
 	return a, nil
 }
 
-// handler lets the endpoint and the follower be made before the agent that
-// they call.
-type handler struct {
-	set      chan struct{}
-	serve    func(context.Context, *peer.Stream)
-	onChange func()
-}
+// changes tells the agent of new documents. The follower is made first, so
+// that a document which comes before the agent is made needs no call.
+type changes struct{ notify atomic.Pointer[func()] }
 
-// configured tells the agent of a new document. A document that comes before
-// the agent is made needs no call.
-func (h *handler) configured(*config.Document) {
-	select {
-	case <-h.set:
-		h.onChange()
-	default:
+func (c *changes) configured(*config.Document) {
+	if notify := c.notify.Load(); notify != nil {
+		(*notify)()
 	}
 }
 
-func (h *handler) handle(ctx context.Context, s *peer.Stream) {
-	select {
-	case <-h.set:
-		h.serve(ctx, s)
-	case <-ctx.Done():
-	}
-}
-
-func container(s *settings.Settings, o options) (*dig.Container, error) {
-	c := dig.New()
-	constructors := []any{
-		func() *settings.Settings { return s },
-		func() clockwork.Clock { return o.clock },
-		func() log.Interface { return o.log.WithField("process", s.Process) },
-		func(clock clockwork.Clock) *timeline.Recorder {
-			return timeline.NewRecorder(s.Process, timeline.NewClock(clock))
-		},
-		metrics.NewSet,
-		func() *handler { return &handler{set: make(chan struct{})} },
-		func() (table.Store, error) {
-			if o.store != nil {
-				return o.store, nil
-			}
-			return table.New(
-				table.WithEndpoint(s.Table.Endpoint), table.WithRegion(s.Table.Region),
-				table.WithTableName(s.Table.Name), table.WithTimeout(s.Table.Timeout.Duration),
-				table.WithCredentials(s.Table.AccessKeyID, s.Table.SecretAccessKey))
-		},
-		func() (*peer.Credentials, error) {
-			return peer.LoadCredentials(s.Fleet.CAFile, s.Fleet.CertFile, s.Fleet.KeyFile)
-		},
-		func(credentials *peer.Credentials, h *handler, clock clockwork.Clock, l log.Interface) (*peer.Endpoint, error) {
-			return peer.New(peer.WithListen(s.Agent.PeerAddress), peer.WithCredentials(credentials),
-				peer.WithHandler(h.handle), peer.WithClock(clock), peer.WithLog(l))
-		},
-		func(store table.Store, endpoint *peer.Endpoint, h *handler, clock clockwork.Clock, l log.Interface) *configsync.Follower {
-			return configsync.New(store, configsync.WithClock(clock), configsync.WithLog(l),
-				configsync.WithInterval(s.Agent.ConfigInterval.Duration),
-				configsync.WithOnChange(h.configured),
-				configsync.WithPeers(endpoint, func() []netip.AddrPort { return s.Agent.Entries }))
-		},
-		func() (*engine.Client, error) { return engine.New(s.Agent.TargetURL) },
-		func() (*service.Client, error) { return service.New(s.Agent.TargetURL) },
-		start,
-	}
-	for _, constructor := range constructors {
-		if err := c.Provide(constructor); err != nil {
-			return nil, fmt.Errorf("agent.container: %w", err)
-		}
-	}
-	return c, nil
+func newFollower(s *settings.Settings, store table.Store, endpoint *peer.Endpoint, c *changes,
+	clock clockwork.Clock, l log.Interface) *configsync.Follower {
+	return configsync.New(store, configsync.WithClock(clock), configsync.WithLog(l),
+		configsync.WithInterval(s.Agent.ConfigInterval.Duration),
+		configsync.WithOnChange(c.configured),
+		configsync.WithPeers(endpoint, func() []netip.AddrPort { return s.Agent.Entries }))
 }
 
 func start(s *settings.Settings, clock clockwork.Clock, l log.Interface, events *timeline.Recorder,
-	set *metrics.Set, endpoint *peer.Endpoint, follower *configsync.Follower, h *handler,
+	set *metrics.Set, endpoint *peer.Endpoint, follower *configsync.Follower, h *daemon.Handler, c *changes,
 	engineClient *engine.Client, serviceClient *service.Client) *Agent {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
@@ -225,8 +151,9 @@
 	}
 	a.calls = claim.NewMemory(a.started, claim.WithMargin(s.Agent.ClockMargin.Duration), claim.WithKeep(attemptRetention))
 	a.registerMetrics()
-	h.serve, h.onChange = a.serve, a.notifyLoad
-	close(h.set)
+	notify := a.notifyLoad
+	c.notify.Store(&notify)
+	h.Set(a.serve)
 	go func() {
 		defer close(a.done)
 		ticker := clock.NewTicker(heartbeatInterval / 2)
--- a/cmd/briarreach/daemon.go
+++ b/cmd/briarreach/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"briarreach/agent"
+	"briarreach/daemon"
 	"briarreach/entry"
 	"briarreach/settings"
 )
@@ -52,7 +53,7 @@
 			if s.Entry == nil {
 				return &UsageError{Reason: "the settings have no table [entry]"}
 			}
-			e, err := entry.New(s, entry.WithLog(logger))
+			e, err := entry.New(s, daemon.WithLog(logger))
 			if err != nil {
 				return err
 			}
@@ -73,7 +74,7 @@
 			if s.Agent == nil {
 				return &UsageError{Reason: "the settings have no table [agent]"}
 			}
-			a, err := agent.New(s, agent.WithLog(logger))
+			a, err := agent.New(s, daemon.WithLog(logger))
 			if err != nil {
 				return err
 			}
--- a/cmd/briarreach/setup.go
+++ b/cmd/briarreach/setup.go
@@ -11,11 +11,11 @@
 	"github.com/urfave/cli/v3"
 
 	"briarreach/config"
+	"briarreach/daemon"
 	"briarreach/entry"
 	"briarreach/fleet"
 	"briarreach/operator"
 	"briarreach/peer"
-	"briarreach/table"
 )
 
 // ledgerShards is the number of ledger shards of a new deployment; the design
@@ -43,9 +43,7 @@
 			if n := c.Int("shards"); n < 1 || n > 1024 {
 				return &UsageError{Reason: "--shards: accepted is 1 to 1024"}
 			}
-			store, err := table.New(table.WithEndpoint(s.Table.Endpoint), table.WithRegion(s.Table.Region),
-				table.WithTableName(s.Table.Name), table.WithTimeout(s.Table.Timeout.Duration),
-				table.WithCredentials(s.Table.AccessKeyID, s.Table.SecretAccessKey))
+			store, err := daemon.NewStore(s)
 			if err != nil {
 				return err
 			}
--- a/entry/backend.go
+++ b/entry/backend.go
@@ -298,9 +298,15 @@
 
 // eachPeer sends a question to every other process and passes the answers on.
 func (e *Entry) eachPeer(ctx context.Context, question peer.Message, answer func(netip.AddrPort, peer.Message, error)) {
+	e.askEach(ctx, e.peers(), question, answer)
+}
+
+// askEach sends a question to processes and passes the answers on, several at
+// once.
+func (e *Entry) askEach(ctx context.Context, addrs []netip.AddrPort, question peer.Message, answer func(netip.AddrPort, peer.Message, error)) {
 	var group errgroup.Group
 	group.SetLimit(pollers)
-	for _, addr := range e.peers() {
+	for _, addr := range addrs {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 			defer cancel()
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -208,27 +208,32 @@
 	}
 }
 
-// drawLoop draws and returns grants as the demand asks for.
-func (e *Entry) drawLoop() {
-	ticker := e.clock.NewTicker(drawInterval)
+// every calls work once per interval until the entry is closed.
+func (e *Entry) every(interval time.Duration, work func()) {
+	ticker := e.clock.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-e.context.Done():
 			return
 		case <-ticker.Chan():
+			work()
 		}
-		j := e.journal.Load()
-		if j == nil || e.leaving.Load() {
+	}
+}
+
+// drawDue draws and returns grants as the demand asks for.
+func (e *Entry) drawDue() {
+	j := e.journal.Load()
+	if j == nil || e.leaving.Load() {
+		return
+	}
+	for _, record := range e.grants.Load().wallet.Due(e.clock.Now()) {
+		if draw, ok := record.(ledger.Draw); ok {
+			e.workers.Go(func() { e.draw(j, draw) })
 			continue
 		}
-		for _, record := range e.grants.Load().wallet.Due(e.clock.Now()) {
-			if draw, ok := record.(ledger.Draw); ok {
-				e.workers.Go(func() { e.draw(j, draw) })
-				continue
-			}
-			e.submit(j, record)
-		}
+		e.submit(j, record)
 	}
 }
 
@@ -352,19 +357,6 @@
 	return taken
 }
 
-func (e *Entry) acknowledgeLoop() {
-	ticker := e.clock.NewTicker(ackInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-e.context.Done():
-			return
-		case <-ticker.Chan():
-			e.acknowledge(e.context)
-		}
-	}
-}
-
 // acknowledge tells the agents which bills are durable. A lost message costs
 // a second, duplicate bill, which has no effect.
 func (e *Entry) acknowledge(ctx context.Context) {
--- a/entry/control.go
+++ b/entry/control.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -24,7 +25,7 @@
 	// work, and an entry without it at the lease's row.
 	controlInterval = 500 * time.Millisecond
 	// reclaimInterval is how often lost holders are looked for: it reads the
-	// tail of every ledger shard and asks every daemon.
+	// tail of every ledger shard and asks every entry.
 	reclaimInterval = 2 * time.Second
 	controlLease    = "control"
 )
@@ -66,15 +67,11 @@
 	}
 	r.monitor.Observe(r.outstanding(), now)
 	r.monitor.Observe(holder.Seen{Holder: e.Holder()}, now)
-	e.eachPeer(ctx, peer.StatusRequest{}, func(_ netip.AddrPort, m peer.Message, _ error) {
-		if s, ok := m.(peer.Status); ok {
-			e.seenMu.Lock()
-			defer e.seenMu.Unlock()
-			e.seen = append(append(e.seen, s.Holder), s.Holders...)
-		}
-	})
-	for _, h := range e.takeSeen() {
-		r.monitor.Observe(holder.Seen{Holder: h}, now)
+	r.look(ctx, e.settings.Entry.Entries)
+	// The agents are asked only in doubt: there are many of them, and a holder
+	// that answers none of the entries may still be connected to agents.
+	if r.monitor.Suspected(e.clock.Now()) {
+		r.look(ctx, slices.Collect(maps.Values(r.agents)))
 	}
 	for _, action := range r.monitor.Decide(e.clock.Now()) {
 		if err := r.do(ctx, action); err != nil {
@@ -83,12 +80,21 @@
 	}
 }
 
-func (e *Entry) takeSeen() []string {
-	e.seenMu.Lock()
-	defer e.seenMu.Unlock()
-	seen := e.seen
-	e.seen = nil
-	return seen
+// look asks processes which holders they are or are connected to.
+func (r *reclaimer) look(ctx context.Context, addrs []netip.AddrPort) {
+	var mu sync.Mutex
+	var seen []string
+	r.e.askEach(ctx, addrs, peer.StatusRequest{}, func(_ netip.AddrPort, m peer.Message, _ error) {
+		if s, ok := m.(peer.Status); ok {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(append(seen, s.Holder), s.Holders...)
+		}
+	})
+	now := r.e.clock.Now()
+	for _, h := range seen {
+		r.monitor.Observe(holder.Seen{Holder: h}, now)
+	}
 }
 
 func (r *reclaimer) outstanding() holder.Outstanding {
@@ -185,39 +191,43 @@
 
 // controlLoop does the work that one entry at a time does, under a lease.
 func (e *Entry) controlLoop() {
-	observer := lease.New(controlLease, e.writer, lease.WithTime(e.settings.Entry.LeaseTime.Duration))
-	var reclaim *reclaimer
-	var movers *moveControllers
-	var reclaimed time.Time
-	ticker := e.clock.NewTicker(controlInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-e.context.Done():
-			e.releaseLease(observer)
-			return
-		case <-ticker.Chan():
-		}
-		ctx, cancel := context.WithTimeout(e.context, e.settings.Table.Timeout.Duration)
-		err := e.keepLease(ctx, observer)
-		cancel()
-		if err != nil {
-			e.log.WithError(err).Debug("lease not read or written")
-		}
-		if !observer.Held(e.clock.Now()) {
-			reclaim, movers = nil, nil
-			continue
-		}
-		if reclaim == nil {
-			reclaim, movers = newReclaimer(e), newMoveControllers(e)
-			e.events.Record(timeline.Event{Kind: "control_lease_taken"})
-			e.log.WithField("number", observer.Number(e.clock.Now())).Info("control lease taken")
-		}
-		movers.step(e.context, observer)
-		if now := e.clock.Now(); now.Sub(reclaimed) >= reclaimInterval {
-			reclaimed = now
-			reclaim.step(e.context)
-		}
+	c := &control{e: e, observer: lease.New(controlLease, e.writer, lease.WithTime(e.settings.Entry.LeaseTime.Duration))}
+	e.every(controlInterval, c.step)
+	e.releaseLease(c.observer)
+}
+
+// control is the work under the control lease; reclaim and movers are nil
+// while another entry holds it.
+type control struct {
+	e         *Entry
+	observer  *lease.Observer
+	reclaim   *reclaimer
+	movers    *moveControllers
+	reclaimed time.Time
+}
+
+func (c *control) step() {
+	e := c.e
+	ctx, cancel := context.WithTimeout(e.context, e.settings.Table.Timeout.Duration)
+	err := e.keepLease(ctx, c.observer)
+	cancel()
+	if err != nil {
+		e.log.WithError(err).Debug("lease not read or written")
+	}
+	now := e.clock.Now()
+	if !c.observer.Held(now) {
+		c.reclaim, c.movers = nil, nil
+		return
+	}
+	if c.reclaim == nil {
+		c.reclaim, c.movers = newReclaimer(e), newMoveControllers(e)
+		e.events.Record(timeline.Event{Kind: "control_lease_taken"})
+		e.log.WithField("number", c.observer.Number(now)).Info("control lease taken")
+	}
+	c.movers.step(e.context, c.observer)
+	if now := e.clock.Now(); now.Sub(c.reclaimed) >= reclaimInterval {
+		c.reclaimed = now
+		c.reclaim.step(e.context)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,11 +15,11 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/ulid/v2"
-	"go.uber.org/dig"
 
 	"briarreach/caller"
 	"briarreach/config"
 	"briarreach/configsync"
+	"briarreach/daemon"
 	"briarreach/journal"
 	"briarreach/operator"
 	"briarreach/peer"
@@ -55,9 +55,6 @@
 	grants  atomic.Pointer[grants]
 	drawn   *broadcast
 
-	seenMu sync.Mutex
-	seen   []string // holders that peers have named since the last look
-
 	open      atomic.Int64
 	leaving   atomic.Bool
 	callers   *caller.Server
@@ -68,98 +65,20 @@
 	workers sync.WaitGroup
 }
 
-// Option changes a default of New.
-type Option func(*options)
-
-type options struct {
-	clock clockwork.Clock
-	log   log.Interface
-	store table.Store
-}
-
-// WithClock sets the clock.
-func WithClock(c clockwork.Clock) Option { return func(o *options) { o.clock = c } }
-
-// WithLog sets the log.
-func WithLog(l log.Interface) Option { return func(o *options) { o.log = l } }
-
-// WithStore sets the table store instead of a client made from the settings.
-func WithStore(s table.Store) Option { return func(o *options) { o.store = s } }
-
 // New starts an entry.
-func New(s *settings.Settings, opts ...Option) (*Entry, error) {
-	o := options{clock: clockwork.NewRealClock(), log: log.Log}
-	for _, opt := range opts {
-		opt(&o)
-	}
-	c, err := container(s, o)
+func New(s *settings.Settings, opts ...daemon.Option) (*Entry, error) {
+	e, err := daemon.New[*Entry](s, s.Entry.PeerAddress, opts, func() *target.Pool { return target.New() }, start)
 	if err != nil {
 		return nil, fmt.Errorf("entry.New: %w", err)
 	}
-	var e *Entry
-	if err := c.Invoke(func(made *Entry) { e = made }); err != nil {
-		return nil, fmt.Errorf("entry.New: %w", dig.RootCause(err))
-	}
 	if err := e.listen(); err != nil {
 		return nil, errors.Join(fmt.Errorf("entry.New: %w", err), e.Close(context.Background()))
 	}
 	return e, nil
 }
 
-// handler lets the endpoint be made before the entry that serves its streams.
-type handler struct {
-	set   chan struct{}
-	serve func(context.Context, *peer.Stream)
-}
-
-func (h *handler) handle(ctx context.Context, s *peer.Stream) {
-	select {
-	case <-h.set:
-		h.serve(ctx, s)
-	case <-ctx.Done():
-	}
-}
-
-func container(s *settings.Settings, o options) (*dig.Container, error) {
-	c := dig.New()
-	constructors := []any{
-		func() *settings.Settings { return s },
-		func() clockwork.Clock { return o.clock },
-		func() log.Interface { return o.log.WithField("process", s.Process) },
-		func(clock clockwork.Clock) *timeline.Recorder {
-			return timeline.NewRecorder(s.Process, timeline.NewClock(clock))
-		},
-		metrics.NewSet,
-		func() *handler { return &handler{set: make(chan struct{})} },
-		func() (table.Store, error) {
-			if o.store != nil {
-				return o.store, nil
-			}
-			return table.New(
-				table.WithEndpoint(s.Table.Endpoint), table.WithRegion(s.Table.Region),
-				table.WithTableName(s.Table.Name), table.WithTimeout(s.Table.Timeout.Duration),
-				table.WithCredentials(s.Table.AccessKeyID, s.Table.SecretAccessKey))
-		},
-		func() (*peer.Credentials, error) {
-			return peer.LoadCredentials(s.Fleet.CAFile, s.Fleet.CertFile, s.Fleet.KeyFile)
-		},
-		func(credentials *peer.Credentials, h *handler, clock clockwork.Clock, l log.Interface) (*peer.Endpoint, error) {
-			return peer.New(peer.WithListen(s.Entry.PeerAddress), peer.WithCredentials(credentials),
-				peer.WithHandler(h.handle), peer.WithClock(clock), peer.WithLog(l))
-		},
-		func() *target.Pool { return target.New() },
-		start,
-	}
-	for _, constructor := range constructors {
-		if err := c.Provide(constructor); err != nil {
-			return nil, fmt.Errorf("entry.container: %w", err)
-		}
-	}
-	return c, nil
-}
-
 func start(s *settings.Settings, clock clockwork.Clock, l log.Interface, events *timeline.Recorder, set *metrics.Set,
-	store table.Store, endpoint *peer.Endpoint, pool *target.Pool, h *handler) *Entry {
+	store table.Store, endpoint *peer.Endpoint, pool *target.Pool, h *daemon.Handler) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	writer := ulid.Make().String()
 	e := &Entry{
@@ -177,13 +96,17 @@
 	e.follower = configsync.New(store, configsync.WithClock(clock), configsync.WithLog(e.log),
 		configsync.WithInterval(s.Entry.ConfigInterval.Duration),
 		configsync.WithPeers(endpoint, e.peers),
-		configsync.WithOnChange(e.configured))
+		// The first document must not come before the entry is complete.
+		configsync.WithOnChange(func(d *config.Document) { <-h.Ready(); e.configured(d) }))
 	e.keys = newKeyCache(store, clock, e.keysNumber)
 	e.filters = []filter{authenticate{e}, identify{e}, reserve{e}, once{e}, dispatch{e}}
 	e.registerMetrics()
-	h.serve = e.servePeer
-	close(h.set)
-	for _, work := range []func(){e.openJournal, e.drawLoop, e.acknowledgeLoop, e.takeUsageLoop, e.evidenceLoop, e.controlLoop} {
+	h.Set(e.servePeer)
+	for _, work := range []func(){e.openJournal, e.evidenceLoop, e.controlLoop,
+		func() { e.every(drawInterval, e.drawDue) },
+		func() { e.every(ackInterval, func() { e.acknowledge(ctx) }) },
+		func() { e.every(usageInterval, e.settleOpen) },
+	} {
 		e.workers.Go(work)
 	}
 	return e
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -111,15 +111,8 @@
 
 // evidenceLoop sends the digests of the running moves to the other entries.
 func (e *Entry) evidenceLoop() {
-	ticker := e.clock.NewTicker(evidenceInterval / 10)
-	defer ticker.Stop()
 	var sent time.Time
-	for {
-		select {
-		case <-e.context.Done():
-			return
-		case <-ticker.Chan():
-		}
+	e.every(evidenceInterval/10, func() {
 		now := e.clock.Now()
 		due := now.Sub(sent) >= evidenceInterval
 		for _, r := range *e.moves.running.Load() {
@@ -136,7 +129,7 @@
 		if due {
 			sent = now
 		}
-	}
+	})
 }
 
 func (e *Entry) noteLocalStop(r *runningMove) {
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -75,32 +75,23 @@
 	delete(h.byAttempt, attempt)
 }
 
-// takeUsageLoop bills what was left unbilled and resolves held reservations.
-func (e *Entry) takeUsageLoop() {
-	ticker := e.clock.NewTicker(usageInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-e.context.Done():
-			return
-		case <-ticker.Chan():
-		}
-		if j := e.journal.Load(); j == nil {
-			continue
-		}
-		unbilled := map[string]struct{}{}
-		asked := map[netip.AddrPort]bool{}
-		for _, agent := range e.agents.addresses() {
-			usages, ok := e.takeUsage(agent)
-			asked[agent] = ok
-			for _, u := range usages {
-				unbilled[u.Attempt] = struct{}{}
-			}
+// settleOpen bills what was left unbilled and resolves held reservations.
+func (e *Entry) settleOpen() {
+	if e.journal.Load() == nil {
+		return
+	}
+	unbilled := map[string]struct{}{}
+	asked := map[netip.AddrPort]bool{}
+	for _, agent := range e.agents.addresses() {
+		usages, ok := e.takeUsage(agent)
+		asked[agent] = ok
+		for _, u := range usages {
+			unbilled[u.Attempt] = struct{}{}
 		}
-		for _, held := range e.held.olderThan(usageInterval, e.clock.Now()) {
-			if _, waits := unbilled[held.attempt]; !waits {
-				e.resolveHeld(held, asked)
-			}
+	}
+	for _, held := range e.held.olderThan(usageInterval, e.clock.Now()) {
+		if _, waits := unbilled[held.attempt]; !waits {
+			e.resolveHeld(held, asked)
 		}
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 
 	"briarreach/agent"
 	"briarreach/config"
+	"briarreach/daemon"
 	"briarreach/entry"
 	"briarreach/operator"
 	"briarreach/peer"
@@ -228,7 +229,7 @@
 	}
 	s.Defaults()
 	f.options.adjust(s)
-	a, err := agent.New(s, agent.WithLog(f.options.log))
+	a, err := agent.New(s, daemon.WithLog(f.options.log))
 	if err != nil {
 		return err
 	}
@@ -261,7 +262,7 @@
 	}
 	s.Defaults()
 	f.options.adjust(s)
-	e, err := entry.New(s, entry.WithLog(f.options.log))
+	e, err := entry.New(s, daemon.WithLog(f.options.log))
 	if err != nil {
 		return err
 	}
--- a/holder/monitor.go
+++ b/holder/monitor.go
@@ -169,6 +169,17 @@
 	}
 }
 
+// Suspected reports whether a holder that is not fenced has been silent for
+// half of the time after which it counts as lost.
+func (m *Monitor) Suspected(now time.Time) bool {
+	for _, s := range m.holders {
+		if !s.fenced && now.Sub(s.seen) >= m.lostAfter/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // Decide returns the actions that are due, in the order of the holders' names.
 // An action whose outcome is not observed is returned again.
 func (m *Monitor) Decide(now time.Time) []Action {
