--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,6 +14,14 @@
 		s.Abort()
 		return
 	}
+	switch m.(type) {
+	case peer.Evidence, peer.Recall:
+		if s.RemoteRole() != peer.EntryRole {
+			e.log.WithError(&UnexpectedMessageError{Message: m}).WithField("peer", s.RemoteProcess()).Warn("only an entry may send this")
+			s.Abort()
+			return
+		}
+	}
 	switch m := m.(type) {
 	case peer.FetchConfig:
 		e.answerPeer(s, e.follower.Answer())
