Shut down with 200 streams open

All 200 answers are whole after SIGTERM of an entry and of an agent, twice in a row. Red runs: without the agent's drain the answers are cut ("agent lost"); with the entry's wait for open requests cut to 1 ms the entry does not exit cleanly in 30 s.

--- a/cmd/briarreach/failure_test.go
+++ b/cmd/briarreach/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +15,9 @@
 
 const workspace = "chania-desk"
 
+// openStreams is the stated number of streams that a shutdown must not cut.
+const openStreams = 200
+
 // reply is what a caller saw of one request.
 type reply struct {
 	status int
@@ -31,7 +35,7 @@
 	var group sync.WaitGroup
 	for i := range n {
 		group.Go(func() {
-			status, _, body, err := send(ctx, url+"/v1/chat/completions", key, "chat-"+url+"-"+string(rune('a'+i%26))+time.Now().Format("150405.000000000"), longChat)
+			status, _, body, err := send(ctx, url+"/v1/chat/completions", key, fmt.Sprintf("chat-%d-%d", time.Now().UnixNano(), i), longChat)
 			replies[i] = reply{status, body, err}
 		})
 	}
@@ -55,23 +59,25 @@
 var _ = Describe("separate processes under failure", func() {
 	var f *processFleet
 	var key, first, second string
-	start := func() {
+	start := func(engineFlags ...string) {
 		f = newProcessFleet()
-		key = f.startAll("--rate", "100", "--answer-tokens", "200")
+		key = f.startAll(append([]string{"--rate", "50", "--answer-tokens", "200"}, engineFlags...)...)
 		first, second = "http://127.0.0.1:"+f.port("8081"), "http://127.0.0.1:"+f.port("8082")
 	}
 
 	// Guards against a shutdown that cuts requests in flight (entry, then agent).
 	It("finishes all open streams on SIGTERM of an entry and of an agent", func(ctx SpecContext) {
-		start()
-		wait := sendAll(ctx, 12, first, key)
-		Eventually(f.running, 5*time.Second, 10*time.Millisecond).Should(Equal(12))
+		start("--slots", "400")
+		f.run("target", "put", "engine-1", "--model", "itinerary-large", "--version", "v1",
+			"--agent", "127.0.0.1:"+f.port("9181"), "--max-concurrent", "300", "--max-tokens", "10000000")
+		wait := sendAll(ctx, openStreams, first, key)
+		Eventually(f.running, 5*time.Second, 10*time.Millisecond).Should(Equal(openStreams))
 		f.terminate("entry-1")
 		for _, r := range wait() {
 			Expect(r.whole()).To(BeTrue(), "%d %v %s", r.status, r.err, r.body)
 		}
-		wait = sendAll(ctx, 12, second, key)
-		Eventually(f.running, 5*time.Second, 10*time.Millisecond).Should(Equal(12))
+		wait = sendAll(ctx, openStreams, second, key)
+		Eventually(f.running, 5*time.Second, 10*time.Millisecond).Should(Equal(openStreams))
 		f.terminate("agent-engine-1")
 		for _, r := range wait() {
 			Expect(r.whole()).To(BeTrue(), "%d %v %s", r.status, r.err, r.body)
