Keep an answer until its end is acknowledged

Cause: an attempt was given up when its final message was sent and all bytes had been consumed; if the connection went silent just then, the entry could not resume and reported a whole answer as incomplete. Found by reading. The entry's credit without room now acknowledges the end.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -84,18 +84,14 @@
 		return err
 	}
 	a.progress = now
-	a.releaseIfConsumed()
-	signal(a.space)
-	return nil
-}
-
-// releaseIfConsumed gives the buffers back when the entry has the whole answer.
-// The caller holds the lock.
-func (a *attempt) releaseIfConsumed() {
-	if a.final != nil && a.finalSent && a.sender.Buffered() == 0 && !a.consumed {
+	// A credit without room acknowledges the end of the answer: the final
+	// message may be lost after all bytes have arrived.
+	if a.finalSent && c.Offset == a.final.Length && c.Limit == c.Offset && !a.consumed {
 		a.consumed = true
 		a.sender.Close()
 	}
+	signal(a.space)
+	return nil
 }
 
 // release gives the buffers back; the answer can't be resumed after it.
@@ -181,7 +177,6 @@
 	}
 	if a.final != nil && !a.finalSent && a.sender.Done() {
 		a.finalSent = true
-		a.releaseIfConsumed()
 		return a.attached, *a.final, true
 	}
 	if a.heartbeat {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -207,6 +207,7 @@
 	}
 	a.settleOnce()
 	_ = a.s.CloseSend()
+	a.s.Abort() // what was sent before CloseSend is still delivered
 	return nil
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -155,7 +155,8 @@
 	}
 
 	// Credit says that the entry has consumed all bytes below Offset and
-	// accepts bytes up to Limit.
+	// accepts bytes up to Limit. With Limit equal to the answer's length it
+	// acknowledges the final message.
 	Credit struct {
 		Offset int64 `cbor:"offset"`
 		Limit  int64 `cbor:"limit"`
