Deliver the acknowledgement of a failed answer's end

Cause: the entry aborted the stream right after it had acknowledged the final message of an answer that never started, which drops the acknowledgement; the agent then waited for it at shutdown. The stream is now closed before it is aborted, and a shutdown waits at most as long as an entry may take to resume.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -234,7 +234,9 @@
 		open := 0
 		for _, at := range a.attempts {
 			at.mu.Lock()
-			if !at.consumed && at.attached != nil || !at.isFinished() {
+			// An entry that has lost the connection resumes within resumeTimeout.
+			waits := !at.consumed && at.attached != nil && a.clock.Since(at.ended) < resumeTimeout
+			if waits || !at.isFinished() {
 				open++
 			}
 			at.mu.Unlock()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -139,7 +139,8 @@
 		Target: t.target.Name, ConfigNumber: x.document.Number, Detail: t.attempt})
 	a := newAnswer(e, x, t, s)
 	if err := a.start(); err != nil {
-		s.Abort()
+		_ = a.s.CloseSend() // delivers the acknowledgement of a final message
+		a.s.Abort()
 		return nil, err
 	}
 	return a, nil
