--- a/cmd/briarreach/config.go
+++ b/cmd/briarreach/config.go
@@ -32,11 +32,7 @@
 }
 
 func configGet(ctx context.Context, c *cli.Command) error {
-	client, err := apiClient(c)
-	if err != nil {
-		return err
-	}
-	d, err := client.Config(ctx)
+	d, err := document(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/cmd/briarreach/manage.go
+++ b/cmd/briarreach/manage.go
@@ -138,11 +138,7 @@
 }
 
 func targetList(ctx context.Context, c *cli.Command) error {
-	client, err := apiClient(c)
-	if err != nil {
-		return err
-	}
-	d, err := client.Config(ctx)
+	d, err := document(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -221,11 +217,7 @@
 }
 
 func moveStatus(ctx context.Context, c *cli.Command) error {
-	client, err := apiClient(c)
-	if err != nil {
-		return err
-	}
-	d, err := client.Config(ctx)
+	d, err := document(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/cmd/briarreach/operator.go
+++ b/cmd/briarreach/operator.go
@@ -45,6 +45,15 @@
 	return operator.NewClient(strings.TrimSuffix(c.String("entry"), "/"), strings.TrimSpace(string(key))), nil
 }
 
+// document returns the current configuration of the entry that the flags name.
+func document(ctx context.Context, c *cli.Command) (*config.Document, error) {
+	client, err := apiClient(c)
+	if err != nil {
+		return nil, err
+	}
+	return client.Config(ctx)
+}
+
 // submit sends operations as one patch and waits until it is in force.
 func submit(ctx context.Context, c *cli.Command, operations ...config.Operation) error {
 	client, err := apiClient(c)
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -72,6 +72,7 @@
 			return nil
 		case peer.Final:
 			a.e.events.Clock().Observe(m.Clock)
+			a.final = &m
 			a.acknowledge()
 			return &IncompleteError{Reason: m.Reason, Execution: m.Execution}
 		default:
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -181,31 +181,16 @@
 }
 
 func (e *Entry) submit(j *journal.Journal, record ledger.Record) {
-	err := j.Submit(record, budgetOf(record), func(_ ledger.Result, err error) {
+	report := func(err error) {
 		if err != nil {
 			e.log.WithError(err).Warn("record not written to the ledger")
 		}
-	})
-	if err != nil {
-		e.log.WithError(err).Warn("record not written to the ledger")
 	}
-}
-
-func budgetOf(record ledger.Record) string {
-	switch r := record.(type) {
-	case ledger.OpenBudget:
-		return r.Budget
-	case ledger.TopUp:
-		return r.Budget
-	case ledger.Draw:
-		return r.Budget
-	case ledger.Bill:
-		return r.Budget
-	case ledger.Return:
-		return r.Budget
-	default:
-		return ""
+	name, err := journal.BudgetOf(record)
+	if err == nil {
+		err = j.Submit(record, name, func(_ ledger.Result, err error) { report(err) })
 	}
+	report(err)
 }
 
 // every calls work once per interval until the entry is closed.
@@ -306,7 +291,7 @@
 
 // settleRefused gives the reservation of a request back that gave no answer.
 // The reservations of tries that may have run are held apart.
-func (e *Entry) settleRefused(x *exchange, _ *caller.Error) {
+func (e *Entry) settleRefused(x *exchange) {
 	if !x.reserved {
 		return
 	}
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -240,7 +240,7 @@
 func (f dispatch) apply(ctx context.Context, x *exchange) caller.Reply {
 	answer, refusal := f.e.dispatch(ctx, x)
 	if refusal != nil {
-		f.e.settleRefused(x, refusal)
+		f.e.settleRefused(x)
 		return refusal
 	}
 	return &caller.Stream{Status: answer.head.Status, ContentType: answer.head.ContentType, Body: answer}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -31,7 +31,7 @@
 	defer cancel()
 	r := &claimed{e: f.e, x: x, random: rand.New(random{}), targets: map[string]config.Target{}}
 	reply := r.run(ctx)
-	f.e.settleRefused(x, nil)
+	f.e.settleRefused(x)
 	return reply
 }
 
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -434,7 +434,7 @@
 	byShard := map[int][]ledger.Record{}
 	index := map[int][]int{}
 	for i, r := range records {
-		budget, err := budgetOf(r)
+		budget, err := BudgetOf(r)
 		if err != nil {
 			return nil, fmt.Errorf("journal.Transact: %w", err)
 		}
@@ -465,7 +465,9 @@
 	return results, nil
 }
 
-func budgetOf(r ledger.Record) (string, error) {
+// BudgetOf returns the budget that a record names. It fails with
+// *ledger.InvalidRecordError for records that name none.
+func BudgetOf(r ledger.Record) (string, error) {
 	switch r := r.(type) {
 	case ledger.OpenBudget:
 		return r.Budget, nil
