--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -16,8 +16,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"briarreach/config"
-	"briarreach/journal"
 	"briarreach/peer"
+	"briarreach/shardlog"
 	"briarreach/table"
 )
 
@@ -252,7 +252,7 @@
 func (f *Follower) readFences(ctx context.Context) error {
 	var holders []string
 	for after := ""; ; {
-		rows, err := f.store.Query(ctx, journal.FencePartition, after, table.MaxItems)
+		rows, err := f.store.Query(ctx, shardlog.FencePartition, after, table.MaxItems)
 		if err != nil {
 			return fmt.Errorf("configsync.readFences: %w", err)
 		}
--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -20,7 +20,7 @@
 	"briarreach/admission"
 	"briarreach/engine"
 	"briarreach/standin"
-	"briarreach/target"
+	"briarreach/targetset"
 )
 
 func body(prompt string, maxTokens int) []byte {
@@ -378,7 +378,7 @@
 		events, err := client.CacheEvents(ctx, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(events[0].Kind).To(Equal("cached"))
-		Expect(events[0].Blocks).To(ConsistOf(target.PrefixHashes(canonical)))
+		Expect(events[0].Blocks).To(ConsistOf(targetset.PrefixHashes(canonical)))
 		Expect(client.CacheEvents(ctx, events[len(events)-1].Sequence)).To(BeEmpty())
 		Expect(read(stream(strings.Repeat("y", 5000), 1)).usage.CachedTokens).To(BeZero())
 		Expect(read(stream(prompt+"c", 1)).usage.CachedTokens).To(BeZero(), "evicted")
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -11,7 +11,7 @@
 	"briarreach/caller"
 	"briarreach/peer"
 	"briarreach/stream"
-	"briarreach/target"
+	"briarreach/targetset"
 	"briarreach/timeline"
 )
 
@@ -244,7 +244,7 @@
 	x := a.x
 	usage := peer.Usage{PromptTokens: x.cost.promptTokens, CompletionTokens: a.tokens}
 	usage.Cost = min(x.cost.reserved, usage.PromptTokens*x.cost.promptPrice+usage.CompletionTokens*x.cost.completionPrice)
-	outcome, result := peer.Failed, target.Failed
+	outcome, result := peer.Failed, targetset.Failed
 	if _, call := x.request.(*caller.Call); call {
 		usage = peer.Usage{Cost: x.cost.reserved}
 	}
@@ -254,13 +254,13 @@
 	}
 	switch {
 	case outcome == peer.Complete && a.head.Status < 500:
-		result = target.Succeeded
+		result = targetset.Succeeded
 	case outcome == peer.Cancelled:
-		result = target.Neutral
+		result = targetset.Neutral
 	}
 	a.e.pool.End(a.t.target.Name, a.t.tokens, result, a.first.Sub(a.t.started), now)
-	if result != target.Neutral {
-		a.e.observeTry(x, a.t, a.first.Sub(a.t.started), result == target.Failed, now)
+	if result != targetset.Neutral {
+		a.e.observeTry(x, a.t, a.first.Sub(a.t.started), result == targetset.Failed, now)
 	}
 	a.e.bill(x, a.t, usage, outcome)
 	a.acknowledge()
--- a/entry/backend.go
+++ b/entry/backend.go
@@ -15,10 +15,10 @@
 
 	"briarreach/config"
 	"briarreach/configsync"
-	"briarreach/journal"
 	"briarreach/ledger"
 	"briarreach/operator"
 	"briarreach/peer"
+	"briarreach/shardlog"
 	"briarreach/table"
 	"briarreach/timeline"
 )
@@ -134,7 +134,7 @@
 		return &operator.Error{Status: 503, Type: operator.Unavailable, Message: "the ledger is not open yet"}
 	}
 	_, err := j.Transact(ctx, tx, records)
-	var refused *journal.RefusedError
+	var refused *shardlog.RefusedError
 	if errors.As(err, &refused) {
 		return &config.InvalidError{Operation: -1, Path: "budget", Reason: config.BadValue, Detail: refused.Error()}
 	}
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -12,9 +12,9 @@
 
 	"briarreach/budget"
 	"briarreach/caller"
-	"briarreach/journal"
 	"briarreach/ledger"
 	"briarreach/peer"
+	"briarreach/shardlog"
 	"briarreach/timeline"
 )
 
@@ -90,9 +90,9 @@
 func (e *Entry) openJournal() {
 	for {
 		if d := e.follower.Current(); d != nil {
-			j, err := journal.New(e.store, d.Shards, journal.WithClock(e.clock), journal.WithWriter(e.writer),
-				journal.WithFlushInterval(e.settings.Entry.FlushInterval.Duration), journal.WithLog(e.log),
-				journal.WithMaxPending(maxPending), journal.WithObserver(e.observeRecord))
+			j, err := shardlog.New(e.store, d.Shards, shardlog.WithClock(e.clock), shardlog.WithWriter(e.writer),
+				shardlog.WithFlushInterval(e.settings.Entry.FlushInterval.Duration), shardlog.WithLog(e.log),
+				shardlog.WithMaxPending(maxPending), shardlog.WithObserver(e.observeRecord))
 			if err == nil {
 				e.journal.Store(j)
 				break
@@ -180,13 +180,13 @@
 	e.drawn.notify()
 }
 
-func (e *Entry) submit(j *journal.Journal, record ledger.Record) {
+func (e *Entry) submit(j *shardlog.Journal, record ledger.Record) {
 	report := func(err error) {
 		if err != nil {
 			e.log.WithError(err).Warn("record not written to the ledger")
 		}
 	}
-	name, err := journal.BudgetOf(record)
+	name, err := shardlog.BudgetOf(record)
 	if err == nil {
 		err = j.Submit(record, name, func(_ ledger.Result, err error) { report(err) })
 	}
@@ -224,7 +224,7 @@
 
 // draw writes a draw at once: requests may wait for it, and a budget has one
 // draw in flight.
-func (e *Entry) draw(j *journal.Journal, draw ledger.Draw) {
+func (e *Entry) draw(j *shardlog.Journal, draw ledger.Draw) {
 	if _, err := j.SubmitNow(e.context, draw.Budget, draw); err != nil {
 		e.log.WithError(err).Warn("draw not written to the ledger")
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -11,7 +11,7 @@
 	"briarreach/caller"
 	"briarreach/config"
 	"briarreach/peer"
-	"briarreach/target"
+	"briarreach/targetset"
 	"briarreach/timeline"
 )
 
@@ -108,9 +108,9 @@
 	now := e.clock.Now()
 	version := e.moves.version(x.document, x.cost.subject, h.oldOnly, now)
 	tokens := x.cost.promptTokens + x.cost.maxTokens
-	request := target.Request{Subject: x.cost.subject, Version: version, Tokens: tokens, Exclude: h.exclude}
+	request := targetset.Request{Subject: x.cost.subject, Version: version, Tokens: tokens, Exclude: h.exclude}
 	if chat, ok := x.request.(*caller.Chat); ok {
-		request.Prefix = target.PrefixHashes(chat.Prompt)
+		request.Prefix = targetset.PrefixHashes(chat.Prompt)
 	}
 	choice, err := e.pool.Choose(request, now, rand.New(random{}))
 	if err != nil {
@@ -167,10 +167,10 @@
 // endTry tells the pool and the moves how a try ended that gave no answer.
 func (e *Entry) endTry(x *exchange, t try, err error) {
 	now := e.clock.Now()
-	outcome := target.Failed
+	outcome := targetset.Failed
 	var refused *RefusedError
 	if errors.As(err, &refused) {
-		outcome = target.Neutral
+		outcome = targetset.Neutral
 		e.pool.Report(refused.Refusal.Load, now)
 	}
 	e.pool.End(t.target.Name, t.tokens, outcome, now.Sub(t.started), now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,12 +20,12 @@
 	"briarreach/config"
 	"briarreach/configsync"
 	"briarreach/daemon"
-	"briarreach/journal"
 	"briarreach/operator"
 	"briarreach/peer"
 	"briarreach/settings"
+	"briarreach/shardlog"
 	"briarreach/table"
-	"briarreach/target"
+	"briarreach/targetset"
 	"briarreach/timeline"
 )
 
@@ -40,8 +40,8 @@
 	endpoint *peer.Endpoint
 	follower *configsync.Follower
 	keys     *keyCache
-	pool     *target.Pool
-	retries  *target.RetryBudget
+	pool     *targetset.Pool
+	retries  *targetset.RetryBudget
 	moves    *moves
 	agents   *agents
 	vms      *vms
@@ -51,7 +51,7 @@
 	started  time.Time
 	filters  []filter
 
-	journal atomic.Pointer[journal.Journal]
+	journal atomic.Pointer[shardlog.Journal]
 	grants  atomic.Pointer[grants]
 	drawn   *broadcast
 
@@ -67,7 +67,7 @@
 
 // New starts an entry.
 func New(s *settings.Settings, opts ...daemon.Option) (*Entry, error) {
-	e, err := daemon.New[*Entry](s, s.Entry.PeerAddress, opts, func() *target.Pool { return target.New() }, start)
+	e, err := daemon.New[*Entry](s, s.Entry.PeerAddress, opts, func() *targetset.Pool { return targetset.New() }, start)
 	if err != nil {
 		return nil, fmt.Errorf("entry.New: %w", err)
 	}
@@ -78,12 +78,12 @@
 }
 
 func start(s *settings.Settings, clock clockwork.Clock, l log.Interface, events *timeline.Recorder, set *metrics.Set,
-	store table.Store, endpoint *peer.Endpoint, pool *target.Pool, h *daemon.Handler) *Entry {
+	store table.Store, endpoint *peer.Endpoint, pool *targetset.Pool, h *daemon.Handler) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	writer := ulid.Make().String()
 	e := &Entry{
 		settings: s, clock: clock, log: l, events: events, metrics: set,
-		store: store, endpoint: endpoint, pool: pool, retries: &target.RetryBudget{},
+		store: store, endpoint: endpoint, pool: pool, retries: &targetset.RetryBudget{},
 		writer: writer, started: clock.Now(), drawn: newBroadcast(),
 		acks:    newAcknowledgements(),
 		held:    newHeldReservations(),
--- a/entry/vms.go
+++ b/entry/vms.go
@@ -5,7 +5,7 @@
 
 	"briarreach/config"
 	"briarreach/membership"
-	"briarreach/target"
+	"briarreach/targetset"
 	"briarreach/vmlist"
 )
 
@@ -13,7 +13,7 @@
 // The agents' own notices reach the pool with their load reports, and drains
 // with the configuration.
 type vms struct {
-	pool   *target.Pool
+	pool   *targetset.Pool
 	client *vmlist.Client // nil without a list
 
 	mu     sync.Mutex
--- a/journal/fault_test.go
+++ b/shardlog/fault_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package shardlog_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"briarreach/journal"
 	"briarreach/ledger"
+	"briarreach/shardlog"
 	"briarreach/table"
 )
 
@@ -25,9 +25,9 @@
 		seed := uint64(GinkgoRandomSeed())
 		store.randomFaults(rand.New(rand.NewPCG(seed, 1)), 0.3)
 		const writers, bills, cost = 3, 600, 7
-		var journals []*journal.Journal
+		var journals []*shardlog.Journal
 		for range writers {
-			journals = append(journals, start(store, 2, journal.WithSnapshotEvery(every)))
+			journals = append(journals, start(store, 2, shardlog.WithSnapshotEvery(every)))
 		}
 		open(ctx, journals[0], 1<<40, "x")
 		var wg sync.WaitGroup
@@ -57,7 +57,7 @@
 		// Guards against a batch taken for lost whose records took effect, and
 		// against a second effect when their identifiers may be forgotten.
 		store := newMemoryStore()
-		a := start(store, 1, journal.WithSnapshotEvery(8))
+		a := start(store, 1, shardlog.WithSnapshotEvery(8))
 		open(ctx, a, 1000, "x")
 		submit(ctx, a, "x", draw("d0", "x", "h", 100))
 		faulty := store.view()
@@ -75,7 +75,7 @@
 			}
 			return none
 		}
-		b := start(faulty, 1, journal.WithBillWindow(window), journal.WithFlushInterval(20*time.Millisecond))
+		b := start(faulty, 1, shardlog.WithBillWindow(window), shardlog.WithFlushInterval(20*time.Millisecond))
 		results := make(chan ledger.Result, 3)
 		for _, r := range []ledger.Record{
 			draw("d1", "x", "h", 50), ledger.Return{ReturnID: "r", Budget: "x", Holder: "h", Amount: 30},
@@ -98,7 +98,7 @@
 	},
 		Entry("soon", 15*time.Minute, HaveExactElements(ledger.Drawn{Granted: 50, Available: 880, Duplicate: true},
 			ledger.Returned{Amount: 30, Duplicate: true}, ledger.Billed{Cost: 20, First: "a", Duplicate: true})),
-		Entry("late", time.Nanosecond, ConsistOf(HaveField("Err", match[*journal.UnresolvedError]()),
-			HaveField("Err", match[*journal.UnresolvedError]()), ledger.Billed{Cost: 20, First: "a", Duplicate: true})),
+		Entry("late", time.Nanosecond, ConsistOf(HaveField("Err", match[*shardlog.UnresolvedError]()),
+			HaveField("Err", match[*shardlog.UnresolvedError]()), ledger.Billed{Cost: 20, First: "a", Duplicate: true})),
 	)
 })
--- a/journal/fence.go
+++ b/shardlog/fence.go
@@ -1,4 +1,4 @@
-package journal
+package shardlog
 
 import (
 	"context"
@@ -28,18 +28,18 @@
 	key := table.Key{Partition: FencePartition, Sort: holder}
 	value, err := cbor.Marshal(FenceRow{holder, j.writer, j.clock.Now().UTC()})
 	if err != nil {
-		return fmt.Errorf("journal.FenceHolder: %w", err)
+		return fmt.Errorf("shardlog.FenceHolder: %w", err)
 	}
 	// The first pass can miss a draw that is appended between Refresh and the
 	// fence row. After the row no draw is appended, so the second pass is
 	// complete.
 	for range 2 {
 		if err := j.Refresh(ctx); err != nil {
-			return fmt.Errorf("journal.FenceHolder: %w", err)
+			return fmt.Errorf("shardlog.FenceHolder: %w", err)
 		}
 		rows, err := j.store.Get(ctx, key)
 		if err != nil {
-			return fmt.Errorf("journal.FenceHolder: %w", err)
+			return fmt.Errorf("shardlog.FenceHolder: %w", err)
 		}
 		var tx table.Transaction
 		if rows[0].Version == 0 {
@@ -63,7 +63,7 @@
 				break // another entry has written the fence row; the second pass completes it
 			}
 			if err != nil {
-				return fmt.Errorf("journal.FenceHolder: %w", err)
+				return fmt.Errorf("shardlog.FenceHolder: %w", err)
 			}
 			tx.Writes = nil
 		}
@@ -78,10 +78,10 @@
 // service does not answer; it may be called again.
 func (j *Journal) ReleaseHolder(ctx context.Context, holder string, held map[string]int64) error {
 	if err := j.drain(ctx); err != nil {
-		return fmt.Errorf("journal.ReleaseHolder: %w", err)
+		return fmt.Errorf("shardlog.ReleaseHolder: %w", err)
 	}
 	if err := j.Refresh(ctx); err != nil {
-		return fmt.Errorf("journal.ReleaseHolder: %w", err)
+		return fmt.Errorf("shardlog.ReleaseHolder: %w", err)
 	}
 	heldBy := map[int]map[string]int64{}
 	for budget, amount := range held {
@@ -99,7 +99,7 @@
 		}
 		appended, err := j.transact(ctx, table.Transaction{}, parts)
 		if err != nil {
-			return fmt.Errorf("journal.ReleaseHolder: %w", err)
+			return fmt.Errorf("shardlog.ReleaseHolder: %w", err)
 		}
 		for _, p := range appended {
 			j.observe(p.records[0], p.results[0])
--- a/journal/rate_test.go
+++ b/shardlog/rate_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package shardlog_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 
 	"golang.org/x/time/rate"
 
-	"briarreach/journal"
 	"briarreach/ledger"
+	"briarreach/shardlog"
 	"briarreach/table"
 )
 
@@ -67,10 +67,10 @@
 			for range b.N {
 				store := &limitedStore{memoryStore: newMemoryStore(), limit: rate.NewLimiter(rate.Inf, 300), latency: 5 * time.Millisecond}
 				ctx := context.Background()
-				journals := make([]*journal.Journal, c.writers)
+				journals := make([]*shardlog.Journal, c.writers)
 				for i := range journals {
 					var err error
-					if journals[i], err = journal.New(store, c.shards, journal.WithFlushInterval(c.interval)); err != nil {
+					if journals[i], err = shardlog.New(store, c.shards, shardlog.WithFlushInterval(c.interval)); err != nil {
 						b.Fatal(err)
 					}
 				}
--- a/journal/shard.go
+++ b/shardlog/shard.go
@@ -1,4 +1,4 @@
-package journal
+package shardlog
 
 import (
 	"context"
--- a/journal/journal.go
+++ b/shardlog/shardlog.go
@@ -1,10 +1,10 @@
-// Package journal appends records to the ledger's shard logs in the table
+// Package shardlog appends records to the ledger's shard logs in the table
 // service and follows what other writers append.
 //
 // A batch is appended with the condition that its row does not exist and that
 // the shard's snapshot row is the one that this writer has seen, so a writer
 // that missed batches must read them first. See section 4.1 of docs/design.md.
-package journal
+package shardlog
 
 import (
 	"context"
@@ -118,7 +118,7 @@
 // goroutine for each. Nothing is read before the first use.
 func New(store table.Store, shards int, opts ...Option) (*Journal, error) {
 	if shards < 1 || shards > 4096 {
-		return nil, fmt.Errorf("journal.New: %w", &ShardsError{shards})
+		return nil, fmt.Errorf("shardlog.New: %w", &ShardsError{shards})
 	}
 	j := &Journal{
 		store:      store,
@@ -161,7 +161,7 @@
 	}
 	j.cancel()
 	if left := j.abandon(); left > 0 {
-		return fmt.Errorf("journal.Close: %d records not appended: %w", left, &ClosedError{})
+		return fmt.Errorf("shardlog.Close: %d records not appended: %w", left, &ClosedError{})
 	}
 	return nil
 }
@@ -214,7 +214,7 @@
 // fails with *FullError or *ClosedError.
 func (j *Journal) Submit(record ledger.Record, budget string, done func(ledger.Result, error)) error {
 	if _, err := j.enqueue(record, budget, false, done); err != nil {
-		return fmt.Errorf("journal.Submit: %w", err)
+		return fmt.Errorf("shardlog.Submit: %w", err)
 	}
 	return nil
 }
@@ -261,12 +261,12 @@
 	answer := make(chan outcome, 1)
 	it, err := j.enqueue(record, budget, true, func(r ledger.Result, err error) { answer <- outcome{r, err} })
 	if err != nil {
-		return nil, fmt.Errorf("journal.SubmitNow: %w", err)
+		return nil, fmt.Errorf("shardlog.SubmitNow: %w", err)
 	}
 	select {
 	case o := <-answer:
 		if o.err != nil {
-			return nil, fmt.Errorf("journal.SubmitNow: %w", o.err)
+			return nil, fmt.Errorf("shardlog.SubmitNow: %w", o.err)
 		}
 		return o.result, nil
 	case <-ctx.Done():
@@ -275,7 +275,7 @@
 			j.pending.Add(-1)
 			_ = j.notAppended(record, ctx.Err())
 		}
-		return nil, fmt.Errorf("journal.SubmitNow: %w", &UnfinishedError{withdrawn, ctx.Err()})
+		return nil, fmt.Errorf("shardlog.SubmitNow: %w", &UnfinishedError{withdrawn, ctx.Err()})
 	}
 }
 
@@ -436,10 +436,10 @@
 	for i, r := range records {
 		budget, err := BudgetOf(r)
 		if err != nil {
-			return nil, fmt.Errorf("journal.Transact: %w", err)
+			return nil, fmt.Errorf("shardlog.Transact: %w", err)
 		}
 		if err := ledger.Validate(r); err != nil {
-			return nil, fmt.Errorf("journal.Transact: %w", err)
+			return nil, fmt.Errorf("shardlog.Transact: %w", err)
 		}
 		n := ledger.ShardOf(budget, len(j.shards))
 		byShard[n] = append(byShard[n], r)
@@ -457,7 +457,7 @@
 		if errors.As(err, &refused) {
 			refused.Results = results
 		}
-		return nil, fmt.Errorf("journal.Transact: %w", err)
+		return nil, fmt.Errorf("shardlog.Transact: %w", err)
 	}
 	for i, r := range records {
 		j.observe(r, results[i])
@@ -531,7 +531,7 @@
 		})
 	}
 	if err := group.Wait(); err != nil {
-		return fmt.Errorf("journal.Refresh: %w", err)
+		return fmt.Errorf("shardlog.Refresh: %w", err)
 	}
 	return nil
 }
--- a/journal/journal_test.go
+++ b/shardlog/shardlog_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package shardlog_test
 
 import (
 	"context"
@@ -12,26 +12,26 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"briarreach/journal"
 	"briarreach/ledger"
+	"briarreach/shardlog"
 	"briarreach/table"
 )
 
-func start(store table.Store, shards int, opts ...journal.Option) *journal.Journal {
+func start(store table.Store, shards int, opts ...shardlog.Option) *shardlog.Journal {
 	GinkgoHelper()
-	j, err := journal.New(store, shards, append([]journal.Option{journal.WithFlushInterval(time.Millisecond)}, opts...)...)
+	j, err := shardlog.New(store, shards, append([]shardlog.Option{shardlog.WithFlushInterval(time.Millisecond)}, opts...)...)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func(ctx context.Context) { Expect(j.Close(ctx)).To(Succeed()) })
 	return j
 }
 
-func balance(j *journal.Journal, budget string) ledger.Balance {
+func balance(j *shardlog.Journal, budget string) ledger.Balance {
 	var b ledger.Balance
 	j.Read(budget, func(s *ledger.State) { b, _ = s.Budget(budget) })
 	return b
 }
 
-func open(ctx context.Context, j *journal.Journal, prepaid int64, names ...string) {
+func open(ctx context.Context, j *shardlog.Journal, prepaid int64, names ...string) {
 	GinkgoHelper()
 	for _, name := range names {
 		_, err := j.Transact(ctx, table.Transaction{}, []ledger.Record{ledger.OpenBudget{Budget: name, Prepaid: prepaid, PatchID: "p"}})
@@ -43,7 +43,7 @@
 	return ledger.Draw{DrawID: id, Budget: budget, Holder: holder, Min: amount, Max: amount}
 }
 
-func submit(ctx context.Context, j *journal.Journal, budget string, r ledger.Record) ledger.Result {
+func submit(ctx context.Context, j *shardlog.Journal, budget string, r ledger.Record) ledger.Result {
 	GinkgoHelper()
 	result, err := j.SubmitNow(ctx, budget, r)
 	Expect(err).NotTo(HaveOccurred())
@@ -51,7 +51,7 @@
 }
 
 // turns appends n batches.
-func turns(ctx context.Context, j *journal.Journal, budget string, n int) {
+func turns(ctx context.Context, j *shardlog.Journal, budget string, n int) {
 	GinkgoHelper()
 	for range n {
 		submit(ctx, j, budget, ledger.Fence{Holder: "nobody"})
@@ -82,7 +82,7 @@
 
 	It("puts the records of an interval in one batch and writes nothing without records", func(ctx context.Context) {
 		// Guards against one write for each bill.
-		j := start(store, 1, journal.WithFlushInterval(50*time.Millisecond))
+		j := start(store, 1, shardlog.WithFlushInterval(50*time.Millisecond))
 		open(ctx, j, 1000, "x")
 		submit(ctx, j, "x", draw("d", "x", "h", 1000))
 		before := j.Stats().Commits
@@ -99,7 +99,7 @@
 
 	It("refuses an append by a writer that slept while rows were deleted", func(ctx context.Context) {
 		// Guards against appending at a sequence number that was used before.
-		a, b := start(store, 1, journal.WithSnapshotEvery(8)), start(store, 1)
+		a, b := start(store, 1, shardlog.WithSnapshotEvery(8)), start(store, 1)
 		open(ctx, a, 100, "x")
 		submit(ctx, b, "x", draw("d0", "x", "b", 30))
 		// After two appends in a row, b does not read before the next.
@@ -113,7 +113,7 @@
 	})
 
 	It("bounds the rows that it keeps", func(ctx context.Context) {
-		a, b := start(store, 1, journal.WithSnapshotEvery(8)), start(store, 1, journal.WithSnapshotEvery(8))
+		a, b := start(store, 1, shardlog.WithSnapshotEvery(8)), start(store, 1, shardlog.WithSnapshotEvery(8))
 		open(ctx, a, 100, "x")
 		for range 50 {
 			turns(ctx, a, "x", 2)
@@ -125,7 +125,7 @@
 
 	It("stores a snapshot that is larger than a row", func(ctx context.Context) {
 		// Guards against shards whose bills of 15 minutes exceed a row.
-		a := start(store, 1, journal.WithSnapshotEvery(2))
+		a := start(store, 1, shardlog.WithSnapshotEvery(2))
 		open(ctx, a, 1<<40, "x")
 		submit(ctx, a, "x", draw("d", "x", "h", 1<<40))
 		for batch := range 12 {
@@ -147,20 +147,20 @@
 	It("bounds the waiting records", func() {
 		down := store.view()
 		down.onRead = func() fault { return unavailable }
-		j, err := journal.New(down, 1, journal.WithMaxPending(3))
+		j, err := shardlog.New(down, 1, shardlog.WithMaxPending(3))
 		Expect(err).NotTo(HaveOccurred())
 		for range 3 {
 			Expect(j.Submit(draw("d", "x", "h", 1), "x", nil)).To(Succeed())
 		}
-		Expect(j.Submit(draw("d", "x", "h", 1), "x", nil)).To(match[*journal.FullError]())
+		Expect(j.Submit(draw("d", "x", "h", 1), "x", nil)).To(match[*shardlog.FullError]())
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		Expect(j.Close(ctx)).To(match[*journal.ClosedError]())
-		Expect(j.Submit(draw("d", "x", "h", 1), "x", nil)).To(match[*journal.ClosedError]())
+		Expect(j.Close(ctx)).To(match[*shardlog.ClosedError]())
+		Expect(j.Submit(draw("d", "x", "h", 1), "x", nil)).To(match[*shardlog.ClosedError]())
 	})
 
 	It("appends what waits when it closes", func(ctx context.Context) {
-		j, err := journal.New(store, 1, journal.WithFlushInterval(time.Hour))
+		j, err := shardlog.New(store, 1, shardlog.WithFlushInterval(time.Hour))
 		Expect(err).NotTo(HaveOccurred())
 		open(ctx, j, 100, "x")
 		result := make(chan ledger.Result, 1)
@@ -183,7 +183,7 @@
 		}
 		open(ctx, start(store, 1), 100, "x")
 		seen := make(chan ledger.Result, 2)
-		j := start(down, 1, journal.WithObserver(func(r ledger.Record, result ledger.Result) {
+		j := start(down, 1, shardlog.WithObserver(func(r ledger.Record, result ledger.Result) {
 			if _, ok := r.(ledger.Draw); ok {
 				seen <- result
 			}
@@ -201,7 +201,7 @@
 			cancel()
 		}()
 		_, err := j.SubmitNow(waiting, "x", draw("d", "x", "h", 5))
-		Expect(err).To(match[*journal.UnfinishedError]())
+		Expect(err).To(match[*shardlog.UnfinishedError]())
 		broken.Store(false)
 		Eventually(seen, "5s").Should(Receive(Equal(want)))
 		Expect(seen).NotTo(Receive())
@@ -214,7 +214,7 @@
 var _ = Describe("Transact", func() {
 	var store *memoryStore
 	var caller = table.Key{Partition: "config", Sort: "head"}
-	var other *journal.Journal
+	var other *shardlog.Journal
 	write := table.Transaction{Writes: []table.Write{{Key: caller, Expect: table.Absent{}, Value: []byte("v")}}}
 	topUp := []ledger.Record{ledger.TopUp{Budget: "x", Amount: 10, PatchID: "t"}, ledger.TopUp{Budget: "y", Amount: 10, PatchID: "t"}}
 	BeforeEach(func(ctx context.Context) {
@@ -292,7 +292,7 @@
 
 	It("writes nothing if the ledger refuses a record", func(ctx context.Context) {
 		_, err := start(store, 4).Transact(ctx, write, append(topUp[:2:2], ledger.TopUp{Budget: "z", Amount: 1, PatchID: "t"}))
-		Expect(err).To(match[*journal.RefusedError]())
+		Expect(err).To(match[*shardlog.RefusedError]())
 		Expect(err).To(match[*ledger.UnknownBudgetError]())
 		check(ctx, 100, "")
 	})
@@ -378,7 +378,7 @@
 	It("appends bills that wait before it releases", func(ctx context.Context) {
 		// Guards against bills from the agents' answers that the release refuses.
 		store := newMemoryStore()
-		a := start(store, 2, journal.WithFlushInterval(time.Hour))
+		a := start(store, 2, shardlog.WithFlushInterval(time.Hour))
 		open(ctx, a, 100, "x")
 		submit(ctx, a, "x", draw("d", "x", "h", 30))
 		Expect(a.FenceHolder(ctx, "h")).To(Succeed())
--- a/journal/suite_test.go
+++ b/shardlog/suite_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package shardlog_test
 
 import (
 	"testing"
--- a/journal/wallet_test.go
+++ b/shardlog/wallet_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package shardlog_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	. "github.com/onsi/gomega"
 
 	"briarreach/budget"
-	"briarreach/journal"
 	"briarreach/ledger"
+	"briarreach/shardlog"
 )
 
 var _ = Describe("Wallets on journals", func() {
@@ -25,14 +25,14 @@
 		store := newMemoryStore()
 		store.randomFaults(rand.New(rand.NewPCG(uint64(GinkgoRandomSeed()), 2)), 0.2)
 		wallets := make([]*budget.Wallet, entries)
-		journals := make([]*journal.Journal, entries)
+		journals := make([]*shardlog.Journal, entries)
 		for i := range entries {
 			available := func(name string) (amount int64, ok bool) {
 				journals[i].Read(name, func(s *ledger.State) { amount, ok = s.Available(name) })
 				return amount, ok
 			}
 			wallets[i] = budget.New(fmt.Sprint("h", i), budget.WithHolders(func() int { return entries }), budget.WithAvailable(available))
-			journals[i] = start(store, 2, journal.WithSnapshotEvery(8), journal.WithObserver(wallets[i].Observe))
+			journals[i] = start(store, 2, shardlog.WithSnapshotEvery(8), shardlog.WithObserver(wallets[i].Observe))
 		}
 		open(ctx, journals[0], prepaid, "x")
 		var spent, refused atomic.Int64
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -19,7 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"briarreach/engine"
-	"briarreach/target"
+	"briarreach/targetset"
 )
 
 // Engine stands in for a model engine with continuous batching. Routes:
@@ -90,7 +90,7 @@
 }
 
 // EngineCacheEvent says that blocks were cached or evicted. Blocks are hashes
-// as target.PrefixHashes returns them.
+// as targetset.PrefixHashes returns them.
 type EngineCacheEvent struct {
 	Sequence uint64    `json:"sequence"`
 	Kind     string    `json:"kind"` // "cached", "evicted"
@@ -387,7 +387,7 @@
 		e.record.Refused++
 		return false
 	}
-	s.run.CachedTokens = min(s.run.PromptTokens, e.cache.use(target.PrefixHashes(prompt), e.options.clock.Now()))
+	s.run.CachedTokens = min(s.run.PromptTokens, e.cache.use(targetset.PrefixHashes(prompt), e.options.clock.Now()))
 	e.record.Started++
 	e.measure()
 	return true
@@ -613,7 +613,7 @@
 	}
 	c.notify("cached", added, now)
 	c.notify("evicted", evicted, now)
-	return int64(cached) * target.BlockSize / 4
+	return int64(cached) * targetset.BlockSize / 4
 }
 
 func (c *engineCache) notify(kind string, blocks []uint64, now time.Time) {
--- a/target/affinity_test.go
+++ b/targetset/affinity_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targetset_test
 
 import (
 	"container/heap"
@@ -13,7 +13,7 @@
 
 	"briarreach/config"
 	"briarreach/peer"
-	"briarreach/target"
+	"briarreach/targetset"
 )
 
 // fleet simulates entries that do not know of each other and choose among the
@@ -28,7 +28,7 @@
 	rate                                     float64 // requests per second
 	requests                                 int
 	oracle                                   bool
-	options                                  []target.Option
+	options                                  []targetset.Option
 }
 
 type replica struct {
@@ -94,9 +94,9 @@
 		doc.Targets[names[i]] = config.Target{Name: names[i], Model: "m", Version: "v1", MaxConcurrent: 32}
 		replicas[names[i]] = &replica{blocks: map[uint64]*list.Element{}, order: list.New()}
 	}
-	pools := make([]*target.Pool, f.entries)
+	pools := make([]*targetset.Pool, f.entries)
 	for i := range pools {
-		pools[i] = target.New(f.options...)
+		pools[i] = targetset.New(f.options...)
 		pools[i].Update(doc)
 	}
 	pickPrefix := func() uint64 { return uint64(random.Intn(f.prefixes)) }
@@ -134,7 +134,7 @@
 		if f.oracle {
 			name = f.best(replicas, names, prompt)
 		} else {
-			c, err := p.Choose(target.Request{Subject: "m", Version: "v1", Prefix: prompt, Tokens: 1}, start.Add(at), random)
+			c, err := p.Choose(targetset.Request{Subject: "m", Version: "v1", Prefix: prompt, Tokens: 1}, start.Add(at), random)
 			if err != nil {
 				panic(err)
 			}
@@ -160,7 +160,7 @@
 		}
 		later(took, func() {
 			r.running--
-			p.End(name, 1, target.Succeeded, took, start.Add(at))
+			p.End(name, 1, targetset.Succeeded, took, start.Add(at))
 		})
 		if next < f.requests {
 			later(time.Duration(random.ExpFloat64()/f.rate*float64(time.Second)), arrive)
@@ -212,7 +212,7 @@
 			reportEvery: 100 * time.Millisecond, reportDelay: 50 * time.Millisecond, eventDelay: 3 * time.Second, eventLoss: loss,
 		}
 		affine, requests, load := f.run(GinkgoRandomSeed())
-		f.options = []target.Option{target.WithoutAffinity()}
+		f.options = []targetset.Option{targetset.WithoutAffinity()}
 		leastLoaded, _, leastLoad := f.run(GinkgoRandomSeed())
 		f.oracle = true
 		oracle, _, oracleLoad := f.run(GinkgoRandomSeed())
--- a/target/budget_test.go
+++ b/targetset/budget_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targetset_test
 
 import (
 	"fmt"
@@ -10,13 +10,13 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"briarreach/target"
+	"briarreach/targetset"
 )
 
 var _ = Describe("RetryBudget", func() {
 	It("allows at most 10 % of requests plus 3/s over any start", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			var b target.RetryBudget
+			var b targetset.RetryBudget
 			now, requests, retries := start, 0, 0
 			for range rapid.IntRange(1, 200).Draw(t, "steps") {
 				now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
@@ -42,7 +42,7 @@
 	It("bounds the load of a failing fleet", func() {
 		const perSecond, seconds, attempts = 500, 30, 4
 		load := func(budgeted bool) float64 {
-			var b target.RetryBudget
+			var b targetset.RetryBudget
 			sent := 0
 			for i := range perSecond * seconds {
 				now := start.Add(time.Duration(i) * time.Second / perSecond)
@@ -73,7 +73,7 @@
 	}
 	count := func(entries, targets []string, size int) map[string]int {
 		count := map[string]int{}
-		for _, subset := range target.Subsets(entries, targets, size) {
+		for _, subset := range targetset.Subsets(entries, targets, size) {
 			for _, t := range subset {
 				count[t]++
 			}
@@ -102,10 +102,10 @@
 		slices.Reverse(reversed)
 		changed := 0
 		for _, e := range entries {
-			subset := target.Subset(e, entries, targets, 40)
+			subset := targetset.Subset(e, entries, targets, 40)
 			Expect(subset).To(HaveLen(40))
-			Expect(target.Subset(e, entries, reversed, 40)).To(Equal(subset))
-			for _, t := range target.Subset(e, append(list("entry", 60), "entry-new"), targets, 40) {
+			Expect(targetset.Subset(e, entries, reversed, 40)).To(Equal(subset))
+			for _, t := range targetset.Subset(e, append(list("entry", 60), "entry-new"), targets, 40) {
 				if !slices.Contains(subset, t) {
 					changed++
 				}
--- a/target/cache.go
+++ b/targetset/cache.go
@@ -1,4 +1,4 @@
-package target
+package targetset
 
 import (
 	"sync/atomic"
--- a/target/pool.go
+++ b/targetset/pool.go
@@ -1,6 +1,6 @@
-// Package target chooses, at an entry, the target of a request. It takes time
+// Package targetset chooses, at an entry, the target of a request. It takes time
 // and randomness as arguments and starts no goroutine.
-package target
+package targetset
 
 import (
 	"fmt"
--- a/target/pool_test.go
+++ b/targetset/pool_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targetset_test
 
 import (
 	"errors"
@@ -14,7 +14,7 @@
 
 	"briarreach/config"
 	"briarreach/peer"
-	"briarreach/target"
+	"briarreach/targetset"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -32,16 +32,16 @@
 	return d
 }
 
-func newPool(n int, opts ...target.Option) *target.Pool {
-	p := target.New(opts...)
+func newPool(n int, opts ...targetset.Option) *targetset.Pool {
+	p := targetset.New(opts...)
 	p.Update(document(n))
 	return p
 }
 
-var request = target.Request{Subject: "m", Version: "v1"}
+var request = targetset.Request{Subject: "m", Version: "v1"}
 
 // chosen counts the choices of n requests that end at once.
-func chosen(p *target.Pool, r target.Request, n int, now time.Time, random *rand.Rand) map[string]int {
+func chosen(p *targetset.Pool, r targetset.Request, n int, now time.Time, random *rand.Rand) map[string]int {
 	count := map[string]int{}
 	for range n {
 		if c, err := p.Choose(r, now, random); err == nil {
@@ -55,22 +55,22 @@
 	var random *rand.Rand
 	BeforeEach(func() { random = rand.New(rand.NewSource(GinkgoRandomSeed())) })
 
-	reason := func(p *target.Pool, r target.Request, now time.Time) target.Reason {
+	reason := func(p *targetset.Pool, r targetset.Request, now time.Time) targetset.Reason {
 		GinkgoHelper()
 		_, err := p.Choose(r, now, random)
-		var missing *target.NoTargetError
+		var missing *targetset.NoTargetError
 		Expect(errors.As(err, &missing)).To(BeTrue())
 		return missing.Reason
 	}
 
 	It("says why there is no target", func() {
 		p := newPool(2)
-		Expect(reason(p, target.Request{Subject: "other"}, start)).To(Equal(target.NoTargets))
-		Expect(reason(p, target.Request{Subject: "m", Version: "v2"}, start)).To(Equal(target.NoTargets))
-		Expect(reason(p, target.Request{Subject: "m", Exclude: []string{"t0", "t1"}}, start)).To(Equal(target.Excluded))
+		Expect(reason(p, targetset.Request{Subject: "other"}, start)).To(Equal(targetset.NoTargets))
+		Expect(reason(p, targetset.Request{Subject: "m", Version: "v2"}, start)).To(Equal(targetset.NoTargets))
+		Expect(reason(p, targetset.Request{Subject: "m", Exclude: []string{"t0", "t1"}}, start)).To(Equal(targetset.Excluded))
 		p.Leaving("t0", start)
 		p.Report(peer.LoadReport{Target: "t1", Leaving: true}, start)
-		Expect(reason(p, request, start)).To(Equal(target.Leaving))
+		Expect(reason(p, request, start)).To(Equal(targetset.Leaving))
 	})
 
 	// Guards against new work at a target that leaves (I7): the agent's notice
@@ -94,7 +94,7 @@
 		Expect(late).To(BeZero())
 	})
 
-	DescribeTable("leaving ends", func(mark, unmark func(p *target.Pool, at time.Time), after time.Duration, back bool) {
+	DescribeTable("leaving ends", func(mark, unmark func(p *targetset.Pool, at time.Time), after time.Duration, back bool) {
 		p := newPool(3)
 		mark(p, start)
 		Expect(chosen(p, request, 200, start, random)).NotTo(HaveKey("t1"))
@@ -108,10 +108,10 @@
 		Entry("not by a report that was overtaken", notice, live, time.Second, false),
 		Entry("by a report of a new agent", notice, live, 6*time.Second, true),
 		Entry("not by a report after the VM list's word", listed, live, time.Minute, false),
-		Entry("by the VM list", listed, func(p *target.Pool, _ time.Time) { p.Returned("t1") }, time.Minute, true),
-		Entry("by the configuration", drain, func(p *target.Pool, _ time.Time) { p.Update(document(3)) }, time.Minute, true),
-		Entry("not by the same configuration", listed, func(p *target.Pool, _ time.Time) { p.Update(document(3)) }, time.Minute, false),
-		Entry("by a new VM in the configuration", listed, func(p *target.Pool, _ time.Time) {
+		Entry("by the VM list", listed, func(p *targetset.Pool, _ time.Time) { p.Returned("t1") }, time.Minute, true),
+		Entry("by the configuration", drain, func(p *targetset.Pool, _ time.Time) { p.Update(document(3)) }, time.Minute, true),
+		Entry("not by the same configuration", listed, func(p *targetset.Pool, _ time.Time) { p.Update(document(3)) }, time.Minute, false),
+		Entry("by a new VM in the configuration", listed, func(p *targetset.Pool, _ time.Time) {
 			d := document(3)
 			t := d.Targets["t1"]
 			t.VM = "vm-new"
@@ -140,15 +140,15 @@
 		Expect(chosen(p, request, 50, start, random)).To(Equal(map[string]int{"t0": 50}))
 	})
 
-	fail := func(p *target.Pool, name string, outcomes ...target.Outcome) {
+	fail := func(p *targetset.Pool, name string, outcomes ...targetset.Outcome) {
 		for _, o := range outcomes {
 			p.Begin(name, 1)
 			p.End(name, 1, o, time.Second, start)
 		}
 	}
-	const ok, bad = target.Succeeded, target.Failed
+	const ok, bad = targetset.Succeeded, targetset.Failed
 
-	DescribeTable("ejects", func(outcomes []target.Outcome, ejected bool) {
+	DescribeTable("ejects", func(outcomes []targetset.Outcome, ejected bool) {
 		p := newPool(6)
 		fail(p, "t1", outcomes...)
 		if ejected {
@@ -157,11 +157,11 @@
 			Expect(chosen(p, request, 300, start, random)).To(HaveKey("t1"))
 		}
 	},
-		Entry("after 5 failures in a row", []target.Outcome{bad, bad, bad, bad, bad}, true),
-		Entry("not after 4", []target.Outcome{bad, bad, bad, bad}, false),
-		Entry("not for refusals", []target.Outcome{target.Neutral, target.Neutral, target.Neutral, target.Neutral, target.Neutral}, false),
-		Entry("above half of the window", []target.Outcome{ok, bad, bad, ok, bad, bad, ok, bad, bad, bad}, true),
-		Entry("not at half of it", []target.Outcome{ok, bad, ok, bad, ok, bad, ok, bad, ok, bad, ok, bad}, false),
+		Entry("after 5 failures in a row", []targetset.Outcome{bad, bad, bad, bad, bad}, true),
+		Entry("not after 4", []targetset.Outcome{bad, bad, bad, bad}, false),
+		Entry("not for refusals", []targetset.Outcome{targetset.Neutral, targetset.Neutral, targetset.Neutral, targetset.Neutral, targetset.Neutral}, false),
+		Entry("above half of the window", []targetset.Outcome{ok, bad, bad, ok, bad, bad, ok, bad, bad, bad}, true),
+		Entry("not at half of it", []targetset.Outcome{ok, bad, ok, bad, ok, bad, ok, bad, ok, bad, ok, bad}, false),
 	)
 
 	// Guards against the loss of most targets to ejection when all fail, as they
@@ -205,14 +205,14 @@
 
 	// Guards against data races between the request path and updates.
 	It("is safe for concurrent use", func() {
-		p, hashes := newPool(8), target.PrefixHashes(make([]byte, 4<<10))
+		p, hashes := newPool(8), targetset.PrefixHashes(make([]byte, 4<<10))
 		var group sync.WaitGroup
 		for w := range 8 {
 			group.Go(func() {
 				random := rand.New(rand.NewSource(int64(w)))
 				for i := range 500 {
 					now := start.Add(time.Duration(i) * time.Millisecond)
-					c, err := p.Choose(target.Request{Subject: "m", Prefix: hashes}, now, random)
+					c, err := p.Choose(targetset.Request{Subject: "m", Prefix: hashes}, now, random)
 					if err != nil {
 						continue
 					}
@@ -225,7 +225,7 @@
 						p.Leaving(c.Target.Name, now)
 						p.Returned(c.Target.Name)
 					}
-					p.End(c.Target.Name, 10, target.Outcome(i%3), time.Millisecond, now)
+					p.End(c.Target.Name, 10, targetset.Outcome(i%3), time.Millisecond, now)
 				}
 			})
 		}
@@ -233,12 +233,12 @@
 	})
 })
 
-func notice(p *target.Pool, at time.Time) {
+func notice(p *targetset.Pool, at time.Time) {
 	p.Report(peer.LoadReport{Target: "t1", Leaving: true}, at)
 }
-func live(p *target.Pool, at time.Time)   { p.Report(peer.LoadReport{Target: "t1"}, at) }
-func listed(p *target.Pool, at time.Time) { p.Leaving("t1", at) }
-func drain(p *target.Pool, _ time.Time) {
+func live(p *targetset.Pool, at time.Time)   { p.Report(peer.LoadReport{Target: "t1"}, at) }
+func listed(p *targetset.Pool, at time.Time) { p.Leaving("t1", at) }
+func drain(p *targetset.Pool, _ time.Time) {
 	d := document(3)
 	t := d.Targets["t1"]
 	t.Draining = true
@@ -258,15 +258,15 @@
 					for i := range prompts {
 						prompt := make([]byte, blocks<<10)
 						random.Read(prompt)
-						prompts[i] = target.PrefixHashes(prompt)
+						prompts[i] = targetset.PrefixHashes(prompt)
 					}
 					for i := 0; pb.Next(); i++ {
-						c, err := p.Choose(target.Request{Subject: "m", Version: "v1", Prefix: prompts[i%len(prompts)]}, start, random)
+						c, err := p.Choose(targetset.Request{Subject: "m", Version: "v1", Prefix: prompts[i%len(prompts)]}, start, random)
 						if err != nil {
 							b.Error(err)
 						}
 						p.Begin(c.Target.Name, 100)
-						p.End(c.Target.Name, 100, target.Succeeded, time.Second, start)
+						p.End(c.Target.Name, 100, targetset.Succeeded, time.Second, start)
 					}
 				})
 			})
--- a/target/suite_test.go
+++ b/targetset/suite_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targetset_test
 
 import (
 	"testing"
