--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,540 @@
+// Package gateway serves callers' requests by sending them straight to the
+// replicas of their route's service. A request passes these steps: match a
+// route, authenticate, reserve quota, choose a replica, send, relay the answer,
+// settle. The decisions are in the packages route, quota, placement and
+// retrybudget; this package carries them out.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"briarreach/placement"
+	"briarreach/replica"
+	"briarreach/retrybudget"
+	"briarreach/route"
+	"briarreach/upstream"
+)
+
+// Belief is what the gateway knows at a moment, and how old it is.
+type Belief struct {
+	Table    *route.Table // nil before the first configuration
+	Replicas *replica.Set
+}
+
+// Quota admits model requests by their workspace's token quota.
+type Quota interface {
+	// Reserve takes the most that a request can consume. It may wait for the
+	// store until ctx ends. Its errors are *QuotaError.
+	Reserve(ctx context.Context, workspace string, tokens int64) (Reservation, error)
+}
+
+// Reservation is quota that is held for one request.
+type Reservation interface {
+	// Settle replaces the reservation by what was consumed.
+	Settle(tokens int64)
+}
+
+// QuotaError reports that quota could not be reserved. The request has not
+// run.
+type QuotaError struct {
+	Exhausted  bool // the whole quota is consumed or reserved
+	RetryAfter time.Duration
+}
+
+func (e *QuotaError) Error() string {
+	if e.Exhausted {
+		return "token quota exhausted"
+	}
+	return "not enough of the token quota is granted to this process"
+}
+
+// Tuning is what an operator can change of the gateway's behaviour.
+type Tuning struct {
+	SilenceTimeout time.Duration // without a byte from a replica a repeatable request is sent again
+	StaleAfter     time.Duration // a belief not confirmed for so long is called stale
+	MaxHeld        int           // bytes of an answer that is held to check that it is whole
+	MinTimeLeft    time.Duration // a request with less time is not sent
+}
+
+// DefaultTuning returns the tuning that holds if nothing else is said.
+func DefaultTuning() Tuning {
+	return Tuning{SilenceTimeout: 1500 * time.Millisecond, StaleAfter: 2500 * time.Millisecond,
+		MaxHeld: 256 << 10, MinTimeLeft: 5 * time.Millisecond}
+}
+
+// Gateway serves requests.
+type Gateway struct {
+	clock   clockwork.Clock
+	log     log.Interface
+	sender  Sender
+	quota   Quota
+	placer  *placement.Placer
+	retries *retrybudget.Budget
+	tuning  Tuning
+	metrics *meters
+	belief  atomic.Pointer[Belief]
+	heard   func() time.Time // last word from the operator's configuration
+	open    sync.WaitGroup
+}
+
+// Option changes a default of New.
+type Option func(*Gateway)
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(g *Gateway) { g.clock = c } }
+
+// WithLog sets the log.
+func WithLog(l log.Interface) Option { return func(g *Gateway) { g.log = l } }
+
+// WithTuning sets the tuning.
+func WithTuning(t Tuning) Option { return func(g *Gateway) { g.tuning = t } }
+
+// WithQuota sets what admits model requests; without it all are admitted.
+func WithQuota(q Quota) Option { return func(g *Gateway) { g.quota = q } }
+
+// WithMetrics adds the gateway's metrics to a set.
+func WithMetrics(s *metrics.Set) Option { return func(g *Gateway) { g.metrics = newMeters(s) } }
+
+// WithFreshness tells when the configuration was last confirmed.
+func WithFreshness(heard func() time.Time) Option { return func(g *Gateway) { g.heard = heard } }
+
+// New returns a gateway.
+func New(sender Sender, placer *placement.Placer, retries *retrybudget.Budget, opts ...Option) *Gateway {
+	g := &Gateway{clock: clockwork.NewRealClock(), log: log.Log, sender: sender, quota: noQuota{}, placer: placer,
+		retries: retries, tuning: DefaultTuning(), metrics: newMeters(metrics.NewSet())}
+	g.heard = g.clock.Now
+	for _, opt := range opts {
+		opt(g)
+	}
+	g.belief.Store(&Belief{})
+	return g
+}
+
+// noQuota admits everything.
+type noQuota struct{}
+
+func (noQuota) Reserve(context.Context, string, int64) (Reservation, error) { return noQuota{}, nil }
+
+func (noQuota) Settle(int64) {}
+
+// Believe replaces what the gateway knows. It is called by one goroutine at a
+// time.
+func (g *Gateway) Believe(change func(Belief) Belief) {
+	next := change(*g.belief.Load())
+	g.belief.Store(&next)
+}
+
+// Belief returns what the gateway knows.
+func (g *Gateway) Belief() Belief { return *g.belief.Load() }
+
+// Wait returns when all requests have ended.
+func (g *Gateway) Wait() { g.open.Wait() }
+
+// Serve answers a request. The context ends when the caller has gone.
+func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
+	g.open.Add(1)
+	e := &exchange{g: g, r: r, belief: g.Belief(), started: g.clock.Now(), rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return e.serve(ctx)
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	g         *Gateway
+	r         *Request
+	belief    Belief
+	started   time.Time
+	rand      *rand.Rand
+	route     *route.Route
+	service   string
+	workspace string
+	priority  int
+	deadline  time.Time
+	reserved  Reservation
+	sends     []send
+	delivered int // events that were passed on
+	first     time.Duration
+	once      sync.Once
+}
+
+// send is one dispatch of a request and its outcome, for the log.
+type send struct {
+	Replica  string `json:"replica"`
+	Why      string `json:"why"`
+	InFlight int    `json:"in_flight"`
+	Outcome  string `json:"outcome"`
+	MS       int64  `json:"ms"`
+}
+
+func (e *exchange) serve(ctx context.Context) Answer {
+	if refusal := e.admit(ctx); refusal != nil {
+		return e.refuse(refusal)
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
+	answer, refusal := e.dispatch(ctx)
+	if refusal != nil {
+		cancel()
+		return e.refuse(refusal)
+	}
+	if answer.Body == nil {
+		cancel()
+		e.end(outcomeServed, "")
+		return answer
+	}
+	answer.Body = &closer{ReadCloser: answer.Body, close: cancel}
+	return answer
+}
+
+// closer runs a function after the body is closed.
+type closer struct {
+	io.ReadCloser
+	close func()
+}
+
+func (c *closer) Close() error {
+	err := c.ReadCloser.Close()
+	c.close()
+	return err
+}
+
+// staleRetry is after how long a caller may come back to a process whose
+// configuration is not known or out of date.
+const staleRetry = 200 * time.Millisecond
+
+// admit matches the request against the configuration and reserves its quota.
+func (e *exchange) admit(ctx context.Context) *Refusal {
+	t := e.belief.Table
+	if t == nil {
+		return &Refusal{Ran: NotRun, Reason: NoConfiguration, RetryAfter: staleRetry}
+	}
+	r, ok := t.Match(e.r.Host, e.r.Path)
+	if !ok {
+		return e.unlessStale(UnknownRoute)
+	}
+	e.route = r
+	priority := 0
+	if t.RequiresKey() {
+		w, known := t.Workspace(e.r.Key)
+		switch {
+		case known:
+			e.workspace, priority = w.Name, w.Priority
+		case !r.Public:
+			return e.unlessStale(UnknownKey)
+		}
+	}
+	e.priority = min(max(priority*priorityStep+r.Priority, 0), lowestPriority)
+	timeout := r.Timeout
+	if e.r.Timeout > 0 && (e.r.Timeout < timeout || timeout <= 0) {
+		timeout = e.r.Timeout
+	}
+	e.deadline = e.started.Add(timeout)
+	service, ok := r.Pick(e.rand.Float64())
+	if !ok {
+		return &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: staleRetry}
+	}
+	e.service = service
+	e.g.retries.Request(service, e.started)
+	if e.r.Prompt == nil || e.workspace == "" {
+		return nil
+	}
+	wait, cancel := context.WithTimeout(ctx, r.TargetLatency/quotaWaitPart)
+	defer cancel()
+	reserved, err := e.g.quota.Reserve(wait, e.workspace, int64(e.r.Prompt.Tokens+e.r.Prompt.MaxOutput))
+	if err != nil {
+		var short *QuotaError
+		if errors.As(err, &short) && short.Exhausted {
+			return &Refusal{Ran: NotRun, Reason: QuotaExhausted}
+		}
+		retry := staleRetry
+		if short != nil {
+			retry = short.RetryAfter
+		}
+		return &Refusal{Ran: NotRun, Reason: QuotaUnsettled, RetryAfter: retry}
+	}
+	e.reserved = reserved
+	return nil
+}
+
+const (
+	// priorityStep ranks a workspace's priority before its routes'.
+	priorityStep   = 3
+	lowestPriority = 9
+	// quotaWaitPart is the part of the target latency, as a divisor, that a
+	// request waits for quota.
+	quotaWaitPart = 4
+)
+
+// unlessStale refuses a request that the configuration does not know. A
+// process whose configuration is out of date can't say that.
+func (e *exchange) unlessStale(reason Reason) *Refusal {
+	if e.g.clock.Since(e.g.heard()) > e.g.tuning.StaleAfter {
+		return &Refusal{Ran: NotRun, Reason: StaleConfig, RetryAfter: staleRetry}
+	}
+	return &Refusal{Ran: NotRun, Reason: reason}
+}
+
+// dispatch sends the request until a replica answers it, or gives it up.
+func (e *exchange) dispatch(ctx context.Context) (*Relay, *Refusal) {
+	exclude := make(map[string]bool)
+	ran := 0 // sends that may have run
+	var last *failure
+	for n := 0; n < maxSends; n++ {
+		now := e.g.clock.Now()
+		choice, ok := e.g.placer.Choose(e.need(exclude), e.g.Belief().Replicas.Of(e.service), now, e.rand)
+		if !ok {
+			if last == nil {
+				return nil, &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}
+			}
+			break
+		}
+		if n > 0 && !e.g.retries.Spend(e.service, now) {
+			e.g.placer.Done(choice, placement.Canceled, now)
+			e.g.metrics.retryRefused.Inc()
+			break
+		}
+		exclude[choice.Replica.ID] = true
+		relay, failed := e.send(ctx, choice, e.mayRepeat(ran+1))
+		if failed == nil {
+			return relay, nil
+		}
+		last = failed
+		if failed.ran {
+			ran++
+		}
+		if ctx.Err() != nil || !e.mayRepeat(ran) {
+			break
+		}
+	}
+	if last.relay != nil {
+		return last.relay, nil
+	}
+	if ran > 0 {
+		last.refusal.Ran, last.refusal.RetryAfter = RanUnknown, 0
+	}
+	return nil, last.refusal
+}
+
+const (
+	// maxSends bounds the sends of one request, those that a replica refused
+	// included.
+	maxSends = 3
+	// noReplicaRetry is after how long a caller may come back when a service
+	// has no replica.
+	noReplicaRetry = 300 * time.Millisecond
+)
+
+// mayRepeat reports whether a request may be sent again after a number of
+// sends that may have run.
+func (e *exchange) mayRepeat(ran int) bool {
+	if ran == 0 {
+		return true
+	}
+	return ran < e.route.MaxAttempts && (route.Repeatable(e.route.Kind) || route.Resumable(e.route.Kind))
+}
+
+func (e *exchange) need(exclude map[string]bool) placement.Need {
+	n := placement.Need{Exclude: exclude}
+	if p := e.r.Prompt; p != nil {
+		n.Tokens = p.Tokens + p.MaxOutput
+		if len(p.Parts) > 1 {
+			ids := make([]string, 0, len(p.Parts))
+			for _, part := range p.Parts[:len(p.Parts)-1] {
+				ids = append(ids, part.ID)
+			}
+			n.Affinity = placement.Affinity(ids)
+		}
+	}
+	return n
+}
+
+// failure is a send that gave no answer to pass on. If relay is set, it is the
+// replica's own failure, which is passed on if the request is not sent again.
+type failure struct {
+	refusal *Refusal
+	relay   *Relay
+	ran     bool // whether the request may have run
+}
+
+// send sends the request to one replica and waits for its answer.
+func (e *exchange) send(ctx context.Context, choice placement.Choice, again bool) (*Relay, *failure) {
+	g := e.g
+	started := g.clock.Now()
+	left := e.deadline.Sub(started)
+	if left < g.tuning.MinTimeLeft {
+		g.placer.Done(choice, placement.Canceled, started)
+		return nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: TimedOut}}
+	}
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	silence := g.clock.AfterFunc(e.silenceTimeout(again, left), func() { cancel(errSilent) })
+	done := func(o placement.Outcome, outcome string) {
+		silence.Stop()
+		cancel(nil)
+		now := g.clock.Now()
+		g.placer.Done(choice, o, now)
+		e.sends = append(e.sends, send{Replica: choice.Replica.ID, Why: choice.Reason, InFlight: choice.InFlight,
+			Outcome: outcome, MS: now.Sub(started).Milliseconds()})
+	}
+	res, err := g.sender.Send(sendCtx, Dispatch{Request: e.r, Replica: choice.Replica, Workspace: e.workspace,
+		Priority: e.priority, Timeout: left})
+	if err != nil {
+		return nil, e.sendFailed(ctx, sendCtx, err, choice, done)
+	}
+	if res.NotRun {
+		_ = res.Body.Close()
+		if res.Other {
+			g.sender.Forget(choice.Replica)
+			done(placement.Broken, "other_replica")
+			return nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}}
+		}
+		done(placement.Refused, "refused")
+		return nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: ReplicaFull, RetryAfter: e.fullRetry()}}
+	}
+	if _, streaming := e.route.Kind.(route.Streaming); streaming && res.Status < 300 {
+		return e.relayStream(ctx, sendCtx, res, choice, silence, done)
+	}
+	whole, err := readWhole(res.Body, g.tuning.MaxHeld)
+	_ = res.Body.Close()
+	if err != nil {
+		return nil, e.sendFailed(ctx, sendCtx, &upstream.BrokenError{Err: err}, choice, done)
+	}
+	relay := &Relay{Status: res.Status, Header: res.Header, Whole: whole}
+	if res.Status >= 500 {
+		done(placement.Failed, fmt.Sprint("status_", res.Status))
+		return nil, &failure{relay: relay, ran: true, refusal: &Refusal{Ran: HasRun, Reason: ReplicaFailed}}
+	}
+	done(placement.Served, "served")
+	e.first = g.clock.Since(e.started)
+	return relay, nil
+}
+
+var errSilent = errors.New("no answer in time")
+
+// silenceTimeout is how long a replica may stay silent. A request that can be
+// sent again waits for a part of its time only.
+func (e *exchange) silenceTimeout(again bool, left time.Duration) time.Duration {
+	if again {
+		return min(e.g.tuning.SilenceTimeout, left/2)
+	}
+	return left
+}
+
+// sendFailed classifies a send without an answer.
+func (e *exchange) sendFailed(ctx, sendCtx context.Context, err error, choice placement.Choice, done func(placement.Outcome, string)) *failure {
+	e.g.sender.Forget(choice.Replica)
+	var unsent *upstream.NotSentError
+	if errors.As(err, &unsent) {
+		if ctx.Err() != nil {
+			done(placement.Canceled, "canceled")
+			return &failure{refusal: e.ended(ctx, &Refusal{Ran: NotRun, Reason: TimedOut})}
+		}
+		done(placement.Broken, "not_sent")
+		return &failure{refusal: &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}}
+	}
+	refusal := &Refusal{Ran: RanUnknown, Reason: ReplicaFailed}
+	switch {
+	case ctx.Err() != nil:
+		refusal = e.ended(ctx, &Refusal{Ran: RanUnknown, Reason: TimedOut})
+		if refusal.Reason == CallerGone {
+			done(placement.Canceled, "caller_gone")
+		} else {
+			done(placement.Silent, "timed_out")
+		}
+	case errors.Is(context.Cause(sendCtx), errSilent):
+		done(placement.Silent, "silent")
+	default:
+		done(placement.Broken, "broken")
+	}
+	return &failure{refusal: refusal, ran: true}
+}
+
+// ended returns the refusal of a request whose context has ended.
+func (e *exchange) ended(ctx context.Context, last *Refusal) *Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if last != nil && last.Ran == NotRun {
+			return &Refusal{Ran: NotRun, Reason: TimedOut}
+		}
+		return &Refusal{Ran: RanUnknown, Reason: TimedOut}
+	}
+	return &Refusal{Ran: RanUnknown, Reason: CallerGone}
+}
+
+// fullRetry spreads the callers that a full replica turned away.
+func (e *exchange) fullRetry() time.Duration {
+	base := e.route.TargetLatency / 4
+	return base/2 + time.Duration(e.rand.Int64N(int64(base)+1))
+}
+
+// AnswerTooLargeError reports an answer that exceeds what is held to check
+// that it is whole.
+type AnswerTooLargeError struct{ Limit int }
+
+func (e *AnswerTooLargeError) Error() string {
+	return fmt.Sprintf("answer exceeds %d bytes", e.Limit)
+}
+
+func readWhole(body io.Reader, limit int) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	if err != nil {
+		return nil, fmt.Errorf("gateway.readWhole: %w", err)
+	}
+	if len(data) > limit {
+		return nil, &AnswerTooLargeError{Limit: limit}
+	}
+	return data, nil
+}
+
+func (e *exchange) refuse(r *Refusal) Answer {
+	if r == nil {
+		r = &Refusal{Ran: RanUnknown, Reason: ReplicaFailed}
+	}
+	e.end("refused", string(r.Reason))
+	return r
+}
+
+const (
+	outcomeServed = "served"
+	outcomeBroken = "broken_off"
+)
+
+// end settles the request and writes its log line, once.
+func (e *exchange) end(outcome, reason string) {
+	e.once.Do(func() {
+		if e.reserved != nil {
+			e.reserved.Settle(e.consumed())
+		}
+		e.report(outcome, reason)
+		e.g.open.Done()
+	})
+}
+
+// consumed returns the tokens that the request counts for: its prompt, if it
+// may have run, and the output that was passed on.
+func (e *exchange) consumed() int64 {
+	ran := false
+	for _, s := range e.sends {
+		switch s.Outcome {
+		case "refused", "other_replica", "not_sent", "canceled":
+		default:
+			ran = true
+		}
+	}
+	if !ran {
+		return 0
+	}
+	perEvent := 1
+	if s, ok := e.belief.Table.Service(e.service); ok && s.Engine != nil {
+		perEvent = s.Engine.TokensPerItem
+	}
+	p := e.r.Prompt
+	return int64(p.Tokens + min(p.MaxOutput, e.delivered*perEvent))
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,289 @@
+// Package placement chooses the replica for a request from what this process
+// knows: its own work in flight and the outcomes that it has seen.
+//
+// Load patterns: requests that share the first parts of their prompt go to the
+// replica that has read them, until it has more than its part of the load (a
+// hot prompt); replicas that crash, fall silent or fail requests get no new
+// work for a while. The tests "hot prompt" and "silent replicas" replay them.
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"briarreach/replica"
+)
+
+// Settings are the figures of the choice.
+type Settings struct {
+	LoadFactor float64       // a replica's load may exceed the mean by this factor
+	LoadSlack  int           // and by this number of requests
+	EjectFor   time.Duration // a replica that failed gets no work for so long
+	EjectLimit time.Duration // bound of EjectFor as failures go on
+	RefusedFor time.Duration // a replica that refused a request gets no work for so long
+	MaxEjected float64       // share of a service's replicas
+}
+
+// Defaults returns the settings that hold if nothing else is said.
+func Defaults() Settings {
+	return Settings{LoadFactor: 1.25, LoadSlack: 2, EjectFor: 1500 * time.Millisecond, EjectLimit: 6 * time.Second,
+		RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5}
+}
+
+// Need is what a request asks of a replica.
+type Need struct {
+	Affinity []uint64 // hashes of the shared parts of the prompt, in order; none if it does not matter
+	Tokens   int      // prompt and output at most
+	Exclude  map[string]bool
+}
+
+// Affinity hashes the shared parts of a prompt, given by their identifiers.
+func Affinity(ids []string) []uint64 {
+	hashes := make([]uint64, 0, len(ids))
+	var d xxhash.Digest
+	for _, id := range ids {
+		_, _ = d.WriteString(id)
+		_, _ = d.Write([]byte{0})
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
+
+// Choice is the replica for a request and why.
+type Choice struct {
+	Replica  replica.Replica
+	Reason   string
+	InFlight int // of this process, on that replica
+	ticket   *stats
+	tokens   int64
+}
+
+// Outcome is how a send ended.
+type Outcome int
+
+// Outcomes of a send.
+const (
+	Served   Outcome = iota
+	Refused          // the replica says that it did not run the request
+	Failed           // the replica answered with a failure of its own
+	Broken           // the connection broke or the answer was not whole
+	Silent           // no answer in time
+	Canceled         // the caller left
+)
+
+// Placer chooses replicas. It is safe for concurrent use: the path of a request
+// reads an immutable snapshot and changes counters.
+type Placer struct {
+	settings Settings
+	mu       sync.Mutex // serializes updates of the snapshot
+	known    atomic.Pointer[map[replica.Incarnation]*stats]
+}
+
+// stats is what this process knows of one start of a replica.
+type stats struct {
+	inFlight atomic.Int64
+	tokens   atomic.Int64
+
+	mu         sync.Mutex
+	failures   int // in a row
+	ejected    time.Time
+	failRate   float64 // exponentially weighted
+	lastServed time.Time
+}
+
+// New returns a placer.
+func New(s Settings) *Placer {
+	p := &Placer{settings: s}
+	p.known.Store(&map[replica.Incarnation]*stats{})
+	return p
+}
+
+// Update forgets replicas that are gone.
+func (p *Placer) Update(live []replica.Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := *p.known.Load()
+	next := make(map[replica.Incarnation]*stats, len(live))
+	for _, r := range live {
+		k := r.Incarnation()
+		if s := old[k]; s != nil {
+			next[k] = s
+		} else {
+			next[k] = &stats{}
+		}
+	}
+	p.known.Store(&next)
+}
+
+func (p *Placer) stats(r replica.Replica) *stats {
+	if s := (*p.known.Load())[r.Incarnation()]; s != nil {
+		return s
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := *p.known.Load()
+	k := r.Incarnation()
+	if s := old[k]; s != nil {
+		return s
+	}
+	next := make(map[replica.Incarnation]*stats, len(old)+1)
+	for key, s := range old {
+		next[key] = s
+	}
+	next[k] = &stats{}
+	p.known.Store(&next)
+	return next[k]
+}
+
+// Choose returns the replica for a request, and counts it as in flight until
+// Done. It returns false if there is none.
+func (p *Placer) Choose(need Need, replicas []replica.Replica, now time.Time, rnd *rand.Rand) (Choice, bool) {
+	candidates, ejected := p.candidates(need, replicas, now)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	best, reason := candidates[0], "only"
+	switch {
+	case len(candidates) == 1:
+	case len(need.Affinity) > 0:
+		best, reason = p.byAffinity(need.Affinity[len(need.Affinity)-1], candidates, rnd)
+	default:
+		best, reason = leastLoaded(candidates, rnd), "least_loaded"
+	}
+	if ejected {
+		reason += "_all_ejected"
+	}
+	best.stats.inFlight.Add(1)
+	best.stats.tokens.Add(int64(need.Tokens))
+	return Choice{Replica: best.replica, Reason: reason, InFlight: int(best.load), ticket: best.stats, tokens: int64(need.Tokens)}, true
+}
+
+type candidate struct {
+	replica replica.Replica
+	stats   *stats
+	load    int64
+}
+
+// candidates returns the replicas that may be chosen. When more than the
+// accepted share is ejected, all are candidates, and ejected is true.
+func (p *Placer) candidates(need Need, replicas []replica.Replica, now time.Time) (list []candidate, ejected bool) {
+	all := make([]candidate, 0, len(replicas))
+	for _, r := range replicas {
+		if need.Exclude[r.ID] {
+			continue
+		}
+		s := p.stats(r)
+		all = append(all, candidate{replica: r, stats: s, load: s.inFlight.Load()})
+	}
+	list = make([]candidate, 0, len(all))
+	for _, c := range all {
+		if !c.stats.isEjected(now) {
+			list = append(list, c)
+		}
+	}
+	if float64(len(all)-len(list)) > p.settings.MaxEjected*float64(len(all)) || len(list) == 0 {
+		return all, len(list) < len(all)
+	}
+	return list, false
+}
+
+// byAffinity takes the replica with the highest hash among those whose load is
+// within the bound.
+func (p *Placer) byAffinity(key uint64, list []candidate, rnd *rand.Rand) (candidate, string) {
+	total := int64(1)
+	for _, c := range list {
+		total += c.load
+	}
+	bound := int64(p.settings.LoadFactor*float64(total)/float64(len(list))) + int64(p.settings.LoadSlack)
+	var best, first *candidate
+	var bestWeight, firstWeight uint64
+	for i := range list {
+		w := weight(key, list[i].replica.ID)
+		if first == nil || w > firstWeight {
+			first, firstWeight = &list[i], w
+		}
+		if list[i].load < bound && (best == nil || w > bestWeight) {
+			best, bestWeight = &list[i], w
+		}
+	}
+	switch {
+	case best == nil:
+		return leastLoaded(list, rnd), "all_over_bound"
+	case best == first:
+		return *best, "affinity"
+	default:
+		return *best, "affinity_over_bound"
+	}
+}
+
+func weight(key uint64, id string) uint64 {
+	h := xxhash.Sum64String(id) ^ key
+	// Finalizer of SplitMix64.
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// leastLoaded takes the replica with the smallest load for its slots; ties are
+// broken at random, so that processes that start together spread out.
+func leastLoaded(list []candidate, rnd *rand.Rand) candidate {
+	best, ties := list[0], 1
+	for _, c := range list[1:] {
+		a, b := c.load*int64(best.replica.Slots), best.load*int64(c.replica.Slots)
+		switch {
+		case a < b:
+			best, ties = c, 1
+		case a == b:
+			ties++
+			if rnd.IntN(ties) == 0 {
+				best = c
+			}
+		}
+	}
+	return best
+}
+
+// Done ends a request at a replica.
+func (p *Placer) Done(c Choice, o Outcome, now time.Time) {
+	if c.ticket == nil {
+		return
+	}
+	c.ticket.inFlight.Add(-1)
+	c.ticket.tokens.Add(-c.tokens)
+	c.ticket.observe(o, now, p.settings)
+}
+
+// failRateWeight is the weight of one outcome in the failure rate.
+const failRateWeight = 0.1
+
+func (s *stats) observe(o Outcome, now time.Time, settings Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch o {
+	case Canceled:
+	case Served:
+		s.failures, s.lastServed = 0, now
+		s.failRate *= 1 - failRateWeight
+	case Failed:
+		s.failRate += failRateWeight * (1 - s.failRate)
+	case Refused:
+		s.ejected = now.Add(settings.RefusedFor)
+	case Broken, Silent:
+		s.failures++
+		s.failRate += failRateWeight * (1 - s.failRate)
+		pause := settings.EjectFor << min(s.failures-1, 4)
+		s.ejected = now.Add(min(pause, settings.EjectLimit))
+	}
+}
+
+func (s *stats) isEjected(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.ejected)
+}
--- /dev/null
+++ b/rowstore/rowstore.go
@@ -0,0 +1,93 @@
+// Package rowstore is the interface to the platform's store of versioned rows.
+package rowstore
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Key names a row.
+type Key struct {
+	Table string
+	Part  string // rows of one part can be changed in one transaction
+	Name  string
+}
+
+// Row is a row and the version of the transaction that wrote it. Version 0 is
+// a row that does not exist.
+type Row struct {
+	Key     Key
+	Value   []byte
+	Version uint64
+	Deleted bool // only in changes
+}
+
+// Page is the answer to a read: rows as of one moment.
+type Page struct {
+	Rows    []Row
+	Version uint64        // newest version in the store
+	Time    time.Duration // the store's steady clock
+}
+
+// Tx is a transaction on rows of one part. Expect holds the versions that rows
+// must have; version 0 means that the row must not exist.
+type Tx struct {
+	Expect []Row
+	Put    []Row
+	Delete []Key
+}
+
+// Committed is the outcome of a transaction.
+type Committed struct {
+	Version uint64
+	Time    time.Duration
+}
+
+// Store is the platform's store. Every call ends by its context or the
+// client's own timeout.
+type Store interface {
+	// List returns all rows of a part.
+	List(ctx context.Context, table, part string) (Page, error)
+	// Changes waits for rows of a table that changed after a version.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
+	// Commit applies a transaction.
+	Commit(ctx context.Context, tx Tx) (Committed, error)
+}
+
+// ConflictError reports that a row did not have the expected version. Nothing
+// was changed. Current holds the rows of the condition as they are.
+type ConflictError struct {
+	Current []Row
+	Version uint64
+	Time    time.Duration
+}
+
+func (e *ConflictError) Error() string { return "a row does not have the expected version" }
+
+// HistoryLostError reports that the changes after a version are no longer
+// kept. The reader lists the rows again.
+type HistoryLostError struct{ After uint64 }
+
+func (e *HistoryLostError) Error() string {
+	return fmt.Sprintf("changes after version %d are no longer kept", e.After)
+}
+
+// RefusedError reports that the store refused a call. Nothing was changed.
+type RefusedError struct {
+	Status int
+	Detail string
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the store refused the call: status %d: %s", e.Status, e.Detail)
+}
+
+// UnknownError reports that a call got no answer: a transaction may have been
+// applied, or may still be.
+type UnknownError struct{ Err error }
+
+func (e *UnknownError) Error() string { return "no answer from the store: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,350 @@
+// Package upstream keeps HTTP/1.1 connections to replicas and exchanges one
+// request and response on each at a time. It never repeats a request: its
+// errors say whether the request can have run, and the caller decides.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// NotSentError reports that no byte of the request left this process.
+type NotSentError struct{ Err error }
+
+func (e *NotSentError) Error() string { return "request not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// BrokenError reports that the request was sent at least in part and that no
+// whole answer came. It may have run.
+type BrokenError struct {
+	Err    error
+	Reused bool // whether the connection had served an earlier request
+}
+
+func (e *BrokenError) Error() string { return "no whole answer: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Err }
+
+// Request is what is written to a replica.
+type Request struct {
+	Method string
+	Target string // request target, as in the request line
+	Header []Field
+	Body   []byte
+}
+
+// Field is a header field.
+type Field struct{ Name, Value string }
+
+// Response is what a replica answered. Body must be closed; a connection whose
+// response was not read to its end is closed.
+type Response struct {
+	*http.Response
+	Reused bool
+}
+
+// Pool holds the idle connections to all replicas.
+type Pool struct {
+	clock       clockwork.Clock
+	dialTimeout time.Duration
+	idleTimeout time.Duration
+	maxIdle     int
+
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*conn
+	closed bool
+	dials  func()
+}
+
+// Option changes a default of New.
+type Option func(*Pool)
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(p *Pool) { p.clock = c } }
+
+// WithDialTimeout bounds the time to open a connection.
+func WithDialTimeout(d time.Duration) Option { return func(p *Pool) { p.dialTimeout = d } }
+
+// WithIdle bounds how long, and how many, connections to a replica stay idle.
+func WithIdle(timeout time.Duration, perReplica int) Option {
+	return func(p *Pool) { p.idleTimeout, p.maxIdle = timeout, perReplica }
+}
+
+// WithDialHook calls a function for each connection that is opened.
+func WithDialHook(f func()) Option { return func(p *Pool) { p.dials = f } }
+
+// New returns an empty pool.
+func New(opts ...Option) *Pool {
+	p := &Pool{clock: clockwork.NewRealClock(), dialTimeout: 300 * time.Millisecond, idleTimeout: 30 * time.Second,
+		maxIdle: 128, idle: make(map[netip.AddrPort][]*conn), dials: func() {}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Close closes all idle connections; connections in use close after their
+// response.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, list := range p.idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+	}
+	clear(p.idle)
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
+// Do sends a request and reads the response's header. Accept is called with
+// each response; one that it rejects belongs to an earlier request and is
+// skipped. When ctx ends the connection is closed, also while the body is read.
+func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request, accept func(*http.Response) bool) (*Response, error) {
+	c, err := p.take(ctx, address)
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	reused := c.used
+	c.used = true
+	written := c.write(r)
+	res, err := c.read(r.Method, accept)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		<-written // the caller may reuse the body's memory
+		if ctx.Err() != nil {
+			err = errors.Join(err, ctx.Err())
+		}
+		return nil, &BrokenError{Err: err, Reused: reused}
+	}
+	res.Body = &body{ReadCloser: res.Body, pool: p, conn: c, res: res, stop: stop, written: written}
+	return &Response{Response: res, Reused: reused}, nil
+}
+
+func (p *Pool) take(ctx context.Context, address netip.AddrPort) (*conn, error) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if p.clock.Since(c.idleSince) < c.idleLimit && c.alive() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	p.dials()
+	d := net.Dialer{Timeout: p.dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer), idleLimit: p.idleTimeout}, nil
+}
+
+func (p *Pool) pop(address netip.AddrPort) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	c.idleSince = p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[c.address]) >= p.maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+const (
+	readBuffer = 4 << 10
+	// largeRequest is the size from which a request is written while the
+	// response is read, as a replica may answer before it has read it all.
+	largeRequest = 8 << 10
+	// keepAliveMargin is how long before the replica's own idle timeout a
+	// connection is no longer used.
+	keepAliveMargin = 300 * time.Millisecond
+)
+
+// conn is one connection.
+type conn struct {
+	net.Conn
+	address   netip.AddrPort
+	reader    *bufio.Reader
+	used      bool
+	idleSince time.Time
+	idleLimit time.Duration
+}
+
+// write starts to send the request. The channel yields the outcome.
+func (c *conn) write(r Request) <-chan error {
+	head := make([]byte, 0, 1024)
+	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\n", r.Method, r.Target)
+	for _, f := range r.Header {
+		head = fmt.Appendf(head, "%s: %s\r\n", f.Name, f.Value)
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet {
+		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(r.Body))
+	}
+	head = append(head, "\r\n"...)
+	done := make(chan error, 1)
+	if len(head)+len(r.Body) < largeRequest {
+		_, err := c.Write(append(head, r.Body...))
+		done <- err
+		return done
+	}
+	go func() {
+		buffers := net.Buffers{head, r.Body}
+		_, err := buffers.WriteTo(c.Conn)
+		done <- err
+	}()
+	return done
+}
+
+// maxStrayResponses bounds the responses to earlier requests that are skipped.
+const maxStrayResponses = 4
+
+func (c *conn) read(method string, accept func(*http.Response) bool) (*http.Response, error) {
+	for range maxStrayResponses {
+		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= 100 && res.StatusCode < 200 {
+			continue
+		}
+		if accept(res) {
+			return res, nil
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			return nil, fmt.Errorf("upstream.read: %w", err)
+		}
+		if res.Close {
+			return nil, errors.New("connection ends after the response to another request")
+		}
+	}
+	return nil, errors.New("too many responses to other requests")
+}
+
+// alive reports whether the peer has neither closed an idle connection nor
+// sent anything on it.
+func (c *conn) alive() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		alive = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && alive
+}
+
+// body returns its connection to the pool after the end of the response.
+type body struct {
+	io.ReadCloser
+	pool    *Pool
+	conn    *conn
+	res     *http.Response
+	stop    func() bool
+	written <-chan error
+	ended   bool
+	closed  bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
+func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	canceled := !b.stop()
+	sent, pending := b.requestSent()
+	if canceled || !b.ended || b.res.Close || !sent || b.conn.reader.Buffered() > 0 {
+		err := b.conn.Close()
+		if pending {
+			<-b.written // the caller may reuse the request's memory
+		}
+		return err
+	}
+	b.conn.idleLimit = idleLimit(b.res.Header.Get("Keep-Alive"), b.pool.idleTimeout)
+	b.pool.put(b.conn)
+	return nil
+}
+
+// requestSent reports whether the whole request was written, and whether the
+// write is still going on.
+func (b *body) requestSent() (sent, pending bool) {
+	select {
+	case err := <-b.written:
+		return err == nil, false
+	default:
+		return false, true
+	}
+}
+
+func idleLimit(keepAlive string, limit time.Duration) time.Duration {
+	for part := range strings.SplitSeq(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); strings.EqualFold(name, "timeout") && err == nil {
+			return min(limit, time.Duration(seconds)*time.Second-keepAliveMargin)
+		}
+	}
+	return limit
+}
