Hold token quotas by escrow in the platform's store

A process now consumes only what the store has granted to it, records what it consumed, and may exceed the record by a window that grows with time; its successor returns the rest.

--- a/cmd/briarreach/gateway.go
+++ b/cmd/briarreach/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/jonboulle/clockwork"
+	"github.com/oklog/ulid/v2"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/dig"
 
@@ -23,6 +24,8 @@
 	"briarreach/gateway"
 	"briarreach/placement"
 	"briarreach/platform"
+	"briarreach/quota"
+	"briarreach/quotastore"
 	"briarreach/replica"
 	"briarreach/retrybudget"
 	"briarreach/route"
@@ -68,6 +71,8 @@
 		},
 		metrics.NewSet,
 		newGatewayStore,
+		newQuotaBook,
+		newQuotaSyncer,
 		newPlacer,
 		newRetryBudget,
 		newSender,
@@ -103,6 +108,16 @@
 	}
 }
 
+func newQuotaBook(s *platform.Settings) *quota.Book {
+	return quota.New(s.Process+"@"+s.Address.String(), ulid.Make().String(), quota.Defaults())
+}
+
+func newQuotaSyncer(book *quota.Book, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
+	retries *retrybudget.Budget) *quotastore.Syncer {
+	return quotastore.New(book, store, quota.Defaults().UnsureRetry, quotastore.WithClock(clock), quotastore.WithLog(l),
+		quotastore.WithMetrics(set), quotastore.WithSyncHook(func() { retries.SetProcesses(book.Holders()) }))
+}
+
 func newPlacer() *placement.Placer { return placement.New(placement.Defaults()) }
 
 // assumedGateways shares the fleet's budget of repeats before the number of
@@ -134,6 +149,8 @@
 	readiness *platform.Readiness
 	configs   *feed.Follower[platform.ConfigEvent]
 	replicas  *feed.Follower[replica.Event]
+	book      *quota.Book
+	quota     *quotastore.Syncer
 	stopping  atomic.Bool
 
 	mu        sync.Mutex
@@ -141,10 +158,10 @@
 }
 
 func newGatewayProcess(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
-	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender) (*gatewayProcess, error) {
-	p := &gatewayProcess{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace)}
+	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, book *quota.Book, syncer *quotastore.Syncer) (*gatewayProcess, error) {
+	p := &gatewayProcess{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), book: book, quota: syncer}
 	p.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithFreshness(func() time.Time { return p.configs.Status().Heard }))
+		gateway.WithMetrics(set), gateway.WithQuota(syncer), gateway.WithFreshness(func() time.Time { return p.configs.Status().Heard }))
 	p.configs = feed.New("configuration", platform.NewOperator(store), p.followConfig, feed.WithClock(clock), feed.WithLog(l))
 	p.replicas = feed.New("replicas", platform.NewRegistry(store), p.followReplicas, feed.WithClock(clock), feed.WithLog(l))
 	var err error
@@ -172,6 +189,8 @@
 			p.mu.Lock()
 			p.gateway.Believe(func(belief gateway.Belief) gateway.Belief { belief.Table = table; return belief })
 			p.mu.Unlock()
+			p.book.SetLimits(table.Version(), quotaLimits(table))
+			p.quota.Wake()
 			p.log.WithField("config_version", table.Version()).WithField("routes", len(event.Config.Routes)).Info("configuration in force")
 		case platform.ConfigUnreadable:
 			p.log.WithError(event.Err).Error("configuration ignored")
@@ -179,6 +198,16 @@
 	}
 }
 
+func quotaLimits(t *route.Table) []quota.Limit {
+	var limits []quota.Limit
+	for _, w := range t.Workspaces() {
+		if w.Limited {
+			limits = append(limits, quota.Limit{Workspace: w.Name, Tokens: w.TokenQuota})
+		}
+	}
+	return limits
+}
+
 func (p *gatewayProcess) followReplicas(b feed.Batch[replica.Event]) {
 	now := p.clock.Now()
 	p.mu.Lock()
@@ -245,6 +274,7 @@
 	drain, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.GracePeriod-announceTime-exitMargin)
 	defer cancel()
 	err := p.callers.Close(drain)
+	p.quota.Close(drain)
 	p.log.Info("stopped")
 	return err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,7 +144,7 @@
 // Serve answers a request. The context ends when the caller has gone.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
 	g.open.Add(1)
-	e := &exchange{g: g, r: r, belief: g.Belief(), started: g.clock.Now(), rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	e := &exchange{g: g, r: r, belief: g.Belief(), started: g.clock.Now(), configAge: g.clock.Since(g.heard()), rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	return e.serve(ctx)
 }
 
@@ -154,6 +154,7 @@
 	r         *Request
 	belief    Belief
 	started   time.Time
+	configAge time.Duration // at the start
 	rand      *rand.Rand
 	route     *route.Route
 	service   string
@@ -277,7 +278,7 @@
 // unlessStale refuses a request that the configuration does not know. A
 // process whose configuration is out of date can't say that.
 func (e *exchange) unlessStale(reason Reason) *Refusal {
-	if e.g.clock.Since(e.g.heard()) > e.g.tuning.StaleAfter {
+	if e.configAge > e.g.tuning.StaleAfter {
 		return &Refusal{Ran: NotRun, Reason: StaleConfig, RetryAfter: staleRetry}
 	}
 	return &Refusal{Ran: NotRun, Reason: reason}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -46,7 +46,7 @@
 	}
 	if e.belief.Table != nil {
 		fields["config_version"] = e.belief.Table.Version()
-		fields["config_age_ms"] = e.started.Sub(e.g.heard()).Milliseconds()
+		fields["config_age_ms"] = e.configAge.Milliseconds()
 	}
 	if e.belief.Replicas != nil {
 		fields["registry_version"] = e.belief.Replicas.Version
--- /dev/null
+++ b/quotastore/quotastore.go
@@ -0,0 +1,247 @@
+// Package quotastore keeps a process's quota book in step with the shared
+// store and lets requests wait for grants.
+package quotastore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"briarreach/gateway"
+	"briarreach/quota"
+	"briarreach/rowstore"
+)
+
+// Syncer reads and writes the rows of a book, from one goroutine.
+type Syncer struct {
+	book   *quota.Book
+	store  rowstore.Store
+	clock  clockwork.Clock
+	log    log.Interface
+	retry  time.Duration
+	onSync func()
+	cancel context.CancelFunc
+	done   chan struct{}
+	wake   chan struct{}
+	drawn  *metrics.Counter
+	back   *metrics.Counter
+	shorts *metrics.Counter
+	lost   bool
+	lostAt time.Time
+
+	mu      sync.Mutex
+	changed chan struct{} // closed after each step
+}
+
+// Option changes a default of New.
+type Option func(*Syncer)
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(s *Syncer) { s.clock = c } }
+
+// WithLog sets the log.
+func WithLog(l log.Interface) Option { return func(s *Syncer) { s.log = l } }
+
+// WithMetrics adds the syncer's metrics to a set.
+func WithMetrics(set *metrics.Set) Option {
+	return func(s *Syncer) {
+		s.drawn = set.NewCounter("briarreach_quota_drawn_tokens_total")
+		s.back = set.NewCounter("briarreach_quota_returned_tokens_total")
+		s.shorts = set.NewCounter("briarreach_quota_short_total")
+	}
+}
+
+// WithSyncHook calls a function after each step.
+func WithSyncHook(f func()) Option { return func(s *Syncer) { s.onSync = f } }
+
+const (
+	// tick is how often the book is looked at when nobody asks.
+	tick = 50 * time.Millisecond
+	// maxConflicts bounds the transactions of one step that lose a race.
+	maxConflicts = 8
+	// pause is left between steps that fail.
+	pause = 100 * time.Millisecond
+)
+
+// New starts a syncer.
+func New(book *quota.Book, store rowstore.Store, retry time.Duration, opts ...Option) *Syncer {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Syncer{book: book, store: store, clock: clockwork.NewRealClock(), log: log.Log, retry: retry, onSync: func() {},
+		cancel: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	WithMetrics(metrics.NewSet())(s)
+	for _, opt := range opts {
+		opt(s)
+	}
+	go func() {
+		defer close(s.done)
+		for ctx.Err() == nil {
+			s.round(ctx)
+		}
+	}()
+	return s
+}
+
+// Close returns what is granted and not consumed, and stops.
+func (s *Syncer) Close(ctx context.Context) {
+	s.cancel()
+	<-s.done
+	s.commit(ctx, true)
+}
+
+// Wake makes the syncer look at the book at once.
+func (s *Syncer) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Syncer) round(ctx context.Context) {
+	ok := s.step(ctx)
+	s.onSync()
+	s.mu.Lock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	if !ok {
+		select {
+		case <-s.clock.After(pause):
+		case <-ctx.Done():
+		}
+		return
+	}
+	select {
+	case <-s.wake:
+	case <-s.clock.After(tick):
+	case <-ctx.Done():
+	}
+}
+
+// step brings book and store together, and reports whether the store answered.
+func (s *Syncer) step(ctx context.Context) bool {
+	if s.book.NeedsList(s.clock.Now()) && !s.list(ctx) {
+		return false
+	}
+	if !s.book.Due(s.clock.Now()) {
+		return true
+	}
+	return s.commit(ctx, false)
+}
+
+func (s *Syncer) list(ctx context.Context) bool {
+	page, err := s.store.List(ctx, quota.Table, quota.Part)
+	if err != nil {
+		s.failed(ctx, "list", err)
+		return false
+	}
+	s.answered()
+	if err := s.book.Load(page.Rows, true, page.Time, s.clock.Now()); err != nil {
+		s.log.WithError(err).Error("quota row ignored")
+	}
+	return true
+}
+
+func (s *Syncer) commit(ctx context.Context, closing bool) bool {
+	for range maxConflicts {
+		plan := s.book.Prepare(s.clock.Now(), closing)
+		committed, err := s.store.Commit(ctx, plan.Tx)
+		var conflict *rowstore.ConflictError
+		var refused *rowstore.RefusedError
+		switch {
+		case err == nil:
+			s.answered()
+			s.book.Committed(plan, committed, s.clock.Now())
+			s.report(plan)
+			return true
+		case errors.As(err, &conflict):
+			s.answered()
+			s.book.Rejected(plan)
+			if err := s.book.Load(conflict.Current, false, conflict.Time, s.clock.Now()); err != nil {
+				s.log.WithError(err).Error("quota row ignored")
+			}
+		case errors.As(err, &refused):
+			s.book.Rejected(plan)
+			s.failed(ctx, "commit", err)
+			return false
+		default:
+			s.failed(ctx, "commit", err)
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Syncer) report(p quota.Plan) {
+	if len(p.Drawn)+len(p.Returned) == 0 {
+		return
+	}
+	fields := log.Fields{"recovers": p.Recovers}
+	for name, n := range p.Drawn {
+		s.drawn.AddInt64(n)
+		fields["drawn."+name] = n
+	}
+	for name, n := range p.Returned {
+		s.back.AddInt64(n)
+		fields["returned."+name] = n
+	}
+	s.log.WithFields(fields).Info("quota granted")
+}
+
+func (s *Syncer) failed(ctx context.Context, call string, err error) {
+	if s.lost || ctx.Err() != nil {
+		return
+	}
+	s.lost, s.lostAt = true, s.clock.Now()
+	s.log.WithField("call", call).WithError(err).Warn("quota store lost")
+}
+
+func (s *Syncer) answered() {
+	if !s.lost {
+		return
+	}
+	s.lost = false
+	s.log.WithField("away_ms", s.clock.Since(s.lostAt).Milliseconds()).Info("quota store regained")
+}
+
+// Reserve implements gateway.Quota.
+func (s *Syncer) Reserve(ctx context.Context, workspace string, tokens int64) (gateway.Reservation, error) {
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		switch s.book.Reserve(workspace, tokens, s.clock.Now()) {
+		case quota.Granted:
+			return &reservation{book: s.book, workspace: workspace, tokens: tokens}, nil
+		case quota.Unlimited:
+			return unlimited{}, nil
+		case quota.Exhausted:
+			return nil, &gateway.QuotaError{Exhausted: true}
+		}
+		s.Wake()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			s.shorts.Inc()
+			return nil, &gateway.QuotaError{RetryAfter: s.retry}
+		}
+	}
+}
+
+type reservation struct {
+	book      *quota.Book
+	workspace string
+	tokens    int64
+}
+
+// Settle implements gateway.Reservation.
+func (r *reservation) Settle(tokens int64) { r.book.Settle(r.workspace, r.tokens, tokens) }
+
+type unlimited struct{}
+
+// Settle implements gateway.Reservation.
+func (unlimited) Settle(int64) {}
