--- a/quota/quota.go
+++ b/quota/quota.go
@@ -55,26 +55,40 @@
 	Accounts    map[string]account `json:"accounts"`
 }
 
-// account is one workspace's part of a holder's row. The holder may consume up
-// to Spent + Window + Rate x the seconds since the row's time, within Granted.
+// account is one workspace's part of a holder's row. Within Granted, the holder
+// may consume Window tokens more than Spent, and Rate tokens per second since
+// the row's time. A holder that could not write for HoldMS milliseconds is
+// taken to be cut off from the store, and Released tokens per second are added
+// from then on.
 type account struct {
-	Granted int64 `json:"granted"`
-	Spent   int64 `json:"spent"` // consumed and reserved
-	Window  int64 `json:"window"`
-	Rate    int64 `json:"rate"` // tokens per second
+	Granted  int64 `json:"granted"`
+	Spent    int64 `json:"spent"` // consumed and reserved
+	Window   int64 `json:"window"`
+	Rate     int64 `json:"rate"`
+	HoldMS   int64 `json:"hold_ms"`
+	Released int64 `json:"released"`
 }
 
 // maxSpent bounds what the holder can have consumed some time after the row.
 func (a account) maxSpent(elapsed time.Duration) int64 {
-	return min(a.Granted, a.Spent+a.Window+int64(float64(a.Rate)*elapsed.Seconds()))
+	sum := a.Spent + a.Window + int64(float64(a.Rate)*elapsed.Seconds())
+	if cut := elapsed - time.Duration(a.HoldMS)*time.Millisecond; cut > 0 {
+		sum += int64(float64(a.Released) * cut.Seconds())
+	}
+	return min(a.Granted, sum)
 }
 
 // Settings are the figures of the grants.
 type Settings struct {
 	Horizon     time.Duration // demand that a grant covers
 	DemandTime  time.Duration // time constant of the demand's average
-	WindowTime  time.Duration // demand that is consumed ahead of the record
-	RateFactor  float64       // growth of the window, as a multiple of the demand
+	WindowPart  float64       // part of the balance that may be consumed ahead of the record
+	RiskPart    float64       // part of what is left of a quota that the windows of all holders may span
+	SpendTime   time.Duration // in which the window grows by the whole balance while the store answers
+	HoldTime    time.Duration // without the store, after which the rest of the balance is released
+	ReleaseTime time.Duration // in which it is released
+	GrantedPart float64       // part of what is left of a quota that all holders may hold together
+	RefillBelow float64       // part of the wanted balance below which more is drawn
 	Floor       int64         // tokens that a grant has at least, while the quota is not short
 	LiveFor     time.Duration // a holder whose record is older does not count
 	FreshFor    time.Duration // age up to which the rows decide that a quota is exhausted
@@ -86,8 +100,9 @@
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
-	return Settings{Horizon: 10 * time.Second, DemandTime: 5 * time.Second, WindowTime: 2 * time.Second, RateFactor: 1.5,
-		Floor: 20_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 500 * time.Millisecond,
+	return Settings{Horizon: 20 * time.Second, DemandTime: 6 * time.Second, WindowPart: 0.15, RiskPart: 0.25,
+		SpendTime: 20 * time.Second, HoldTime: 1500 * time.Millisecond, ReleaseTime: 2 * time.Second, GrantedPart: 0.95, RefillBelow: 0.8,
+		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 500 * time.Millisecond,
 		UrgentEvery: 30 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
 }
 
@@ -96,7 +111,7 @@
 	for _, d := range []struct {
 		name  string
 		value time.Duration
-	}{{"horizon", s.Horizon}, {"demand_time", s.DemandTime}, {"window_time", s.WindowTime}, {"live_for", s.LiveFor},
+	}{{"horizon", s.Horizon}, {"demand_time", s.DemandTime}, {"spend_time", s.SpendTime}, {"release_time", s.ReleaseTime}, {"live_for", s.LiveFor},
 		{"fresh_for", s.FreshFor}, {"sync_every", s.SyncEvery}, {"list_every", s.ListEvery}} {
 		if d.value <= 0 {
 			return &SettingError{Name: d.name}
@@ -410,7 +425,8 @@
 	Tx       rowstore.Tx
 	Drawn    map[string]int64
 	Returned map[string]int64
-	Recovers bool // whether it closes the grants of this VM's earlier process
+	Left     map[string]int64 // of each changed quota, granted to nobody
+	Recovers bool             // whether it closes the grants of this VM's earlier process
 	next     state
 	totals   map[string]total
 }
@@ -451,7 +467,7 @@
 	defer b.mu.Unlock()
 	b.urgent = false
 	b.sequence++
-	p := Plan{Drawn: map[string]int64{}, Returned: map[string]int64{}, totals: map[string]total{}}
+	p := Plan{Drawn: map[string]int64{}, Returned: map[string]int64{}, Left: map[string]int64{}, totals: map[string]total{}}
 	elapsed := now.Sub(b.storeAt)
 	p.next = state{at: now, holding: holding{Incarnation: b.incarnation, Sequence: b.sequence,
 		At: (b.storeTime + elapsed).Milliseconds(), Accounts: map[string]account{}}}
@@ -511,7 +527,7 @@
 	balance := granted - l.spent()
 	demand := l.demandNow(now, b.settings.DemandTime)
 	left := max(free+max(balance, 0)+b.unspent(name), 0)
-	fair := left / int64(2*b.holders())
+	fair := int64(b.settings.GrantedPart * float64(left) / float64(b.holders()))
 	wanted := min(max(int64(demand*b.settings.Horizon.Seconds()), b.settings.Floor), fair)
 	switch {
 	case closing:
@@ -521,7 +537,7 @@
 	}
 	change := int64(0)
 	switch {
-	case balance < wanted/2 || l.waiting > balance:
+	case float64(balance) < b.settings.RefillBelow*float64(wanted) || l.waiting > balance:
 		change = max(min(wanted-balance, free), 0)
 	case balance > 2*wanted || closing && balance > 0:
 		change = wanted - balance
@@ -543,10 +559,13 @@
 	if granted == 0 && l.spent() == 0 {
 		return
 	}
-	window := max(int64(demand*b.settings.WindowTime.Seconds()), l.waiting, l.largest)
-	rate := max(int64(demand*b.settings.RateFactor), wanted/int64(b.settings.Horizon.Seconds()+1))
+	balance = max(granted-l.spent(), 0)
+	window := max(int64(b.settings.WindowPart*float64(balance)), l.waiting, l.largest,
+		int64(b.settings.RiskPart*float64(left)/float64(b.holders())))
 	p.next.holding.Accounts[name] = account{Granted: granted, Spent: l.spent(),
-		Window: max(min(window, granted-l.spent()), 0), Rate: rate}
+		Window: min(window, balance),
+		Rate:   int64(float64(balance) / b.settings.SpendTime.Seconds()),
+		HoldMS: b.settings.HoldTime.Milliseconds(), Released: int64(float64(balance) / b.settings.ReleaseTime.Seconds())}
 	l.waiting = 0
 }
 
@@ -568,6 +587,7 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
+		p.Left[name] = b.limit(name) - p.totals[name].Granted
 		add(totalPrefix+name, p.totals[name])
 	}
 }
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -189,6 +189,9 @@
 		s.back.AddInt64(n)
 		fields["returned."+name] = n
 	}
+	for name, n := range p.Left {
+		fields["left."+name] = n
+	}
 	s.log.WithFields(fields).Info("quota granted")
 }
 
