--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -304,7 +304,7 @@
 			break
 		}
 		exclude[choice.Replica.ID] = true
-		relay, failed := e.send(ctx, choice, e.mayRepeat(ran+1))
+		relay, failed := e.send(ctx, choice, exclude, ran)
 		if failed == nil {
 			return relay, nil
 		}
@@ -366,79 +366,129 @@
 	ran     bool // whether the request may have run
 }
 
-// send sends the request to one replica and waits for its answer.
-func (e *exchange) send(ctx context.Context, choice placement.Choice, again bool) (*Relay, *failure) {
+// attempt is one send while it is going on.
+type attempt struct {
+	e       *exchange
+	choice  placement.Choice
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	silence clockwork.Timer // nil if silence is accepted
+	limit   time.Duration
+	body    io.Closer
+	ended   bool
+}
+
+// heard notes that the replica sent something.
+func (a *attempt) heard() {
+	a.e.g.placer.Heard(a.choice, a.e.g.clock.Now())
+	if a.silence != nil {
+		a.silence.Reset(a.limit)
+	}
+}
+
+// end ends the send, once. The body is closed first, as the end of the context
+// closes a connection that is still in use.
+func (a *attempt) end(o placement.Outcome, outcome string) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.silence != nil {
+		a.silence.Stop()
+	}
+	if a.body != nil {
+		_ = a.body.Close()
+	}
+	a.cancel(nil)
+	now := a.e.g.clock.Now()
+	a.e.g.placer.Done(a.choice, o, now)
+	a.e.sends = append(a.e.sends, send{Replica: a.choice.Replica.ID, Why: a.choice.Reason, InFlight: a.choice.InFlight,
+		Outcome: outcome, MS: now.Sub(a.started).Milliseconds()})
+}
+
+var errSilent = errors.New("no answer in time")
+
+// open sends the request to one replica, to go on after an event of its
+// stream, and waits for the header of the answer. Again says whether the
+// request can be sent once more, so that a silent replica can be given up.
+func (e *exchange) open(ctx context.Context, choice placement.Choice, after string, again bool) (*attempt, *Response, *failure) {
 	g := e.g
-	started := g.clock.Now()
-	left := e.deadline.Sub(started)
+	a := &attempt{e: e, choice: choice, started: g.clock.Now()}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	left := e.deadline.Sub(a.started)
 	if left < g.tuning.MinTimeLeft {
-		g.placer.Done(choice, placement.Canceled, started)
-		return nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: TimedOut}}
-	}
-	sendCtx, cancel := context.WithCancelCause(ctx)
-	silence := g.clock.AfterFunc(e.silenceTimeout(again, left), func() { cancel(errSilent) })
-	done := func(o placement.Outcome, outcome string) {
-		silence.Stop()
-		cancel(nil)
-		now := g.clock.Now()
-		g.placer.Done(choice, o, now)
-		e.sends = append(e.sends, send{Replica: choice.Replica.ID, Why: choice.Reason, InFlight: choice.InFlight,
-			Outcome: outcome, MS: now.Sub(started).Milliseconds()})
-	}
-	res, err := g.sender.Send(sendCtx, Dispatch{Request: e.r, Replica: choice.Replica, Workspace: e.workspace,
-		Priority: e.priority, Timeout: left})
+		a.end(placement.Canceled, "no_time")
+		return nil, nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: TimedOut}}
+	}
+	if again {
+		a.limit = min(g.tuning.SilenceTimeout, left/2)
+		a.silence = g.clock.AfterFunc(a.limit, func() { a.checkSilence() })
+	}
+	res, err := g.sender.Send(a.ctx, Dispatch{Request: e.r, Replica: choice.Replica, Workspace: e.workspace,
+		Priority: e.priority, Timeout: left, After: after})
 	if err != nil {
-		return nil, e.sendFailed(ctx, sendCtx, err, choice, done)
+		return nil, nil, e.sendFailed(ctx, a, err)
 	}
+	a.body = res.Body
+	if res.Other {
+		g.sender.Forget(choice.Replica)
+		a.end(placement.Broken, "other_replica")
+		return nil, nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}}
+	}
+	a.heard()
 	if res.NotRun {
-		_ = res.Body.Close()
-		if res.Other {
-			g.sender.Forget(choice.Replica)
-			done(placement.Broken, "other_replica")
-			return nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}}
-		}
-		done(placement.Refused, "refused")
-		return nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: ReplicaFull, RetryAfter: e.fullRetry()}}
+		a.end(placement.Refused, "refused")
+		return nil, nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: ReplicaFull, RetryAfter: e.fullRetry()}}
+	}
+	return a, res, nil
+}
+
+// checkSilence gives the send up, unless the replica has sent something for
+// another request meanwhile.
+func (a *attempt) checkSilence() {
+	now := a.e.g.clock.Now()
+	if quiet := now.Sub(a.e.g.placer.LastHeard(a.choice)); quiet < a.limit/2 && now.Sub(a.started) < 2*a.limit {
+		a.silence.Reset(a.limit / 2)
+		return
+	}
+	a.cancel(errSilent)
+}
+
+// send sends the request to one replica and waits for its answer. Ran is the
+// number of earlier sends that may have run.
+func (e *exchange) send(ctx context.Context, choice placement.Choice, exclude map[string]bool, ran int) (*Relay, *failure) {
+	a, res, failed := e.open(ctx, choice, "", e.mayRepeat(ran+1))
+	if failed != nil {
+		return nil, failed
 	}
 	if _, streaming := e.route.Kind.(route.Streaming); streaming && res.Status < 300 {
-		return e.relayStream(ctx, sendCtx, res, choice, silence, done)
+		return e.relayStream(ctx, a, res, exclude, ran+1)
 	}
-	whole, err := readWhole(res.Body, g.tuning.MaxHeld)
-	_ = res.Body.Close()
+	whole, err := readWhole(res.Body, e.g.tuning.MaxHeld)
 	if err != nil {
-		return nil, e.sendFailed(ctx, sendCtx, &upstream.BrokenError{Err: err}, choice, done)
+		return nil, e.sendFailed(ctx, a, &upstream.BrokenError{Err: err})
 	}
 	relay := &Relay{Status: res.Status, Header: res.Header, Whole: whole}
 	if res.Status >= 500 {
-		done(placement.Failed, fmt.Sprint("status_", res.Status))
+		a.end(placement.Failed, fmt.Sprint("status_", res.Status))
 		return nil, &failure{relay: relay, ran: true, refusal: &Refusal{Ran: HasRun, Reason: ReplicaFailed}}
 	}
-	done(placement.Served, "served")
-	e.first = g.clock.Since(e.started)
+	a.end(placement.Served, "served")
+	e.first = e.g.clock.Since(e.started)
 	return relay, nil
 }
 
-var errSilent = errors.New("no answer in time")
-
-// silenceTimeout is how long a replica may stay silent. A request that can be
-// sent again waits for a part of its time only.
-func (e *exchange) silenceTimeout(again bool, left time.Duration) time.Duration {
-	if again {
-		return min(e.g.tuning.SilenceTimeout, left/2)
-	}
-	return left
-}
-
-// sendFailed classifies a send without an answer.
-func (e *exchange) sendFailed(ctx, sendCtx context.Context, err error, choice placement.Choice, done func(placement.Outcome, string)) *failure {
-	e.g.sender.Forget(choice.Replica)
+// sendFailed classifies a send without an answer and ends it.
+func (e *exchange) sendFailed(ctx context.Context, a *attempt, err error) *failure {
+	e.g.sender.Forget(a.choice.Replica)
 	var unsent *upstream.NotSentError
 	if errors.As(err, &unsent) {
 		if ctx.Err() != nil {
-			done(placement.Canceled, "canceled")
+			a.end(placement.Canceled, "canceled")
 			return &failure{refusal: e.ended(ctx, &Refusal{Ran: NotRun, Reason: TimedOut})}
 		}
-		done(placement.Broken, "not_sent")
+		a.end(placement.Broken, "not_sent")
 		return &failure{refusal: &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}}
 	}
 	refusal := &Refusal{Ran: RanUnknown, Reason: ReplicaFailed}
@@ -446,14 +496,14 @@
 	case ctx.Err() != nil:
 		refusal = e.ended(ctx, &Refusal{Ran: RanUnknown, Reason: TimedOut})
 		if refusal.Reason == CallerGone {
-			done(placement.Canceled, "caller_gone")
+			a.end(placement.Canceled, string(CallerGone))
 		} else {
-			done(placement.Silent, "timed_out")
+			a.end(placement.Silent, string(TimedOut))
 		}
-	case errors.Is(context.Cause(sendCtx), errSilent):
-		done(placement.Silent, "silent")
+	case errors.Is(context.Cause(a.ctx), errSilent):
+		a.end(placement.Silent, "silent")
 	default:
-		done(placement.Broken, "broken")
+		a.end(placement.Broken, "broken")
 	}
 	return &failure{refusal: refusal, ran: true}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,12 +6,8 @@
 	"context"
 	"errors"
 	"io"
-	"time"
-
-	"github.com/jonboulle/clockwork"
 
 	"briarreach/placement"
-	"briarreach/route"
 	"briarreach/upstream"
 )
 
@@ -20,38 +16,42 @@
 type eventStream struct {
 	e       *exchange
 	ctx     context.Context // the caller's
-	body    io.ReadCloser
+	attempt *attempt
 	reader  *bufio.Reader
 	pending []byte // read from the replica and not yet by the caller
 	lastID  string
-	silence clockwork.Timer
-	pause   time.Duration // longest accepted silence
-	sendCtx context.Context
-	done    func(placement.Outcome, string)
-	choice  placement.Choice
+	exclude map[string]bool
+	ran     int
 	err     error
-	ended   bool
 }
 
-const streamBuffer = 4 << 10
+const (
+	streamBuffer = 4 << 10
+	// maxEvent bounds one event.
+	maxEvent = 1 << 20
+)
+
+// EventTooLargeError reports an event of a stream beyond the bound.
+type EventTooLargeError struct{ Limit int }
+
+func (e *EventTooLargeError) Error() string { return "event of a stream is too large" }
 
 // relayStream waits for the first event, so that a stream that breaks before
 // it can still be refused or sent again.
-func (e *exchange) relayStream(ctx, sendCtx context.Context, res *Response, choice placement.Choice, silence clockwork.Timer,
-	done func(placement.Outcome, string)) (*Relay, *failure) {
-	s := &eventStream{e: e, ctx: ctx, sendCtx: sendCtx, choice: choice, done: done, silence: silence}
-	s.open(res.Body)
+func (e *exchange) relayStream(ctx context.Context, a *attempt, res *Response, exclude map[string]bool, ran int) (*Relay, *failure) {
+	s := &eventStream{e: e, ctx: ctx, exclude: exclude, ran: ran}
+	s.open(a, res)
 	if err := s.next(); err != nil && !errors.Is(err, io.EOF) {
-		_ = res.Body.Close()
-		return nil, e.sendFailed(ctx, sendCtx, &upstream.BrokenError{Err: err}, choice, done)
+		return nil, e.sendFailed(ctx, a, &upstream.BrokenError{Err: err})
 	}
 	e.first = e.g.clock.Since(e.started)
 	return &Relay{Status: res.Status, Header: res.Header, Body: s, Length: -1}, nil
 }
 
-func (s *eventStream) open(body io.ReadCloser) {
-	s.body = body
-	s.reader = bufio.NewReaderSize(body, streamBuffer)
+func (s *eventStream) open(a *attempt, res *Response) {
+	a.body = res.Body
+	s.attempt = a
+	s.reader = bufio.NewReaderSize(res.Body, streamBuffer)
 }
 
 // next reads one event into pending.
@@ -61,15 +61,16 @@
 	for {
 		line, err := s.reader.ReadBytes('\n')
 		event = append(event, line...)
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
-				return io.EOF
-			}
-			if errors.Is(err, io.EOF) {
-				return io.ErrUnexpectedEOF
-			}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0:
+			return io.ErrUnexpectedEOF
+		default:
 			return err
 		}
+		if len(event) > maxEvent {
+			return &EventTooLargeError{Limit: maxEvent}
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
@@ -82,6 +83,7 @@
 	}
 	s.pending = event
 	s.e.delivered++
+	s.attempt.heard()
 	return nil
 }
 
@@ -103,45 +105,72 @@
 // fail ends the stream, or goes on at another replica.
 func (s *eventStream) fail(err error) {
 	if errors.Is(err, io.EOF) {
-		s.finish(placement.Served, "served")
+		s.attempt.end(placement.Served, "served")
 		s.e.end(outcomeServed, "")
 		s.err = io.EOF
 		return
 	}
-	_ = s.body.Close()
-	if s.ctx.Err() == nil && route.Resumable(s.e.route.Kind) && s.resume() {
+	if s.ctx.Err() != nil {
+		reason := s.e.ended(s.ctx, nil).Reason
+		outcome := placement.Canceled
+		if reason == TimedOut {
+			outcome = placement.Silent
+		}
+		s.attempt.end(outcome, string(reason))
+		s.e.end(outcomeBroken, string(reason))
+		s.err = s.ctx.Err()
 		return
 	}
-	outcome, reason := placement.Broken, "broken"
-	if s.ctx.Err() != nil {
-		outcome, reason = placement.Canceled, string(s.e.ended(s.ctx, nil).Reason)
+	s.e.sendFailed(s.ctx, s.attempt, &upstream.BrokenError{Err: err})
+	for s.e.mayRepeat(s.ran) && s.lastID != "" && s.ctx.Err() == nil {
+		if resumed, again := s.resume(); resumed {
+			return
+		} else if !again {
+			break
+		}
 	}
-	s.finish(outcome, reason)
-	s.e.end(outcomeBroken, reason)
+	s.e.end(outcomeBroken, string(ReplicaFailed))
 	s.err = err
 }
 
 // resume sends the request to another replica, which goes on after the last
-// event that was passed on.
-func (s *eventStream) resume() bool {
-	return false
-}
-
-// finish ends the send. The body is closed first: ending the send's context
-// closes a connection that is still in use.
-func (s *eventStream) finish(o placement.Outcome, outcome string) {
-	if !s.ended {
-		s.ended = true
-		_ = s.body.Close()
-		s.done(o, outcome)
+// event that was passed on. It reports whether it did, and whether to try
+// again.
+func (s *eventStream) resume() (resumed, again bool) {
+	e := s.e
+	now := e.g.clock.Now()
+	choice, ok := e.g.placer.Choose(e.need(s.exclude), e.g.Belief().Replicas.Of(e.service), now, e.rand)
+	if !ok {
+		return false, false
 	}
+	if !e.g.retries.Spend(e.service, now) {
+		e.g.placer.Done(choice, placement.Canceled, now)
+		e.g.metrics.retryRefused.Inc()
+		return false, false
+	}
+	s.exclude[choice.Replica.ID] = true
+	a, res, failed := e.open(s.ctx, choice, s.lastID, e.mayRepeat(s.ran+1))
+	if failed != nil {
+		if failed.ran {
+			s.ran++
+		}
+		return false, true
+	}
+	if res.Status >= 300 {
+		_ = res.Body.Close()
+		a.end(placement.Failed, "resume_failed")
+		s.ran++
+		return false, true
+	}
+	s.ran++
+	s.open(a, res)
+	return true, false
 }
 
-// Close implements io.Closer.
+// Close implements io.Closer. A stream that is closed before its end was left
+// by the caller.
 func (s *eventStream) Close() error {
-	if !s.ended {
-		s.finish(placement.Canceled, "caller_gone")
-		s.e.end(outcomeBroken, string(CallerGone))
-	}
+	s.attempt.end(placement.Canceled, string(CallerGone))
+	s.e.end(outcomeBroken, string(CallerGone))
 	return nil
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,18 +20,19 @@
 
 // Settings are the figures of the choice.
 type Settings struct {
-	LoadFactor float64       // a replica's load may exceed the mean by this factor
-	LoadSlack  int           // and by this number of requests
-	EjectFor   time.Duration // a replica that failed gets no work for so long
-	EjectLimit time.Duration // bound of EjectFor as failures go on
-	RefusedFor time.Duration // a replica that refused a request gets no work for so long
-	MaxEjected float64       // share of a service's replicas
+	LoadFactor  float64       // a replica's load may exceed the mean by this factor
+	LoadSlack   int           // and by this number of requests
+	EjectFor    time.Duration // a replica that failed gets no work for so long
+	EjectLimit  time.Duration // bound of EjectFor as failures go on
+	SilentAfter time.Duration // a replica that works and sends nothing for so long gets no more work
+	RefusedFor  time.Duration // a replica that refused a request gets no work for so long
+	MaxEjected  float64       // share of a service's replicas
 }
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
 	return Settings{LoadFactor: 1.25, LoadSlack: 2, EjectFor: 1500 * time.Millisecond, EjectLimit: 6 * time.Second,
-		RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5}
+		SilentAfter: 700 * time.Millisecond, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5}
 }
 
 // Need is what a request asks of a replica.
@@ -85,8 +86,9 @@
 
 // stats is what this process knows of one start of a replica.
 type stats struct {
-	inFlight atomic.Int64
-	tokens   atomic.Int64
+	inFlight  atomic.Int64
+	tokens    atomic.Int64
+	lastHeard atomic.Int64 // Unix nanoseconds; also when work began at an idle replica
 
 	mu         sync.Mutex
 	failures   int // in a row
@@ -157,7 +159,9 @@
 	if ejected {
 		reason += "_all_ejected"
 	}
-	best.stats.inFlight.Add(1)
+	if best.stats.inFlight.Add(1) == 1 {
+		best.stats.lastHeard.Store(now.UnixNano())
+	}
 	best.stats.tokens.Add(int64(need.Tokens))
 	return Choice{Replica: best.replica, Reason: reason, InFlight: int(best.load), ticket: best.stats, tokens: int64(need.Tokens)}, true
 }
@@ -181,7 +185,7 @@
 	}
 	list = make([]candidate, 0, len(all))
 	for _, c := range all {
-		if !c.stats.isEjected(now) {
+		if !c.stats.isEjected(now) && !c.stats.isSilent(now, p.settings.SilentAfter) {
 			list = append(list, c)
 		}
 	}
@@ -249,6 +253,22 @@
 	return best
 }
 
+// Heard notes that a replica sent something.
+func (p *Placer) Heard(c Choice, now time.Time) {
+	if c.ticket != nil {
+		c.ticket.lastHeard.Store(now.UnixNano())
+	}
+}
+
+// LastHeard returns when a replica last sent something, or when the first of
+// the requests that it works on was sent.
+func (p *Placer) LastHeard(c Choice) time.Time {
+	if c.ticket == nil {
+		return time.Time{}
+	}
+	return time.Unix(0, c.ticket.lastHeard.Load())
+}
+
 // Done ends a request at a replica.
 func (p *Placer) Done(c Choice, o Outcome, now time.Time) {
 	if c.ticket == nil {
@@ -282,6 +302,12 @@
 	}
 }
 
+// isSilent reports whether a replica with work in flight has sent nothing for
+// some time.
+func (s *stats) isSilent(now time.Time, limit time.Duration) bool {
+	return s.inFlight.Load() > 0 && now.Sub(time.Unix(0, s.lastHeard.Load())) > limit
+}
+
 func (s *stats) isEjected(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
