Lend granted quota between gateways over QUIC

Cause: while gateways were cut off from the store, one had quota of a workspace left and another refused its requests (quota_unsettled, 6 to 27 % of requests).

--- a/cmd/briarreach/gateway.go
+++ b/cmd/briarreach/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -22,6 +23,7 @@
 
 	"briarreach/feed"
 	"briarreach/gateway"
+	"briarreach/lending"
 	"briarreach/placement"
 	"briarreach/platform"
 	"briarreach/quota"
@@ -72,6 +74,7 @@
 		metrics.NewSet,
 		newGatewayStore,
 		newQuotaBook,
+		newLender,
 		newQuotaSyncer,
 		newPlacer,
 		newRetryBudget,
@@ -112,10 +115,15 @@
 	return quota.New(s.Process+"@"+s.Address.String(), ulid.Make().String(), quota.Defaults())
 }
 
+func newLender(s *platform.Settings, book *quota.Book, clock clockwork.Clock, l log.Interface, set *metrics.Set) (*lending.Lender, error) {
+	return lending.New(netip.AddrPortFrom(s.Address, s.PeerPorts[0]), book,
+		lending.WithClock(clock), lending.WithLog(l), lending.WithMetrics(set))
+}
+
 func newQuotaSyncer(book *quota.Book, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
-	retries *retrybudget.Budget) *quotastore.Syncer {
+	retries *retrybudget.Budget, lender *lending.Lender) *quotastore.Syncer {
 	return quotastore.New(book, store, quota.Defaults().UnsureRetry, quotastore.WithClock(clock), quotastore.WithLog(l),
-		quotastore.WithMetrics(set), quotastore.WithSyncHook(func() { retries.SetProcesses(book.Holders()) }))
+		quotastore.WithMetrics(set), quotastore.WithLoans(lender.Borrow), quotastore.WithSyncHook(func() { retries.SetProcesses(book.Holders()) }))
 }
 
 func newPlacer() *placement.Placer { return placement.New(placement.Defaults()) }
--- /dev/null
+++ b/quota/peer.go
@@ -0,0 +1,115 @@
+package quota
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Peer is where another holder can be asked for a loan.
+type Peer struct {
+	Holder      string
+	Address     netip.AddrPort
+	Fingerprint string // of its certificate
+}
+
+// SetPeer shows this holder's address to the others.
+func (b *Book) SetPeer(p Peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peer = p
+}
+
+// KnowsPeer reports whether a holder's row has a fingerprint.
+func (b *Book) KnowsPeer(fingerprint string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range b.holdings {
+		if h.Fingerprint == fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
+// Lenders returns the holders that may have quota of a workspace left, the one
+// with the most first.
+func (b *Book) Lenders(workspace string) []Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	type lender struct {
+		peer Peer
+		left int64
+	}
+	var lenders []lender
+	for name, h := range b.holdings {
+		if name == b.holder || h.Fingerprint == "" || !b.live(h) {
+			continue
+		}
+		a := h.Accounts[workspace]
+		left := a.Granted - a.Spent
+		if told, ok := b.told[name]; ok && told.sequence == h.Sequence {
+			if n, ok := told.left[workspace]; ok {
+				left = n
+			}
+		}
+		if left > 0 {
+			lenders = append(lenders, lender{peer: Peer{Holder: name, Address: h.Address, Fingerprint: h.Fingerprint}, left: left})
+		}
+	}
+	slices.SortFunc(lenders, func(x, y lender) int {
+		return cmp.Or(cmp.Compare(y.left, x.left), cmp.Compare(x.peer.Holder, y.peer.Holder))
+	})
+	peers := make([]Peer, 0, len(lenders))
+	for _, l := range lenders {
+		peers = append(peers, l.peer)
+	}
+	return peers
+}
+
+// told is what a lender said it has left, since its row of that sequence.
+type told struct {
+	sequence int64
+	left     map[string]int64
+}
+
+// loanTime is the demand that a borrower asks for beyond its need.
+const loanTime = 2 * time.Second
+
+// Wanted returns what a borrower would like beyond its need.
+func (b *Book) Wanted(workspace string, now time.Time) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return int64(b.local(workspace).demandNow(now, b.settings.DemandTime) * loanTime.Seconds())
+}
+
+// Lend takes tokens from this holder for another: what the other needs, and up
+// to half of what is left if it wants more. It returns what it gives, and what
+// is left then.
+func (b *Book) Lend(workspace string, need, wanted int64, now time.Time) (given, left int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.limits[workspace]; !ok || need < 0 || wanted < 0 {
+		return 0, 0
+	}
+	l := b.local(workspace)
+	available := max(b.allowance(workspace, now)-l.spent(), 0)
+	given = min(available, max(need, min(wanted, available/2)))
+	l.used += given
+	return given, available - given
+}
+
+// Borrowed adds tokens that another holder has consumed for this one.
+func (b *Book) Borrowed(workspace string, tokens int64, lender string, left int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.local(workspace).used -= tokens
+	h := b.holdings[lender]
+	t, ok := b.told[lender]
+	if !ok || t.sequence != h.Sequence {
+		t = told{sequence: h.Sequence, left: make(map[string]int64)}
+		b.told[lender] = t
+	}
+	t.left[workspace] = left
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -21,6 +21,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -52,6 +53,8 @@
 	Incarnation string             `json:"incarnation"`
 	Sequence    int64              `json:"sequence"`
 	At          int64              `json:"at_ms"` // store clock, not later than the state below
+	Address     netip.AddrPort     `json:"address"`
+	Fingerprint string             `json:"fingerprint"`
 	Accounts    map[string]account `json:"accounts"`
 }
 
@@ -100,8 +103,8 @@
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
-	return Settings{Horizon: 20 * time.Second, DemandTime: 6 * time.Second, WindowPart: 0.15, RiskPart: 0.25,
-		SpendTime: 20 * time.Second, HoldTime: 1500 * time.Millisecond, ReleaseTime: 2 * time.Second, GrantedPart: 0.95, RefillBelow: 0.8,
+	return Settings{Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowPart: 0.15, RiskPart: 0.25,
+		SpendTime: 20 * time.Second, HoldTime: 1500 * time.Millisecond, ReleaseTime: 2 * time.Second, GrantedPart: 0.7, RefillBelow: 0.8,
 		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 500 * time.Millisecond,
 		UrgentEvery: 30 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
 }
@@ -153,6 +156,8 @@
 	states        []state // what the store may hold for this holder, the confirmed one first
 	recorded      time.Time
 	urgent        bool
+	peer          Peer
+	told          map[string]told
 }
 
 // local is this holder's own count for a workspace.
@@ -177,7 +182,7 @@
 func New(holder, incarnation string, s Settings) *Book {
 	return &Book{settings: s, holder: holder, incarnation: incarnation, limits: make(map[string]int64),
 		rows: make(map[string]rowstore.Row), totals: make(map[string]total), holdings: make(map[string]holding),
-		accounts: make(map[string]*local)}
+		accounts: make(map[string]*local), told: make(map[string]told)}
 }
 
 // SetLimits takes the quotas of a configuration.
@@ -470,7 +475,7 @@
 	p := Plan{Drawn: map[string]int64{}, Returned: map[string]int64{}, Left: map[string]int64{}, totals: map[string]total{}}
 	elapsed := now.Sub(b.storeAt)
 	p.next = state{at: now, holding: holding{Incarnation: b.incarnation, Sequence: b.sequence,
-		At: (b.storeTime + elapsed).Milliseconds(), Accounts: map[string]account{}}}
+		At: (b.storeTime + elapsed).Milliseconds(), Address: b.peer.Address, Fingerprint: b.peer.Fingerprint, Accounts: map[string]account{}}}
 	own, mine := b.holdings[b.holder]
 	if mine && own.Incarnation != b.incarnation {
 		b.recover(&p, own, elapsed)
@@ -556,7 +561,7 @@
 		t.Limit, t.ConfigVersion = b.limits[name], b.configVersion
 		p.totals[name] = t
 	}
-	if granted == 0 && l.spent() == 0 {
+	if granted == 0 && l.used == 0 && l.reserved == 0 {
 		return
 	}
 	balance = max(granted-l.spent(), 0)
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -25,6 +25,7 @@
 	log    log.Interface
 	retry  time.Duration
 	onSync func()
+	borrow func(ctx context.Context, workspace string, need int64)
 	cancel context.CancelFunc
 	done   chan struct{}
 	wake   chan struct{}
@@ -59,7 +60,16 @@
 // WithSyncHook calls a function after each step.
 func WithSyncHook(f func()) Option { return func(s *Syncer) { s.onSync = f } }
 
+// WithLoans sets what asks other holders for quota when the store does not
+// grant it at once.
+func WithLoans(borrow func(ctx context.Context, workspace string, need int64)) Option {
+	return func(s *Syncer) { s.borrow = borrow }
+}
+
 const (
+	// storeTime is how long the store has to grant what a request needs before
+	// other holders are asked.
+	storeTime = 25 * time.Millisecond
 	// tick is how often the book is looked at when nobody asks.
 	tick = 50 * time.Millisecond
 	// maxConflicts bounds the transactions of one step that lose a race.
@@ -213,6 +223,7 @@
 
 // Reserve implements gateway.Quota.
 func (s *Syncer) Reserve(ctx context.Context, workspace string, tokens int64) (gateway.Reservation, error) {
+	began := s.clock.Now()
 	for {
 		s.mu.Lock()
 		changed := s.changed
@@ -226,8 +237,12 @@
 			return nil, &gateway.QuotaError{Exhausted: true}
 		}
 		s.Wake()
+		if s.borrow != nil && s.clock.Since(began) >= storeTime {
+			s.borrow(ctx, workspace, tokens)
+		}
 		select {
 		case <-changed:
+		case <-s.clock.After(storeTime):
 		case <-ctx.Done():
 			s.shorts.Inc()
 			return nil, &gateway.QuotaError{RetryAfter: s.retry}
