--- a/cmd/briarreach/gateway.go
+++ b/cmd/briarreach/gateway.go
@@ -199,7 +199,11 @@
 			p.mu.Unlock()
 			p.book.SetLimits(table.Version(), quotaLimits(table))
 			p.quota.Wake()
-			p.log.WithField("config_version", table.Version()).WithField("routes", len(event.Config.Routes)).Info("configuration in force")
+			fields := log.Fields{"config_version": table.Version(), "routes": len(event.Config.Routes)}
+			for _, l := range quotaLimits(table) {
+				fields["quota."+l.Workspace] = l.Tokens
+			}
+			p.log.WithFields(fields).Info("configuration in force")
 		case platform.ConfigUnreadable:
 			p.log.WithError(event.Err).Error("configuration ignored")
 		}
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -54,7 +54,7 @@
 	// silentFor is how long a peer that did not answer is not asked again.
 	silentFor = 2 * time.Second
 	// maxAsked bounds the peers that are asked for one request.
-	maxAsked = 3
+	maxAsked = 5
 	// maxMessage bounds a message.
 	maxMessage = 4 << 10
 	// certificateTime is the validity of a process's certificate; it ends
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -85,13 +85,15 @@
 type Settings struct {
 	Horizon     time.Duration // demand that a grant covers
 	DemandTime  time.Duration // time constant of the demand's average
-	WindowPart  float64       // part of the balance that may be consumed ahead of the record
+	WindowTime  time.Duration // demand that may be consumed ahead of the record
+	PlentyTime  time.Duration // a quota that lasts longer is not short, and RiskPart holds
 	RiskPart    float64       // part of what is left of a quota that the windows of all holders may span
 	SpendTime   time.Duration // in which the window grows by the whole balance while the store answers
 	HoldTime    time.Duration // without the store, after which the rest of the balance is released
 	ReleaseTime time.Duration // in which it is released
 	GrantedPart float64       // part of what is left of a quota that all holders may hold together
 	RefillBelow float64       // part of the wanted balance below which more is drawn
+	ReturnAbove float64       // part of the wanted balance above which the rest is returned
 	Floor       int64         // tokens that a grant has at least, while the quota is not short
 	LiveFor     time.Duration // a holder whose record is older does not count
 	FreshFor    time.Duration // age up to which the rows decide that a quota is exhausted
@@ -103,8 +105,8 @@
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
-	return Settings{Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowPart: 0.15, RiskPart: 0.25,
-		SpendTime: 20 * time.Second, HoldTime: 1500 * time.Millisecond, ReleaseTime: 2 * time.Second, GrantedPart: 0.7, RefillBelow: 0.8,
+	return Settings{Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowTime: 2 * time.Second, PlentyTime: time.Minute, RiskPart: 0.25,
+		SpendTime: 20 * time.Second, HoldTime: 1500 * time.Millisecond, ReleaseTime: 6 * time.Second, GrantedPart: 0.75, RefillBelow: 0.8, ReturnAbove: 1.5,
 		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 500 * time.Millisecond,
 		UrgentEvery: 30 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
 }
@@ -544,7 +546,7 @@
 	switch {
 	case float64(balance) < b.settings.RefillBelow*float64(wanted) || l.waiting > balance:
 		change = max(min(wanted-balance, free), 0)
-	case balance > 2*wanted || closing && balance > 0:
+	case float64(balance) > b.settings.ReturnAbove*float64(wanted) || closing && balance > 0:
 		change = wanted - balance
 	}
 	if change != 0 {
@@ -565,8 +567,10 @@
 		return
 	}
 	balance = max(granted-l.spent(), 0)
-	window := max(int64(b.settings.WindowPart*float64(balance)), l.waiting, l.largest,
-		int64(b.settings.RiskPart*float64(left)/float64(b.holders())))
+	window := max(int64(demand*b.settings.WindowTime.Seconds()), l.waiting)
+	if float64(left) > demand*float64(b.holders())*b.settings.PlentyTime.Seconds() {
+		window = max(window, l.largest, int64(b.settings.RiskPart*float64(left)/float64(b.holders())))
+	}
 	p.next.holding.Accounts[name] = account{Granted: granted, Spent: l.spent(),
 		Window: min(window, balance),
 		Rate:   int64(float64(balance) / b.settings.SpendTime.Seconds()),
