--- /dev/null
+++ b/gatewaydaemon/tuning.go
@@ -0,0 +1,129 @@
+package gatewaydaemon
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"briarreach/gateway"
+	"briarreach/placement"
+	"briarreach/quota"
+	"briarreach/settings"
+)
+
+// Tuning is what an operator can change of a gateway's decisions.
+type Tuning struct {
+	Gateway   gateway.Tuning
+	Placement placement.Settings
+	Quota     quota.Settings
+}
+
+// DefaultTuning returns the tuning without a file.
+func DefaultTuning() Tuning {
+	return Tuning{Gateway: gateway.DefaultTuning(), Placement: placement.Defaults(), Quota: quota.Defaults()}
+}
+
+// tuningFile is the layout of the file. Keys that are absent keep their
+// defaults.
+type tuningFile struct {
+	Gateway struct {
+		SilenceTimeout *settings.Duration `toml:"silence_timeout"`
+		StaleAfter     *settings.Duration `toml:"stale_after"`
+	} `toml:"gateway"`
+	Placement struct {
+		LoadFactor  *float64           `toml:"load_factor"`
+		EjectFor    *settings.Duration `toml:"eject_for"`
+		EjectLimit  *settings.Duration `toml:"eject_limit"`
+		SilentAfter *settings.Duration `toml:"silent_after"`
+		MaxEjected  *float64           `toml:"max_ejected"`
+	} `toml:"placement"`
+	Quota struct {
+		Horizon     *settings.Duration `toml:"horizon"`
+		GrantedPart *float64           `toml:"granted_part"`
+		SyncEvery   *settings.Duration `toml:"sync_every"`
+	} `toml:"quota"`
+}
+
+// TuningError reports a key of the file that is out of range.
+type TuningError struct {
+	File     string
+	Key      string
+	Accepted string
+}
+
+func (e *TuningError) Error() string {
+	return fmt.Sprintf("%s: %s: accepted is %s", e.File, e.Key, e.Accepted)
+}
+
+// LoadTuning reads a TOML file. Unknown keys are errors.
+func LoadTuning(path string) (Tuning, error) {
+	t := DefaultTuning()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return t, fmt.Errorf("gatewaydaemon.LoadTuning: %w", err)
+	}
+	var f tuningFile
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&f); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) {
+			return t, fmt.Errorf("%s: unknown key:\n%s", path, strict.String())
+		}
+		return t, fmt.Errorf("%s: %w", path, err)
+	}
+	c := checker{file: path}
+	c.duration("gateway.silence_timeout", f.Gateway.SilenceTimeout, &t.Gateway.SilenceTimeout)
+	c.duration("gateway.stale_after", f.Gateway.StaleAfter, &t.Gateway.StaleAfter)
+	c.number("placement.load_factor", f.Placement.LoadFactor, &t.Placement.LoadFactor, 1, 100)
+	c.duration("placement.eject_for", f.Placement.EjectFor, &t.Placement.EjectFor)
+	c.duration("placement.eject_limit", f.Placement.EjectLimit, &t.Placement.EjectLimit)
+	c.duration("placement.silent_after", f.Placement.SilentAfter, &t.Placement.SilentAfter)
+	c.number("placement.max_ejected", f.Placement.MaxEjected, &t.Placement.MaxEjected, 0, 1)
+	c.duration("quota.horizon", f.Quota.Horizon, &t.Quota.Horizon)
+	c.number("quota.granted_part", f.Quota.GrantedPart, &t.Quota.GrantedPart, 0.01, 1)
+	c.duration("quota.sync_every", f.Quota.SyncEvery, &t.Quota.SyncEvery)
+	return t, c.err
+}
+
+// Bounds of every duration of the file.
+const (
+	minTuned = time.Millisecond
+	maxTuned = time.Hour
+)
+
+// checker keeps the first error.
+type checker struct {
+	file string
+	err  error
+}
+
+func (c *checker) duration(key string, from *settings.Duration, to *time.Duration) {
+	if from == nil {
+		return
+	}
+	if !from.Valid() || from.Duration < minTuned || from.Duration > maxTuned {
+		c.fail(key, "a duration from 1ms to 1h")
+		return
+	}
+	*to = from.Duration
+}
+
+func (c *checker) number(key string, from *float64, to *float64, lowest, highest float64) {
+	if from == nil {
+		return
+	}
+	if !(*from >= lowest && *from <= highest) {
+		c.fail(key, fmt.Sprintf("a number from %g to %g", lowest, highest))
+		return
+	}
+	*to = *from
+}
+
+func (c *checker) fail(key, accepted string) {
+	if c.err == nil {
+		c.err = &TuningError{File: c.file, Key: key, Accepted: accepted}
+	}
+}
