--- a/quota/peer.go
+++ b/quota/peer.go
@@ -21,7 +21,8 @@
 	b.peer = p
 }
 
-// KnowsPeer reports whether a holder's row has a fingerprint.
+// KnowsPeer reports whether a holder's row has a fingerprint. The rows are read
+// again soon if none has.
 func (b *Book) KnowsPeer(fingerprint string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -30,6 +31,7 @@
 			return true
 		}
 	}
+	b.strangers = true
 	return false
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -59,17 +59,16 @@
 }
 
 // account is one workspace's part of a holder's row. Within Granted, the holder
-// may consume Window tokens more than Spent, and Rate tokens per second since
-// the row's time. A holder that could not write for HoldMS milliseconds is
+// may consume Window tokens more than Spent. A holder that could not write for HoldMS milliseconds is
 // taken to be cut off from the store, and Released tokens per second are added
 // from then on.
 type account struct {
 	Granted  int64 `json:"granted"`
 	Spent    int64 `json:"spent"` // consumed and reserved
 	Window   int64 `json:"window"`
-	Rate     int64 `json:"rate"`
 	HoldMS   int64 `json:"hold_ms"`
 	Released int64 `json:"released"`
+	Demand   int64 `json:"demand"` // tokens per second that callers ask this holder for
 }
 
 // maxSpent bounds what the holder can have consumed some time after the row.
@@ -78,7 +77,7 @@
 	if elapsed < 0 {
 		return a.Granted
 	}
-	sum := a.Spent + a.Window + int64(float64(a.Rate)*elapsed.Seconds())
+	sum := a.Spent + a.Window
 	if cut := elapsed - time.Duration(a.HoldMS)*time.Millisecond; cut > 0 {
 		sum += int64(float64(a.Released) * cut.Seconds())
 	}
@@ -92,7 +91,6 @@
 	WindowTime  time.Duration // demand that may be consumed ahead of the record
 	PlentyTime  time.Duration // a quota that lasts longer is not short, and RiskPart holds
 	RiskPart    float64       // part of what is left of a quota that the windows of all holders may span
-	SpendTime   time.Duration // in which the window grows by the whole balance while the store answers
 	HoldTime    time.Duration // without the store, after which the rest of the balance is released
 	ReleaseTime time.Duration // in which it is released
 	GrantedPart float64       // part of what is left of a quota that all holders may hold together
@@ -103,16 +101,17 @@
 	FreshFor    time.Duration // age up to which the rows decide that a quota is exhausted
 	SyncEvery   time.Duration // pause between records while tokens are consumed
 	UrgentEvery time.Duration // pause between records while a request waits
+	TxTime      time.Duration // that the store has for each transaction of all holders
 	ListEvery   time.Duration // pause between readings of all rows
 	UnsureRetry time.Duration // after how long a caller may come back
 }
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
-	return Settings{Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowTime: 2 * time.Second, PlentyTime: time.Minute, RiskPart: 0.25,
-		SpendTime: 20 * time.Second, HoldTime: 1500 * time.Millisecond, ReleaseTime: 6 * time.Second, GrantedPart: 0.75, RefillBelow: 0.8, ReturnAbove: 1.5,
+	return Settings{Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowTime: 1500 * time.Millisecond, PlentyTime: time.Minute, RiskPart: 0.25,
+		HoldTime: 2 * time.Second, ReleaseTime: 6 * time.Second, GrantedPart: 0.75, RefillBelow: 0.8, ReturnAbove: 1.5,
 		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 500 * time.Millisecond,
-		UrgentEvery: 30 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
+		UrgentEvery: 30 * time.Millisecond, TxTime: 8 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
 }
 
 // Validate reports the first setting out of range.
@@ -120,7 +119,7 @@
 	for _, d := range []struct {
 		name  string
 		value time.Duration
-	}{{"horizon", s.Horizon}, {"demand_time", s.DemandTime}, {"spend_time", s.SpendTime}, {"release_time", s.ReleaseTime}, {"live_for", s.LiveFor},
+	}{{"horizon", s.Horizon}, {"demand_time", s.DemandTime}, {"release_time", s.ReleaseTime}, {"live_for", s.LiveFor},
 		{"fresh_for", s.FreshFor}, {"sync_every", s.SyncEvery}, {"list_every", s.ListEvery}} {
 		if d.value <= 0 {
 			return &SettingError{Name: d.name}
@@ -163,6 +162,8 @@
 	recorded      time.Time
 	urgent        bool
 	lowered       map[string]lowered
+	adopted       map[string]int64 // what the earlier process is taken to have consumed
+	strangers     bool // whether a peer called that no row names
 	peer          Peer
 	told          map[string]told
 }
@@ -328,6 +329,17 @@
 	return sum
 }
 
+// demandOfOthers returns the demand that the other holders recorded.
+func (b *Book) demandOfOthers(workspace string) float64 {
+	sum := 0.0
+	for name, h := range b.holdings {
+		if name != b.holder && b.live(h) {
+			sum += float64(h.Accounts[workspace].Demand)
+		}
+	}
+	return sum
+}
+
 func (b *Book) live(h holding) bool {
 	return b.storeTime-time.Duration(h.At)*time.Millisecond < b.settings.LiveFor
 }
@@ -387,7 +399,7 @@
 			l.unverified = false
 			b.lowered[name] = l
 		}
-		b.loaded, b.loadedAt = true, now
+		b.loaded, b.loadedAt, b.strangers = true, now, false
 	}
 	b.resolve()
 	return first
@@ -441,7 +453,7 @@
 	Drawn    map[string]int64
 	Returned map[string]int64
 	Left     map[string]int64 // of each changed quota, granted to nobody
-	Recovers bool             // whether it closes the grants of this VM's earlier process
+	Adopted  map[string]int64 // left in the grants of this VM's earlier process; nil if there was none
 	next     state
 	totals   map[string]total
 }
@@ -453,12 +465,18 @@
 	if len(b.states) != 1 || b.recorded.IsZero() && len(b.limits) > 0 {
 		return true
 	}
-	if b.urgent {
-		return now.Sub(b.recorded) >= b.settings.UrgentEvery
+	if b.urgent && !b.recorded.IsZero() {
+		return now.Sub(b.recorded) >= b.urgentPause()
 	}
 	return now.Sub(b.recorded) >= b.settings.SyncEvery && b.changed()
 }
 
+// urgentPause shares the transactions that the part of the store takes among
+// all holders.
+func (b *Book) urgentPause() time.Duration {
+	return max(b.settings.UrgentEvery, time.Duration(b.holders())*b.settings.TxTime)
+}
+
 func (b *Book) changed() bool {
 	for name, l := range b.accounts {
 		if a := b.states[0].holding.Accounts[name]; l.spent() != a.Spent {
@@ -477,6 +495,9 @@
 			return true
 		}
 	}
+	if b.strangers && now.Sub(b.loadedAt) >= b.settings.SyncEvery {
+		return true
+	}
 	return !b.loaded || now.Sub(b.loadedAt) >= b.settings.ListEvery || len(b.states) > 1
 }
 
@@ -493,7 +514,7 @@
 		At: (b.storeTime + elapsed).Milliseconds(), Address: b.peer.Address, Fingerprint: b.peer.Fingerprint, Accounts: map[string]account{}}}
 	own, mine := b.holdings[b.holder]
 	if mine && own.Incarnation != b.incarnation {
-		b.recover(&p, own, elapsed)
+		b.adopt(&p, own, elapsed)
 	}
 	for _, name := range b.workspaces() {
 		b.planAccount(&p, name, now, closing)
@@ -503,18 +524,24 @@
 	return p
 }
 
-// recover returns what the earlier process on this VM can't have consumed.
-func (b *Book) recover(p *Plan, old holding, elapsed time.Duration) {
-	p.Recovers = true
+// adopt takes over the grants of the earlier process on this VM: what it can't
+// have consumed is this process's balance. No other row changes, so that many
+// processes that start together do not contend.
+func (b *Book) adopt(p *Plan, old holding, elapsed time.Duration) {
+	for name, spent := range b.adopted {
+		b.local(name).used -= spent // a plan that was not applied
+	}
+	p.Adopted, b.adopted = map[string]int64{}, map[string]int64{}
 	since := b.storeTime + elapsed - time.Duration(old.At)*time.Millisecond
+	accounts := make(map[string]account, len(old.Accounts))
 	for name, a := range old.Accounts {
-		if rest := a.Granted - a.maxSpent(since); rest > 0 {
-			t := b.totals[name]
-			t.Granted -= rest
-			p.totals[name] = t
-			p.Returned[name] = rest
-		}
+		spent := a.maxSpent(since)
+		p.Adopted[name] = a.Granted - spent
+		accounts[name] = account{Granted: a.Granted, Spent: spent}
+		b.local(name).used += spent
+		b.adopted[name] = spent
 	}
+	b.states[0].holding.Accounts = accounts
 }
 
 func (b *Book) workspaces() []string {
@@ -554,6 +581,7 @@
 	}
 	change := int64(0)
 	switch {
+	case p.Adopted != nil:
 	case float64(balance) < b.settings.RefillBelow*float64(wanted) || l.waiting > balance:
 		change = max(min(wanted-balance, free), 0)
 	case float64(balance) > b.settings.ReturnAbove*float64(wanted) || closing && balance > 0:
@@ -581,13 +609,13 @@
 	}
 	balance = max(granted-l.spent(), 0)
 	window := max(int64(demand*b.settings.WindowTime.Seconds()), l.waiting)
-	if float64(left) > demand*float64(b.holders())*b.settings.PlentyTime.Seconds() {
+	if float64(left) > (demand+b.demandOfOthers(name))*b.settings.PlentyTime.Seconds() {
 		window = max(window, l.largest, int64(b.settings.RiskPart*float64(left)/float64(b.holders())))
 	}
 	p.next.holding.Accounts[name] = account{Granted: granted, Spent: l.spent(),
 		Window: min(window, balance),
-		Rate:   int64(float64(balance) / b.settings.SpendTime.Seconds()),
-		HoldMS: b.settings.HoldTime.Milliseconds(), Released: int64(float64(balance) / b.settings.ReleaseTime.Seconds())}
+		HoldMS: b.settings.HoldTime.Milliseconds(), Released: int64(float64(balance) / b.settings.ReleaseTime.Seconds()),
+		Demand: int64(demand)}
 	l.waiting = 0
 }
 
@@ -632,6 +660,7 @@
 	b.storeTime, b.storeAt = c.Time, now
 	b.states = []state{p.next}
 	b.recorded = now
+	b.urgent = b.urgent || p.Adopted != nil
 }
 
 // Rejected takes a plan that the store has not applied and never will.
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 	tick = 50 * time.Millisecond
 	// maxConflicts bounds the transactions of one step that lose a race.
 	maxConflicts = 8
+	// conflictPause is the mean pause after a transaction that lost a race.
+	conflictPause = 20 * time.Millisecond
 	// pause is left between steps that fail.
 	pause = 100 * time.Millisecond
 )
@@ -157,7 +160,10 @@
 }
 
 func (s *Syncer) commit(ctx context.Context, closing bool) bool {
-	for range maxConflicts {
+	for n := range maxConflicts {
+		if n > 0 {
+			s.clock.Sleep(rand.N(time.Duration(n) * conflictPause))
+		}
 		plan := s.book.Prepare(s.clock.Now(), closing)
 		committed, err := s.store.Commit(ctx, plan.Tx)
 		var conflict *rowstore.ConflictError
@@ -187,10 +193,13 @@
 }
 
 func (s *Syncer) report(p quota.Plan) {
-	if len(p.Drawn)+len(p.Returned) == 0 {
+	if len(p.Drawn)+len(p.Returned)+len(p.Adopted) == 0 {
 		return
 	}
-	fields := log.Fields{"recovers": p.Recovers}
+	fields := log.Fields{}
+	for name, n := range p.Adopted {
+		fields["adopted."+name] = n
+	}
 	for name, n := range p.Drawn {
 		s.drawn.AddInt64(n)
 		fields["drawn."+name] = n
