Share grants by demand and recall idle ones

Floors hoarded what was left. Grants follow the recorded demand, floors span a fifth of what is left, a lender returns what it can't lend, and lenders are asked in a weighted random order.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -272,7 +272,7 @@
 	lowestPriority = 9
 	// quotaWaitPart is the part of the target latency, as a divisor, that a
 	// request waits for quota.
-	quotaWaitPart = 4
+	quotaWaitPart = 2
 )
 
 // unlessStale refuses a request that the configuration does not know. A
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -66,9 +66,9 @@
 		func() Tuning { return o.tuning },
 		metrics.NewSet,
 		newStore,
-		newQuotaBook,
+		newQuotaBooks,
 		newLender,
-		newQuotaSyncer,
+		newQuotaShards,
 		newPlacer,
 		newRetryBudget,
 		newSender,
@@ -108,19 +108,19 @@
 	}
 }
 
-func newQuotaBook(s *platform.Settings, t Tuning) *quota.Book {
-	return quota.New(s.Process+"@"+s.Address.String(), ulid.Make().String(), t.Quota)
+func newQuotaBooks(s *platform.Settings, t Tuning) quotastore.Books {
+	return quotastore.NewBooks(t.Quota.Parts, s.Process+"@"+s.Address.String(), ulid.Make().String(), t.Quota)
 }
 
-func newLender(s *platform.Settings, book *quota.Book, clock clockwork.Clock, l log.Interface, set *metrics.Set) (*lending.Lender, error) {
-	return lending.New(netip.AddrPortFrom(s.Address, s.PeerPorts[0]), book,
+func newLender(s *platform.Settings, books quotastore.Books, clock clockwork.Clock, l log.Interface, set *metrics.Set) (*lending.Lender, error) {
+	return lending.New(netip.AddrPortFrom(s.Address, s.PeerPorts[0]), books,
 		lending.WithClock(clock), lending.WithLog(l), lending.WithMetrics(set))
 }
 
-func newQuotaSyncer(book *quota.Book, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
-	retries *retrybudget.Budget, lender *lending.Lender, t Tuning) *quotastore.Syncer {
-	return quotastore.New(book, store, t.Quota.UnsureRetry, quotastore.WithClock(clock), quotastore.WithLog(l),
-		quotastore.WithMetrics(set), quotastore.WithLoans(lender.Borrow), quotastore.WithSyncHook(func() { retries.SetProcesses(book.Holders()) }))
+func newQuotaShards(books quotastore.Books, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
+	retries *retrybudget.Budget, lender *lending.Lender, t Tuning) *quotastore.Shards {
+	return quotastore.NewShards(books, store, t.Quota, quotastore.WithClock(clock), quotastore.WithLog(l),
+		quotastore.WithMetrics(set), quotastore.WithLoans(lender.Borrow), quotastore.WithSyncHook(func() { retries.SetProcesses(books.Holders()) }))
 }
 
 func newPlacer(t Tuning) *placement.Placer { return placement.New(t.Placement) }
@@ -154,8 +154,8 @@
 	readiness *platform.Readiness
 	configs   *feed.Follower[platform.ConfigEvent]
 	replicas  *feed.Follower[replica.Event]
-	book      *quota.Book
-	quota     *quotastore.Syncer
+	books     quotastore.Books
+	quota     *quotastore.Shards
 	lender    *lending.Lender
 	stopping  atomic.Bool
 
@@ -164,10 +164,10 @@
 }
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
-	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, book *quota.Book, syncer *quotastore.Syncer, lender *lending.Lender, t Tuning) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), book: book, quota: syncer, lender: lender}
+	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, books quotastore.Books, shards *quotastore.Shards, lender *lending.Lender, t Tuning) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), books: books, quota: shards, lender: lender}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithTuning(t.Gateway), gateway.WithQuota(syncer), gateway.WithFreshness(func() time.Time { return d.configs.Status().Heard }))
+		gateway.WithMetrics(set), gateway.WithTuning(t.Gateway), gateway.WithQuota(shards), gateway.WithFreshness(func() time.Time { return d.configs.Status().Heard }))
 	d.configs = feed.New("configuration", platform.NewOperator(store), d.followConfig, feed.WithClock(clock), feed.WithLog(l))
 	d.replicas = feed.New("replicas", platform.NewRegistry(store), d.followReplicas, feed.WithClock(clock), feed.WithLog(l))
 	var err error
@@ -196,7 +196,7 @@
 			d.mu.Lock()
 			d.gateway.Believe(func(belief gateway.Belief) gateway.Belief { belief.Table = table; return belief })
 			d.mu.Unlock()
-			d.book.SetLimits(table.Version(), quotaLimits(table))
+			d.books.SetLimits(table.Version(), quotaLimits(table))
 			d.quota.Wake()
 			fields := log.Fields{"config_version": table.Version(), "routes": len(event.Config.Routes)}
 			for _, l := range quotaLimits(table) {
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"io"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -62,9 +63,16 @@
 	certificateTime = 10 * 365 * 24 * time.Hour
 )
 
+// Books are what is lent from and borrowed to.
+type Books interface {
+	Of(workspace string) *quota.Book
+	KnowsPeer(fingerprint string) bool
+	SetPeer(quota.Peer)
+}
+
 // Lender lends to and borrows from the other gateways.
 type Lender struct {
-	book        *quota.Book
+	books       Books
 	clock       clockwork.Clock
 	log         log.Interface
 	listener    *quic.Listener
@@ -101,8 +109,8 @@
 }
 
 // New listens for peers and shows its address in the book.
-func New(listen netip.AddrPort, book *quota.Book, opts ...Option) (*Lender, error) {
-	l := &Lender{book: book, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
+func New(listen netip.AddrPort, books Books, opts ...Option) (*Lender, error) {
+	l := &Lender{books: books, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
 		silent: make(map[string]time.Time), asking: make(map[string]chan struct{})}
 	WithMetrics(metrics.NewSet())(l)
 	for _, opt := range opts {
@@ -121,7 +129,7 @@
 		return nil, errors.Join(fmt.Errorf("lending.New: %w", err), conn.Close())
 	}
 	address := conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
-	book.SetPeer(quota.Peer{Address: address, Fingerprint: fingerprint(l.certificate.Certificate[0])})
+	books.SetPeer(quota.Peer{Address: address, Fingerprint: fingerprint(l.certificate.Certificate[0])})
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
 	l.done.Add(1)
@@ -182,7 +190,7 @@
 				return &UnknownPeerError{}
 			}
 			got := fingerprint(raw[0])
-			if want != "" && got == want || want == "" && l.book.KnowsPeer(got) {
+			if want != "" && got == want || want == "" && l.books.KnowsPeer(got) {
 				return nil
 			}
 			return &UnknownPeerError{Fingerprint: got}
@@ -226,7 +234,7 @@
 	if err := cbor.NewDecoder(io.LimitReader(stream, maxMessage)).Decode(&r); err != nil {
 		return fmt.Errorf("lending.lend: %w", err)
 	}
-	given, left := l.book.Lend(r.Workspace, r.Need, r.Wanted, l.clock.Now())
+	given, left := l.books.Of(r.Workspace).Lend(r.Workspace, r.Need, r.Wanted, l.clock.Now())
 	l.lent.AddInt64(given)
 	if err := cbor.NewEncoder(stream).Encode(answer{Lent: given, Left: left}); err != nil {
 		return fmt.Errorf("lending.lend: %w", err)
@@ -262,7 +270,8 @@
 
 func (l *Lender) ask(workspace string, need int64) {
 	asked := 0
-	for _, peer := range l.book.Lenders(workspace) {
+	book := l.books.Of(workspace)
+	for _, peer := range book.Lenders(workspace, mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0))) {
 		now := l.clock.Now()
 		if l.isSilent(peer.Fingerprint, now) {
 			continue
@@ -271,7 +280,7 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		a, err := l.call(ctx, peer, request{Workspace: workspace, Need: need, Wanted: l.book.Wanted(workspace, now)})
+		a, err := l.call(ctx, peer, request{Workspace: workspace, Need: need, Wanted: book.Wanted(workspace, now)})
 		cancel()
 		if err != nil {
 			l.failed.Inc()
@@ -279,7 +288,7 @@
 			l.log.WithField("peer", peer.Holder).WithField("workspace", workspace).WithError(err).Info("loan not answered")
 			continue
 		}
-		l.book.Borrowed(workspace, a.Lent, peer.Holder, a.Left)
+		book.Borrowed(workspace, a.Lent, peer.Holder, a.Left)
 		l.borrowed.AddInt64(a.Lent)
 		l.log.WithFields(log.Fields{"peer": peer.Holder, "workspace": workspace, "need": need, "lent": a.Lent, "left": a.Left}).Info("quota borrowed")
 		if need -= a.Lent; need <= 0 {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -92,7 +92,7 @@
 	}
 	h.open, h.steady = nil, 0
 	h.started++
-	h.book = quota.New(h.name, fmt.Sprintf("%s-%d", h.name, h.started), quota.Defaults())
+	h.book = quota.New("p", h.name, fmt.Sprintf("%s-%d", h.name, h.started), quota.Defaults())
 	h.book.SetPeer(quota.Peer{Fingerprint: h.name})
 	h.book.SetLimits(f.version, []quota.Limit{{Workspace: workspace, Tokens: f.limit}})
 }
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -35,14 +37,15 @@
 	return false
 }
 
-// Lenders returns the holders that may have quota of a workspace left, the one
-// with the most first.
-func (b *Book) Lenders(workspace string) []Peer {
+// Lenders returns the holders that may have quota of a workspace left, those
+// with more of it rather first.
+func (b *Book) Lenders(workspace string, rnd *rand.Rand) []Peer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	type lender struct {
 		peer Peer
 		left int64
+		rank float64
 	}
 	var lenders []lender
 	for name, h := range b.holdings {
@@ -60,9 +63,11 @@
 			lenders = append(lenders, lender{peer: Peer{Holder: name, Address: h.Address, Fingerprint: h.Fingerprint}, left: left})
 		}
 	}
-	slices.SortFunc(lenders, func(x, y lender) int {
-		return cmp.Or(cmp.Compare(y.left, x.left), cmp.Compare(x.peer.Holder, y.peer.Holder))
-	})
+	// A random order weighted by what is left keeps borrowers apart.
+	for i := range lenders {
+		lenders[i].rank = math.Pow(rnd.Float64(), 1/float64(lenders[i].left))
+	}
+	slices.SortFunc(lenders, func(x, y lender) int { return cmp.Compare(y.rank, x.rank) })
 	peers := make([]Peer, 0, len(lenders))
 	for _, l := range lenders {
 		peers = append(peers, l.peer)
@@ -87,8 +92,9 @@
 }
 
 // Lend takes tokens from this holder for another: what the other needs, and up
-// to half of what is left if it wants more. It returns what it gives, and what
-// is left then.
+// to half of what is left if it wants more. What the window does not allow to
+// lend is returned to the store soon. It returns what it gives, and what is left
+// then.
 func (b *Book) Lend(workspace string, need, wanted int64, now time.Time) (given, left int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -99,6 +105,9 @@
 	available := max(b.allowance(workspace, now)-l.spent(), 0)
 	given = min(available, max(need, min(wanted, available/2)))
 	l.used += given
+	if given < need && b.states[0].holding.Accounts[workspace].Granted > l.spent() {
+		l.recalled, b.urgent = true, true
+	}
 	return given, available - given
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -29,12 +29,9 @@
 	"briarreach/rowstore"
 )
 
-// Table and part of the rows. One part, so that a transaction can span all
-// workspaces.
-const (
-	Table = "quota"
-	Part  = "tokens"
-)
+// Table holds the rows. Workspaces are spread over its parts; a transaction
+// spans the workspaces of one part.
+const Table = "quota"
 
 const (
 	totalPrefix  = "workspace/"
@@ -86,6 +83,7 @@
 
 // Settings are the figures of the grants.
 type Settings struct {
+	Parts       int           // parts of the table; the same in all processes
 	Horizon     time.Duration // demand that a grant covers
 	DemandTime  time.Duration // time constant of the demand's average
 	WindowTime  time.Duration // demand that may be consumed ahead of the record
@@ -93,6 +91,8 @@
 	RiskPart    float64       // part of what is left of a quota that the windows of all holders may span
 	HoldTime    time.Duration // without the store, after which the rest of the balance is released
 	ReleaseTime time.Duration // in which it is released
+	ScarceRisk  float64       // the same for a quota that is short
+	FloorPart   float64       // part of what is left that the floors of all holders may span
 	GrantedPart float64       // part of what is left of a quota that all holders may hold together
 	RefillBelow float64       // part of the wanted balance below which more is drawn
 	ReturnAbove float64       // part of the wanted balance above which the rest is returned
@@ -108,14 +108,17 @@
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
-	return Settings{Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowTime: 1500 * time.Millisecond, PlentyTime: time.Minute, RiskPart: 0.25,
+	return Settings{Parts: 4, Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowTime: 1500 * time.Millisecond, PlentyTime: time.Minute, RiskPart: 0.25, ScarceRisk: 0.05, FloorPart: 0.2,
 		HoldTime: 2 * time.Second, ReleaseTime: 6 * time.Second, GrantedPart: 0.75, RefillBelow: 0.8, ReturnAbove: 1.5,
-		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 500 * time.Millisecond,
-		UrgentEvery: 30 * time.Millisecond, TxTime: 8 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
+		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 700 * time.Millisecond,
+		UrgentEvery: 30 * time.Millisecond, TxTime: 3 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
 }
 
 // Validate reports the first setting out of range.
 func (s Settings) Validate() error {
+	if s.Parts < 1 {
+		return &SettingError{Name: "parts"}
+	}
 	for _, d := range []struct {
 		name  string
 		value time.Duration
@@ -131,7 +134,7 @@
 // SettingError reports a setting that is not positive.
 type SettingError struct{ Name string }
 
-func (e *SettingError) Error() string { return "quota." + e.Name + ": accepted is a positive duration" }
+func (e *SettingError) Error() string { return "quota." + e.Name + ": accepted is a positive value" }
 
 // Limit is a workspace's quota in the configuration.
 type Limit struct {
@@ -143,6 +146,7 @@
 // use.
 type Book struct {
 	settings    Settings
+	part        string
 	holder      string
 	incarnation string
 
@@ -163,7 +167,7 @@
 	urgent        bool
 	lowered       map[string]lowered
 	adopted       map[string]int64 // what the earlier process is taken to have consumed
-	strangers     bool // whether a peer called that no row names
+	strangers     bool             // whether a peer called that no row names
 	peer          Peer
 	told          map[string]told
 }
@@ -181,6 +185,7 @@
 	demandAt time.Time
 	largest  int64 // largest recent request
 	waiting  int64 // largest request that waits for a grant
+	recalled bool  // whether another holder asked for more than could be lent
 }
 
 func (l *local) spent() int64 { return l.used + l.reserved }
@@ -191,14 +196,18 @@
 	at      time.Time
 }
 
-// New returns the book of a holder. Incarnation differs at each start.
-func New(holder, incarnation string, s Settings) *Book {
-	return &Book{settings: s, holder: holder, incarnation: incarnation, limits: make(map[string]int64),
+// New returns the book of a holder for the workspaces of a part. Incarnation
+// differs at each start.
+func New(part, holder, incarnation string, s Settings) *Book {
+	return &Book{settings: s, part: part, holder: holder, incarnation: incarnation, limits: make(map[string]int64),
 		rows: make(map[string]rowstore.Row), totals: make(map[string]total), holdings: make(map[string]holding),
 		accounts: make(map[string]*local), told: make(map[string]told),
 		lowered: make(map[string]lowered), states: []state{{}}}
 }
 
+// Part returns the part of the table that holds the book's rows.
+func (b *Book) Part() string { return b.part }
+
 // SetLimits takes the quotas of a configuration.
 func (b *Book) SetLimits(version int64, limits []Limit) {
 	b.mu.Lock()
@@ -453,6 +462,7 @@
 	Drawn    map[string]int64
 	Returned map[string]int64
 	Left     map[string]int64 // of each changed quota, granted to nobody
+	Others   map[string]int64 // of each changed quota, unspent at other holders
 	Adopted  map[string]int64 // left in the grants of this VM's earlier process; nil if there was none
 	next     state
 	totals   map[string]total
@@ -508,7 +518,7 @@
 	defer b.mu.Unlock()
 	b.urgent = false
 	b.sequence++
-	p := Plan{Drawn: map[string]int64{}, Returned: map[string]int64{}, Left: map[string]int64{}, totals: map[string]total{}}
+	p := Plan{Drawn: map[string]int64{}, Returned: map[string]int64{}, Left: map[string]int64{}, Others: map[string]int64{}, totals: map[string]total{}}
 	elapsed := now.Sub(b.storeAt)
 	p.next = state{at: now, holding: holding{Incarnation: b.incarnation, Sequence: b.sequence,
 		At: (b.storeTime + elapsed).Milliseconds(), Address: b.peer.Address, Fingerprint: b.peer.Fingerprint, Accounts: map[string]account{}}}
@@ -571,8 +581,12 @@
 	balance := granted - l.spent()
 	demand := l.demandNow(now, b.settings.DemandTime)
 	left := max(free+max(balance, 0)+b.unspent(name), 0)
-	fair := int64(b.settings.GrantedPart * float64(left) / float64(b.holders()))
-	wanted := min(max(int64(demand*b.settings.Horizon.Seconds()), b.settings.Floor), fair)
+	fair := int64(b.settings.GrantedPart * float64(left) * b.share(demand, b.demandOfOthers(name)))
+	floor := min(b.settings.Floor, int64(b.settings.FloorPart*float64(left)/float64(b.holders())))
+	wanted := min(max(int64(demand*b.settings.Horizon.Seconds()), floor), fair)
+	if l.recalled {
+		wanted = min(wanted, int64(demand*b.settings.Horizon.Seconds()))
+	}
 	switch {
 	case closing:
 		wanted = 0
@@ -584,7 +598,7 @@
 	case p.Adopted != nil:
 	case float64(balance) < b.settings.RefillBelow*float64(wanted) || l.waiting > balance:
 		change = max(min(wanted-balance, free), 0)
-	case float64(balance) > b.settings.ReturnAbove*float64(wanted) || closing && balance > 0:
+	case l.recalled && balance > wanted || float64(balance) > b.settings.ReturnAbove*float64(wanted) || closing && balance > 0:
 		change = wanted - balance
 	}
 	if change != 0 {
@@ -608,7 +622,8 @@
 		return
 	}
 	balance = max(granted-l.spent(), 0)
-	window := max(int64(demand*b.settings.WindowTime.Seconds()), l.waiting)
+	window := max(int64(demand*b.settings.WindowTime.Seconds()), l.waiting,
+		int64(b.settings.ScarceRisk*float64(left)/float64(b.holders())))
 	if float64(left) > (demand+b.demandOfOthers(name))*b.settings.PlentyTime.Seconds() {
 		window = max(window, l.largest, int64(b.settings.RiskPart*float64(left)/float64(b.holders())))
 	}
@@ -616,7 +631,19 @@
 		Window: min(window, balance),
 		HoldMS: b.settings.HoldTime.Milliseconds(), Released: int64(float64(balance) / b.settings.ReleaseTime.Seconds()),
 		Demand: int64(demand)}
-	l.waiting = 0
+	l.waiting, l.recalled = 0, false
+}
+
+// idleShare is the part of an equal share that a holder without demand may have.
+const idleShare = 0.25
+
+// share returns this holder's part of what all holders may have.
+func (b *Book) share(own, others float64) float64 {
+	equal := 1 / float64(b.holders())
+	if own+others <= 0 {
+		return equal
+	}
+	return max(own/(own+others), idleShare*equal)
 }
 
 // fill makes the transaction of a plan.
@@ -626,7 +653,7 @@
 		if err != nil {
 			panic(err) // structs of numbers and text
 		}
-		key := rowstore.Key{Table: Table, Part: Part, Name: name}
+		key := rowstore.Key{Table: Table, Part: b.part, Name: name}
 		p.Tx.Expect = append(p.Tx.Expect, rowstore.Row{Key: key, Version: b.rows[name].Version})
 		p.Tx.Put = append(p.Tx.Put, rowstore.Row{Key: key, Value: data})
 	}
@@ -637,6 +664,7 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
+		p.Others[name] = b.unspent(name)
 		p.Left[name] = b.limit(name) - p.totals[name].Granted
 		add(totalPrefix+name, p.totals[name])
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -211,7 +211,7 @@
 	)
 
 	It("does not limit a workspace without a quota", func() {
-		b := quota.New("h", "1", quota.Defaults())
+		b := quota.New("p", "h", "1", quota.Defaults())
 		Expect(b.Reserve("other", 1, time.Unix(0, 0))).To(Equal(quota.Unlimited))
 	})
 
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -52,9 +52,9 @@
 // WithMetrics adds the syncer's metrics to a set.
 func WithMetrics(set *metrics.Set) Option {
 	return func(s *Syncer) {
-		s.drawn = set.NewCounter("briarreach_quota_drawn_tokens_total")
-		s.back = set.NewCounter("briarreach_quota_returned_tokens_total")
-		s.shorts = set.NewCounter("briarreach_quota_short_total")
+		s.drawn = set.GetOrCreateCounter("briarreach_quota_drawn_tokens_total")
+		s.back = set.GetOrCreateCounter("briarreach_quota_returned_tokens_total")
+		s.shorts = set.GetOrCreateCounter("briarreach_quota_short_total")
 	}
 }
 
@@ -147,7 +147,7 @@
 }
 
 func (s *Syncer) list(ctx context.Context) bool {
-	page, err := s.store.List(ctx, quota.Table, quota.Part)
+	page, err := s.store.List(ctx, quota.Table, s.book.Part())
 	if err != nil {
 		s.failed(ctx, "list", err)
 		return false
@@ -208,6 +208,9 @@
 		s.back.AddInt64(n)
 		fields["returned."+name] = n
 	}
+	for name, n := range p.Others {
+		fields["others."+name] = n
+	}
 	for name, n := range p.Left {
 		fields["left."+name] = n
 	}
--- /dev/null
+++ b/quotastore/shards.go
@@ -0,0 +1,106 @@
+package quotastore
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"briarreach/gateway"
+	"briarreach/quota"
+	"briarreach/rowstore"
+)
+
+// Books are a process's books, one for each part of the table. Parts are
+// written independently of each other, so that their number carries the rate
+// of transactions that one part does not take.
+type Books []*quota.Book
+
+// NewBooks returns the books of a holder.
+func NewBooks(parts int, holder, incarnation string, s quota.Settings) Books {
+	books := make(Books, parts)
+	for i := range books {
+		books[i] = quota.New("tokens-"+strconv.Itoa(i), holder, incarnation, s)
+	}
+	return books
+}
+
+// index returns the part of a workspace.
+func (b Books) index(workspace string) int {
+	return int(xxhash.Sum64String(workspace) % uint64(len(b)))
+}
+
+// Of returns the book of a workspace.
+func (b Books) Of(workspace string) *quota.Book { return b[b.index(workspace)] }
+
+// SetLimits takes the quotas of a configuration.
+func (b Books) SetLimits(version int64, limits []quota.Limit) {
+	split := make([][]quota.Limit, len(b))
+	for _, l := range limits {
+		i := b.index(l.Workspace)
+		split[i] = append(split[i], l)
+	}
+	for i, book := range b {
+		book.SetLimits(version, split[i])
+	}
+}
+
+// SetPeer shows this process's address to the others.
+func (b Books) SetPeer(p quota.Peer) {
+	for _, book := range b {
+		book.SetPeer(p)
+	}
+}
+
+// KnowsPeer reports whether a row has a fingerprint.
+func (b Books) KnowsPeer(fingerprint string) bool {
+	for _, book := range b {
+		if book.KnowsPeer(fingerprint) {
+			return true
+		}
+	}
+	return false
+}
+
+// Holders returns the number of live holders.
+func (b Books) Holders() int {
+	n := 1
+	for _, book := range b {
+		n = max(n, book.Holders())
+	}
+	return n
+}
+
+// Shards keeps all books of a process in step with the store.
+type Shards struct {
+	books   Books
+	syncers []*Syncer
+}
+
+// NewShards starts a syncer for each book.
+func NewShards(books Books, store rowstore.Store, s quota.Settings, opts ...Option) *Shards {
+	shards := &Shards{books: books}
+	for _, book := range books {
+		shards.syncers = append(shards.syncers, New(book, store, s.UnsureRetry, opts...))
+	}
+	return shards
+}
+
+// Reserve implements gateway.Quota.
+func (s *Shards) Reserve(ctx context.Context, workspace string, tokens int64) (gateway.Reservation, error) {
+	return s.syncers[s.books.index(workspace)].Reserve(ctx, workspace, tokens)
+}
+
+// Wake makes the syncers look at their books at once.
+func (s *Shards) Wake() {
+	for _, syncer := range s.syncers {
+		syncer.Wake()
+	}
+}
+
+// Close returns what is granted and not consumed, and stops.
+func (s *Shards) Close(ctx context.Context) {
+	for _, syncer := range s.syncers {
+		syncer.Close(ctx)
+	}
+}
