--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -293,7 +293,7 @@
 	d.log.Info("stopping")
 	d.stopping.Store(true)
 	d.clock.Sleep(min(announceTime, d.settings.Bounds.GracePeriod/3))
-	drain, cancel := context.WithTimeout(context.Background(), d.settings.Bounds.GracePeriod-announceTime-exitMargin)
+	drain, cancel := context.WithTimeout(context.Background(), max(d.settings.Bounds.GracePeriod-announceTime-exitMargin, exitMargin))
 	defer cancel()
 	err := d.callers.Close(drain)
 	d.quota.Close(drain)
--- /dev/null
+++ b/gatewaydaemon/gatewaydaemon_test.go
@@ -0,0 +1,272 @@
+package gatewaydaemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/platform/standin"
+)
+
+func events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token-%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+var _ = Describe("a gateway on the platform", func() {
+	ctx := context.Background()
+
+	It("passes on each kind of request once, unchanged", func() {
+		in := newInstallation(2, 2, standin.Answering{Status: 200, Body: "done"})
+		for _, e := range in.engines {
+			e.Set(standin.Streaming{Events: 5})
+		}
+		id, r := in.call(ctx, "POST", "/book/x?y=1", map[string]string{"X-Extra": "kept", "Tenant": "forged", "Kv-From": "forged", "Connection": "X-Hop", "X-Hop": "dropped"}, "a body")
+		Expect(r.Status).To(Equal(200))
+		Expect(r.Body).To(Equal("done"))
+		Expect(r.Signature).NotTo(BeEmpty())
+		Expect(runs(id, in.plain)).To(Equal(1))
+		var run standin.Run
+		for _, p := range in.plain {
+			if len(p.Runs()) > 0 {
+				run = p.Runs()[0]
+			}
+		}
+		Expect(run.Target).To(Equal("/book/x?y=1"))
+		Expect(run.Body).To(Equal("a body"))
+		Expect(run.Header.Get("X-Extra")).To(Equal("kept"))
+		Expect(run.Header.Get("Tenant")).To(Equal("w"), "the workspace of the key, whatever the caller sent")
+		Expect(run.Header).NotTo(HaveKey("Kv-From"))
+		Expect(run.Header).NotTo(HaveKey("Authorization"))
+		Expect(run.Header).NotTo(HaveKey("X-Hop"))
+
+		id, r = in.call(ctx, "POST", "/chat/1", prompt(100, 50), "hello")
+		Expect(r.Body).To(Equal(events(5)))
+		Expect(runs(id, in.engines)).To(Equal(1))
+		_, r = in.call(ctx, "GET", "/read/1", nil, "")
+		Expect(r.Status).To(Equal(200))
+	})
+
+	// Guards against each way in which a replica fails: what the caller sees,
+	// what it is promised, and how often the request ran.
+	DescribeTable("when all replicas of the plain service fail alike",
+		func(b standin.Behaviour, path string, status int, ran string, most int) {
+			in := newInstallation(1, 3, b)
+			method := "POST"
+			if path == "/read/1" {
+				method = "GET"
+			}
+			id, r := in.call(ctx, method, path, map[string]string{"Deadline-Ms": "600"}, "")
+			Expect(r.Status).To(Equal(status))
+			Expect(r.Refusal.Request).To(Equal(ran))
+			Expect(runs(id, in.plain)).To(BeNumerically("<=", most))
+			if status == http.StatusServiceUnavailable {
+				Expect(r.RetryAfter).NotTo(BeEmpty())
+				Expect(runs(id, in.plain)).To(BeZero(), "503 promises that it has not run")
+			}
+		},
+		Entry("full, a booking", standin.Shedding{}, "/book/1", 503, "not_run", 0),
+		Entry("full, a look-up", standin.Shedding{}, "/read/1", 503, "not_run", 0),
+		Entry("resetting, a booking", standin.Resetting{}, "/book/1", 502, "unknown", 1),
+		Entry("resetting, a look-up", standin.Resetting{}, "/read/1", 502, "unknown", 2),
+		Entry("cutting the answer, a booking", standin.Truncating{}, "/book/1", 502, "unknown", 1),
+		Entry("cutting the answer, a look-up", standin.Truncating{}, "/read/1", 502, "unknown", 2),
+		Entry("silent, a booking", standin.Hanging{}, "/book/1", 504, "unknown", 1),
+		Entry("silent, a look-up", standin.Hanging{}, "/read/1", 504, "unknown", 2),
+		Entry("failing, a booking", standin.Answering{Status: 500, Body: "no"}, "/book/1", 500, "", 1),
+		Entry("failing, a look-up", standin.Answering{Status: 500, Body: "no"}, "/read/1", 500, "", 2),
+	)
+
+	// Guards against an answer that is handed to the request after its own.
+	It("skips a second answer to the request before", func() {
+		for _, b := range []standin.Behaviour{standin.Repeating{}, standin.Repeating{Delay: 3 * time.Millisecond}} {
+			in := newInstallation(1, 1, b)
+			for range 30 {
+				id, r := in.call(ctx, "POST", "/book/1", nil, "")
+				if r.Status == 200 {
+					Expect(r.Body).To(Equal("answer to " + id))
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+	})
+
+	It("passes on an answer without a length as it is", func() {
+		in := newInstallation(1, 1, standin.Unframed{Body: "all of it"})
+		_, r := in.call(ctx, "POST", "/book/1", nil, "")
+		Expect(r.Body).To(Equal("all of it"))
+	})
+
+	Describe("a stream that breaks", func() {
+		// Guards against pieces that are missing, repeated or joined.
+		It("goes on at another replica where that is allowed", func() {
+			in := newInstallation(2, 1, standin.Streaming{Events: 8})
+			in.engines[0].Set(standin.Streaming{Events: 8, BreakAt: 4})
+			for range 6 {
+				id, r := in.call(ctx, "POST", "/draft/1", prompt(100, 50), "")
+				Expect(r.Broken).To(BeFalse())
+				Expect(r.Body).To(Equal(events(8)))
+				Expect(runs(id, in.engines)).To(BeNumerically("<=", 2))
+			}
+		})
+
+		It("ends visibly broken where it is not", func() {
+			in := newInstallation(1, 1, standin.Streaming{Events: 8, BreakAt: 4})
+			id, r := in.call(ctx, "POST", "/chat/1", prompt(100, 50), "")
+			Expect(r.Broken).To(BeTrue())
+			Expect(r.Body).To(Equal(events(3)))
+			Expect(runs(id, in.engines)).To(Equal(1))
+		})
+
+		// Guards against cutting a stream that is longer than the silence that
+		// is accepted.
+		It("is not one that merely lasts", func() {
+			in := newInstallation(2, 1, standin.Streaming{Events: 9, Pause: 210 * time.Millisecond})
+			_, r := in.call(ctx, "POST", "/draft/1", prompt(100, 50), "")
+			Expect(r.Broken).To(BeFalse())
+			Expect(r.Body).To(Equal(events(9)))
+		})
+	})
+
+	// Guards against replicas that work for callers who have left.
+	It("frees the replica when the caller leaves", func() {
+		in := newInstallation(1, 1, standin.Hanging{})
+		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		in.call(short, "POST", "/book/1", nil, "")
+		Eventually(func() bool { r := in.plain[0].Runs(); return len(r) == 1 && r[0].Canceled }, "500ms", "10ms").Should(BeTrue())
+	})
+
+	Describe("keys and routes", func() {
+		It("refuses what the configuration does not allow, and follows it", func() {
+			in := newInstallation(1, 1, standin.Answering{Status: 200})
+			_, r := in.call(ctx, "POST", "/book/1", map[string]string{"Authorization": "Token other"}, "")
+			Expect(r.Status).To(Equal(401))
+			_, r = in.call(ctx, "POST", "/elsewhere/1", nil, "")
+			Expect(r.Status).To(Equal(404))
+			in.configure(func(c map[string]any) {
+				c["tenants"] = []any{map[string]any{"name": "w", "api_keys": []string{"next"}, "token_quota": 1000}}
+			})
+			Eventually(func() int {
+				_, r := in.call(ctx, "POST", "/book/1", nil, "")
+				return r.Status
+			}, "1s", "20ms").Should(Equal(401))
+			_, r = in.call(ctx, "POST", "/book/1", map[string]string{"Authorization": "Token next"}, "")
+			Expect(r.Status).To(Equal(200))
+		})
+
+		It("keeps the configuration when the next one can't be read", func() {
+			in := newInstallation(1, 1, standin.Answering{Status: 200})
+			in.store.Put("op", "", "config", []byte("{"))
+			Consistently(func() int {
+				_, r := in.call(ctx, "POST", "/book/1", nil, "")
+				return r.Status
+			}, "300ms", "50ms").Should(Equal(200))
+		})
+
+		DescribeTable("refuses malformed requests",
+			func(header map[string]string) {
+				in := newInstallation(1, 1, standin.Answering{Status: 200})
+				id, r := in.call(ctx, "POST", "/book/1", header, "")
+				Expect(r.Status).To(Equal(400))
+				Expect(r.Refusal.Error).To(Equal("malformed"))
+				Expect(runs(id, in.plain)).To(BeZero())
+			},
+			Entry("a time that is none", map[string]string{"Deadline-Ms": "soon"}),
+			Entry("a negative time", map[string]string{"Deadline-Ms": "-5"}),
+			Entry("a size that is none", map[string]string{"Token-Usage": "many"}),
+			Entry("parts without sizes", map[string]string{"Token-Usage": "1,1", "Prompt-Prefix": "aa"}),
+		)
+	})
+
+	Describe("the quota", func() {
+		It("is served to its end and not beyond, over a restart", func() {
+			in := newInstallation(1, 1, standin.Streaming{Events: 2})
+			in.quota = 10_000
+			in.configure()
+			served := 0
+			ask := func() int {
+				_, r := in.call(ctx, "POST", "/chat/1", prompt(900, 100), "")
+				if r.Status == 200 {
+					served += 900 + 6
+				}
+				return r.Status
+			}
+			Eventually(ask, "2s", "20ms").Should(Equal(200))
+			for range 4 {
+				ask()
+			}
+			Expect(in.daemon.Close()).To(Succeed())
+			in.start()
+			Eventually(ask, "5s", "10ms").Should(Equal(402))
+			Expect(served).To(BeNumerically("<=", 10_000))
+			Expect(served).To(BeNumerically(">=", 8_000))
+		})
+
+		// Guards against refusals while the store is away: grants are there to
+		// be consumed.
+		It("is served from grants while the store is silent", func() {
+			in := newInstallation(1, 1, standin.Streaming{Events: 2})
+			for range 20 {
+				_, r := in.call(ctx, "POST", "/chat/1", prompt(100, 10), "")
+				Expect(r.Status).To(Equal(200))
+			}
+			time.Sleep(100 * time.Millisecond)
+			in.store.SetFault(standin.Down{})
+			refused := 0
+			for range 40 {
+				_, r := in.call(ctx, "POST", "/chat/1", prompt(100, 10), "")
+				if r.Status != 200 {
+					refused++
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			Expect(refused).To(BeZero())
+		})
+	})
+
+	// Guards against requests that are lost when a gateway is stopped.
+	It("finishes what it has read when it stops, and takes new requests until the balancer knows", func() {
+		in := newInstallation(1, 1, standin.Answering{Status: 200, Delay: 30 * time.Millisecond})
+		var wait sync.WaitGroup
+		var mu sync.Mutex
+		broken := 0
+		stop := make(chan struct{})
+		for range 8 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				defer GinkgoRecover()
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					if in.ready() != http.StatusOK {
+						return
+					}
+					if _, r := in.call(ctx, "POST", "/book/1", nil, ""); r.Status != 200 {
+						mu.Lock()
+						broken++
+						mu.Unlock()
+					}
+				}
+			}()
+		}
+		time.Sleep(200 * time.Millisecond)
+		Expect(in.daemon.Close()).To(Succeed())
+		close(stop)
+		wait.Wait()
+		Expect(broken).To(BeZero())
+	})
+})
