--- a/lending/lending.go
+++ b/lending/lending.go
@@ -80,6 +80,8 @@
 	certificate tls.Certificate
 	cancel      context.CancelFunc
 	done        sync.WaitGroup
+	closeOnce   sync.Once
+	closeErr    error
 	borrowed    *metrics.Counter
 	lent        *metrics.Counter
 	failed      *metrics.Counter
@@ -142,10 +144,12 @@
 
 // Close stops lending and closes all connections.
 func (l *Lender) Close() error {
-	l.cancel()
-	err := errors.Join(l.listener.Close(), l.transport.Close(), l.transport.Conn.Close())
+	l.closeOnce.Do(func() {
+		l.cancel()
+		l.closeErr = errors.Join(l.listener.Close(), l.transport.Close(), l.transport.Conn.Close())
+	})
 	l.done.Wait()
-	return err
+	return l.closeErr
 }
 
 func quicConfig() *quic.Config {
--- /dev/null
+++ b/logsink/logsink_test.go
@@ -0,0 +1,47 @@
+package logsink_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/logsink"
+)
+
+var _ = Describe("the log sink", func() {
+	// Guards against requests that wait for a reader of the log that stalls.
+	It("never blocks, and counts what it drops", func() {
+		r, w := io.Pipe()
+		s := logsink.New(w, logsink.WithRate(1e9, 1e9))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for i := range 20_000 {
+				_, _ = fmt.Fprintf(s, "line %d\n", i)
+			}
+		}()
+		Eventually(done, "5s").Should(BeClosed())
+		Expect(s.Dropped()).To(BeNumerically(">", 10_000))
+		s.Close()
+		Expect(r.Close()).To(Succeed())
+	})
+
+	It("bounds the volume and says how much was left out", func() {
+		var out bytes.Buffer
+		clock := clockwork.NewFakeClock()
+		s := logsink.New(&out, logsink.WithClock(clock), logsink.WithRate(10, 5))
+		for range 100 {
+			_, _ = s.Write([]byte("line\n"))
+		}
+		clock.Advance(time.Second)
+		_, _ = s.Write([]byte("last\n"))
+		s.Close()
+		Expect(out.String()).To(ContainSubstring(`"lines":95`))
+		Expect(out.String()).To(HaveSuffix("last\n"))
+	})
+})
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,139 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/placement"
+	"briarreach/replica"
+)
+
+func replicas(n int) []replica.Replica {
+	list := make([]replica.Replica, n)
+	for i := range list {
+		list[i] = replica.Replica{ID: fmt.Sprintf("r%d", i), Service: "s", Slots: 8,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}
+	}
+	return list
+}
+
+var _ = Describe("placement", func() {
+	now := time.Unix(1e9, 0)
+	rnd := func() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+	// Guards against prompts that are read again at other replicas while the
+	// replica that has read them is free.
+	It("sends requests with the same shared parts to one replica", func() {
+		p, r := placement.New(placement.Defaults()), rnd()
+		need := placement.Need{Affinity: placement.Affinity([]string{"a", "b"})}
+		seen := map[string]bool{}
+		for range 20 {
+			c, ok := p.Choose(need, replicas(9), now, r)
+			Expect(ok).To(BeTrue())
+			seen[c.Replica.ID] = true
+			p.Done(c, placement.Served, now)
+		}
+		Expect(seen).To(HaveLen(1))
+	})
+
+	// Guards against a replica that is overloaded by one popular prompt while
+	// others are free.
+	It("spreads a hot prompt within the load bound", func() {
+		p, r := placement.New(placement.Defaults()), rnd()
+		need := placement.Need{Affinity: placement.Affinity([]string{"hot"})}
+		load := map[string]int{}
+		for range 90 {
+			c, _ := p.Choose(need, replicas(9), now, r)
+			load[c.Replica.ID]++
+		}
+		for _, n := range load {
+			Expect(n).To(BeNumerically("<=", 10*125/100+2))
+		}
+	})
+
+	It("spreads requests without a prompt by load", func() {
+		p, r := placement.New(placement.Defaults()), rnd()
+		load := map[string]int{}
+		for range 30 {
+			c, _ := p.Choose(placement.Need{}, replicas(3), now, r)
+			load[c.Replica.ID]++
+		}
+		Expect(load).To(Equal(map[string]int{"r0": 10, "r1": 10, "r2": 10}))
+	})
+
+	// Guards against replicas that keep getting work while they fail, and
+	// against a service without candidates when all have failed.
+	It("ejects replicas that fail, and none if too many do", func() {
+		p, r := placement.New(placement.Defaults()), rnd()
+		list := replicas(3)
+		fail := func(id string, o placement.Outcome) {
+			for {
+				c, _ := p.Choose(placement.Need{}, list, now, r)
+				if c.Replica.ID == id {
+					p.Done(c, o, now)
+					return
+				}
+				p.Done(c, placement.Served, now)
+			}
+		}
+		fail("r1", placement.Broken)
+		for range 30 {
+			c, _ := p.Choose(placement.Need{}, list, now.Add(time.Second), r)
+			Expect(c.Replica.ID).NotTo(Equal("r1"))
+			p.Done(c, placement.Served, now)
+		}
+		fail("r0", placement.Broken)
+		fail("r2", placement.Broken)
+		_, ok := p.Choose(placement.Need{}, list, now.Add(time.Second), r)
+		Expect(ok).To(BeTrue())
+	})
+
+	// Guards against silent replicas: no answer fails, but none comes.
+	It("sends nothing more to a replica that works and says nothing", func() {
+		p, r := placement.New(placement.Defaults()), rnd()
+		list := replicas(3)
+		var held placement.Choice
+		for held.Replica.ID != "r0" {
+			held, _ = p.Choose(placement.Need{}, list, now, r)
+			if held.Replica.ID != "r0" {
+				p.Done(held, placement.Served, now)
+			}
+		}
+		later := now.Add(placement.Defaults().SilentAfter + time.Millisecond)
+		for range 20 {
+			c, _ := p.Choose(placement.Need{}, list, later, r)
+			Expect(c.Replica.ID).NotTo(Equal("r0"))
+			p.Done(c, placement.Served, later)
+		}
+		p.Heard(held, later)
+		seen := map[string]bool{}
+		for range 20 {
+			c, _ := p.Choose(placement.Need{}, list, later, r)
+			seen[c.Replica.ID] = true
+		}
+		Expect(seen).To(HaveKey("r0"))
+	})
+
+	It("leaves out excluded replicas", func() {
+		p := placement.New(placement.Defaults())
+		_, ok := p.Choose(placement.Need{Exclude: map[string]bool{"r0": true}}, replicas(1), now, rnd())
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against counts of an earlier start of a replica at its successor.
+	It("knows two starts under one ID apart", func() {
+		p, r := placement.New(placement.Defaults()), rnd()
+		list := replicas(1)
+		for range 5 {
+			_, _ = p.Choose(placement.Need{}, list, now, r)
+		}
+		list[0].Started = now
+		c, _ := p.Choose(placement.Need{}, list, now, r)
+		Expect(c.InFlight).To(BeZero())
+	})
+})
--- /dev/null
+++ b/quotastore/quotastore_test.go
@@ -0,0 +1,87 @@
+package quotastore_test
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/gateway"
+	"briarreach/platform"
+	"briarreach/platform/standin"
+	"briarreach/quota"
+	"briarreach/quotastore"
+)
+
+func newShards(store *standin.Store, holder, incarnation string, tokens int64) *quotastore.Shards {
+	GinkgoHelper()
+	s := quota.Defaults()
+	books := quotastore.NewBooks(2, holder, incarnation, s)
+	books.SetLimits(1, []quota.Limit{{Workspace: "w", Tokens: tokens}})
+	return quotastore.NewShards(books, platform.NewStore(platform.StoreSettings{Address: store.Address()},
+		platform.WithStoreTimeout(150*time.Millisecond)), s)
+}
+
+func reserve(s *quotastore.Shards, tokens int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	r, err := s.Reserve(ctx, "w", tokens)
+	if err == nil {
+		r.Settle(tokens)
+	}
+	return err
+}
+
+var _ = Describe("a book in step with the store", func() {
+	var store *standin.Store
+
+	BeforeEach(func() {
+		var err error
+		store, err = standin.NewStore()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(store.Close)
+	})
+
+	It("grants on demand and says when the quota is gone", func() {
+		s := newShards(store, "h", "1", 5_000)
+		defer s.Close(context.Background())
+		Expect(reserve(s, 4_000)).To(Succeed())
+		err := reserve(s, 4_000)
+		var short *gateway.QuotaError
+		Expect(errors.As(err, &short)).To(BeTrue())
+		Expect(short.Exhausted).To(BeTrue())
+	})
+
+	// Guards against a request that waits for its whole time when the store
+	// does not answer.
+	It("gives up in time when the store is silent", func() {
+		store.SetFault(standin.Down{})
+		s := newShards(store, "h", "1", 5_000)
+		defer s.Close(context.Background())
+		err := reserve(s, 1_000)
+		var short *gateway.QuotaError
+		Expect(errors.As(err, &short)).To(BeTrue())
+		Expect(short.Exhausted).To(BeFalse())
+		Expect(short.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("resolves a lost answer by reading back", func() {
+		store.SetFault(standin.LosingAnswers{Calls: 1})
+		s := newShards(store, "h", "1", 5_000)
+		defer s.Close(context.Background())
+		Eventually(func() error { return reserve(s, 4_000) }, "3s", "10ms").Should(Succeed())
+		Expect(reserve(s, 4_000)).NotTo(Succeed())
+	})
+
+	It("leaves to others what it returns when it closes", func() {
+		s := newShards(store, "h", "1", 5_000)
+		Expect(reserve(s, 1_000)).To(Succeed())
+		s.Close(context.Background())
+		other := newShards(store, "i", "1", 5_000)
+		defer other.Close(context.Background())
+		Expect(reserve(other, 4_000)).To(Succeed())
+		Expect(reserve(other, 1)).NotTo(Succeed())
+	})
+})
