Place model requests by the tokens that wait to be read

Gateways now tell each other their placements over QUIC and choose the replica with the fewest tokens to read before the first event, counting what it has read already.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,6 +173,8 @@
 	Replica  string `json:"replica"`
 	Why      string `json:"why"`
 	InFlight int    `json:"in_flight"`
+	Backlog  int    `json:"backlog,omitempty"`
+	Cached   int    `json:"cached,omitempty"`
 	Outcome  string `json:"outcome"`
 	MS       int64  `json:"ms"`
 }
@@ -346,13 +348,14 @@
 func (e *exchange) need(exclude map[string]bool) placement.Need {
 	n := placement.Need{Exclude: exclude}
 	if p := e.r.Prompt; p != nil {
-		n.Tokens = p.Tokens + p.MaxOutput
-		if len(p.Parts) > 1 {
-			ids := make([]string, 0, len(p.Parts))
-			for _, part := range p.Parts[:len(p.Parts)-1] {
-				ids = append(ids, part.ID)
+		n.Tail = p.Tokens
+		if shared := len(p.Parts) - 1; shared > 0 {
+			ids, tokens := make([]string, shared), make([]int, shared)
+			for i, part := range p.Parts[:shared] {
+				ids[i], tokens[i] = part.ID, part.Tokens
+				n.Tail -= part.Tokens
 			}
-			n.Affinity = placement.Affinity(ids)
+			n.Shared, n.Tail = placement.Parts(ids, tokens), max(n.Tail, 0)
 		}
 	}
 	return n
@@ -403,7 +406,7 @@
 	a.cancel(nil)
 	now := a.e.g.clock.Now()
 	a.e.g.placer.Done(a.choice, o, now)
-	a.e.sends = append(a.e.sends, send{Replica: a.choice.Replica.ID, Why: a.choice.Reason, InFlight: a.choice.InFlight,
+	a.e.sends = append(a.e.sends, send{Replica: a.choice.Replica.ID, Why: a.choice.Reason, InFlight: a.choice.InFlight, Backlog: a.choice.Backlog, Cached: a.choice.Cached,
 		Outcome: outcome, MS: now.Sub(a.started).Milliseconds()})
 }
 
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -22,7 +22,7 @@
 
 	"briarreach/feed"
 	"briarreach/gateway"
-	"briarreach/lending"
+	"briarreach/mesh"
 	"briarreach/placement"
 	"briarreach/platform"
 	"briarreach/quota"
@@ -67,7 +67,7 @@
 		metrics.NewSet,
 		newStore,
 		newQuotaBooks,
-		newLender,
+		newMesh,
 		newQuotaShards,
 		newPlacer,
 		newRetryBudget,
@@ -112,18 +112,22 @@
 	return quotastore.NewBooks(t.Quota.Parts, s.Process+"@"+s.Address.String(), ulid.Make().String(), t.Quota)
 }
 
-func newLender(s *platform.Settings, books quotastore.Books, clock clockwork.Clock, l log.Interface, set *metrics.Set) (*lending.Lender, error) {
-	return lending.New(netip.AddrPortFrom(s.Address, s.PeerPorts[0]), books,
-		lending.WithClock(clock), lending.WithLog(l), lending.WithMetrics(set))
+func newMesh(s *platform.Settings, books quotastore.Books, clock clockwork.Clock, l log.Interface, set *metrics.Set) (*mesh.Mesh, error) {
+	return mesh.New(netip.AddrPortFrom(s.Address, s.PeerPorts[0]), books,
+		mesh.WithClock(clock), mesh.WithLog(l), mesh.WithMetrics(set))
 }
 
 func newQuotaShards(books quotastore.Books, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
-	retries *retrybudget.Budget, lender *lending.Lender, t Tuning) *quotastore.Shards {
+	retries *retrybudget.Budget, peers *mesh.Mesh, t Tuning) *quotastore.Shards {
 	return quotastore.NewShards(books, store, t.Quota, quotastore.WithClock(clock), quotastore.WithLog(l),
-		quotastore.WithMetrics(set), quotastore.WithLoans(lender.Borrow), quotastore.WithSyncHook(func() { retries.SetProcesses(books.Holders()) }))
+		quotastore.WithMetrics(set), quotastore.WithLoans(peers.Borrow), quotastore.WithSyncHook(func() { retries.SetProcesses(books.Holders()) }))
 }
 
-func newPlacer(t Tuning) *placement.Placer { return placement.New(t.Placement) }
+func newPlacer(t Tuning, peers *mesh.Mesh, clock clockwork.Clock) *placement.Placer {
+	placer := placement.New(t.Placement, func(p placement.Placed) { peers.Tell(p) })
+	peers.OnTold(func(p placement.Placed) { placer.Told(p, clock.Now()) })
+	return placer
+}
 
 // assumedGateways shares the fleet's budget of repeats before the number of
 // gateways is known.
@@ -156,7 +160,7 @@
 	replicas  *feed.Follower[replica.Event]
 	books     quotastore.Books
 	quota     *quotastore.Shards
-	lender    *lending.Lender
+	peers     *mesh.Mesh
 	stopping  atomic.Bool
 
 	mu        sync.Mutex
@@ -164,8 +168,8 @@
 }
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
-	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, books quotastore.Books, shards *quotastore.Shards, lender *lending.Lender, t Tuning) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), books: books, quota: shards, lender: lender}
+	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, books quotastore.Books, shards *quotastore.Shards, peers *mesh.Mesh, t Tuning) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), books: books, quota: shards, peers: peers}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithTuning(t.Gateway), gateway.WithQuota(shards), gateway.WithFreshness(func() time.Time { return d.configs.Status().Heard }))
 	d.configs = feed.New("configuration", platform.NewOperator(store), d.followConfig, feed.WithClock(clock), feed.WithLog(l))
@@ -297,7 +301,7 @@
 	defer cancel()
 	err := d.callers.Close(drain)
 	d.quota.Close(drain)
-	err = errors.Join(err, d.lender.Close(), d.readiness.Close(drain))
+	err = errors.Join(err, d.peers.Close(), d.readiness.Close(drain))
 	d.configs.Close()
 	d.replicas.Close()
 	d.log.Info("stopped")
--- a/lending/lending.go
+++ b/mesh/mesh.go
@@ -1,11 +1,13 @@
-// Package lending lets the gateways of a fleet lend each other granted quota
-// over QUIC, when the shared store is away or has nothing left to grant.
+// Package mesh connects the gateways of a fleet over QUIC. They lend each other
+// granted quota when the shared store is away or has nothing left to grant, and
+// tell each other where they have placed long prompts. Serving never depends on
+// a peer.
 //
 // A process shows its address and the fingerprint of its certificate in its
 // quota row, so that processes trust whom the store names. What is lent is
 // consumed at the lender; a lost answer loses availability and never exceeds a
 // quota.
-package lending
+package mesh
 
 import (
 	"context"
@@ -30,6 +32,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/quic-go/quic-go"
 
+	"briarreach/placement"
 	"briarreach/quota"
 )
 
@@ -47,7 +50,7 @@
 }
 
 const (
-	protocol = "briarreach-lending/1"
+	protocol = "briarreach-mesh/1"
 	// callTimeout bounds one request to a peer, the handshake included.
 	callTimeout = 120 * time.Millisecond
 	// idleTimeout closes connections that are not used.
@@ -67,11 +70,12 @@
 type Books interface {
 	Of(workspace string) *quota.Book
 	KnowsPeer(fingerprint string) bool
+	Peers() []quota.Peer
 	SetPeer(quota.Peer)
 }
 
-// Lender lends to and borrows from the other gateways.
-type Lender struct {
+// Mesh is this process and its connections to the other gateways.
+type Mesh struct {
 	books       Books
 	clock       clockwork.Clock
 	log         log.Interface
@@ -90,71 +94,78 @@
 	conns  map[string]*quic.Conn // by fingerprint
 	silent map[string]time.Time
 	asking map[string]chan struct{} // by workspace, closed when a round of asking ends
+	told   func(placement.Placed)
+	news   chan placement.Placed
 }
 
 // Option changes a default of New.
-type Option func(*Lender)
+type Option func(*Mesh)
 
 // WithClock sets the clock.
-func WithClock(c clockwork.Clock) Option { return func(l *Lender) { l.clock = c } }
+func WithClock(c clockwork.Clock) Option { return func(m *Mesh) { m.clock = c } }
 
 // WithLog sets the log.
-func WithLog(x log.Interface) Option { return func(l *Lender) { l.log = x } }
+func WithLog(x log.Interface) Option { return func(m *Mesh) { m.log = x } }
 
 // WithMetrics adds the lender's metrics to a set.
 func WithMetrics(set *metrics.Set) Option {
-	return func(l *Lender) {
-		l.borrowed = set.NewCounter("briarreach_quota_borrowed_tokens_total")
-		l.lent = set.NewCounter("briarreach_quota_lent_tokens_total")
-		l.failed = set.NewCounter("briarreach_quota_loan_failures_total")
+	return func(m *Mesh) {
+		m.borrowed = set.NewCounter("briarreach_quota_borrowed_tokens_total")
+		m.lent = set.NewCounter("briarreach_quota_lent_tokens_total")
+		m.failed = set.NewCounter("briarreach_quota_loan_failures_total")
 	}
 }
 
 // New listens for peers and shows its address in the book.
-func New(listen netip.AddrPort, books Books, opts ...Option) (*Lender, error) {
-	l := &Lender{books: books, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
-		silent: make(map[string]time.Time), asking: make(map[string]chan struct{})}
-	WithMetrics(metrics.NewSet())(l)
+func New(listen netip.AddrPort, books Books, opts ...Option) (*Mesh, error) {
+	m := &Mesh{books: books, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
+		silent: make(map[string]time.Time), asking: make(map[string]chan struct{}), told: func(placement.Placed) {}, news: make(chan placement.Placed, maxNews)}
+	WithMetrics(metrics.NewSet())(m)
 	for _, opt := range opts {
-		opt(l)
+		opt(m)
 	}
 	var err error
-	if l.certificate, err = newCertificate(); err != nil {
-		return nil, fmt.Errorf("lending.New: %w", err)
+	if m.certificate, err = newCertificate(); err != nil {
+		return nil, fmt.Errorf("mesh.New: %w", err)
 	}
 	conn, err := listenUDP(listen)
 	if err != nil {
-		return nil, fmt.Errorf("lending.New: %w", err)
+		return nil, fmt.Errorf("mesh.New: %w", err)
 	}
-	l.transport = &quic.Transport{Conn: conn}
-	if l.listener, err = l.transport.Listen(l.tls(""), quicConfig()); err != nil {
-		return nil, errors.Join(fmt.Errorf("lending.New: %w", err), conn.Close())
+	m.transport = &quic.Transport{Conn: conn}
+	if m.listener, err = m.transport.Listen(m.tls(""), quicConfig()); err != nil {
+		return nil, errors.Join(fmt.Errorf("mesh.New: %w", err), conn.Close())
 	}
 	address := conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
-	books.SetPeer(quota.Peer{Address: address, Fingerprint: fingerprint(l.certificate.Certificate[0])})
+	books.SetPeer(quota.Peer{Address: address, Fingerprint: fingerprint(m.certificate.Certificate[0])})
 	ctx, cancel := context.WithCancel(context.Background())
-	l.cancel = cancel
-	l.done.Add(1)
+	m.cancel = cancel
+	m.done.Add(1)
 	go func() {
-		defer l.done.Done()
-		l.accept(ctx)
+		defer m.done.Done()
+		m.spread(ctx)
 	}()
-	return l, nil
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		m.accept(ctx)
+	}()
+	return m, nil
 }
 
 // Close stops lending and closes all connections.
-func (l *Lender) Close() error {
-	l.closeOnce.Do(func() {
-		l.cancel()
-		l.closeErr = errors.Join(l.listener.Close(), l.transport.Close(), l.transport.Conn.Close())
+func (m *Mesh) Close() error {
+	m.closeOnce.Do(func() {
+		m.cancel()
+		m.closeErr = errors.Join(m.listener.Close(), m.transport.Close(), m.transport.Conn.Close())
 	})
-	l.done.Wait()
-	return l.closeErr
+	m.done.Wait()
+	return m.closeErr
 }
 
 func quicConfig() *quic.Config {
 	return &quic.Config{HandshakeIdleTimeout: callTimeout, MaxIdleTimeout: idleTimeout, MaxIncomingStreams: 64,
-		MaxIncomingUniStreams: -1, InitialStreamReceiveWindow: maxMessage, MaxStreamReceiveWindow: maxMessage,
+		MaxIncomingUniStreams: -1, EnableDatagrams: true, InitialStreamReceiveWindow: maxMessage, MaxStreamReceiveWindow: maxMessage,
 		InitialConnectionReceiveWindow: 64 << 10, MaxConnectionReceiveWindow: 64 << 10, DisablePathMTUDiscovery: true}
 }
 
@@ -182,9 +193,9 @@
 func (e *UnknownPeerError) Error() string { return "no holder has the certificate " + e.Fingerprint }
 
 // tls accepts one peer, or all that the book knows if want is empty.
-func (l *Lender) tls(want string) *tls.Config {
+func (m *Mesh) tls(want string) *tls.Config {
 	return &tls.Config{
-		Certificates:       []tls.Certificate{l.certificate},
+		Certificates:       []tls.Certificate{m.certificate},
 		MinVersion:         tls.VersionTLS13,
 		NextProtos:         []string{protocol},
 		ClientAuth:         tls.RequireAnyClientCert,
@@ -194,7 +205,7 @@
 				return &UnknownPeerError{}
 			}
 			got := fingerprint(raw[0])
-			if want != "" && got == want || want == "" && l.books.KnowsPeer(got) {
+			if want != "" && got == want || want == "" && m.books.KnowsPeer(got) {
 				return nil
 			}
 			return &UnknownPeerError{Fingerprint: got}
@@ -202,46 +213,51 @@
 	}
 }
 
-func (l *Lender) accept(ctx context.Context) {
+func (m *Mesh) accept(ctx context.Context) {
 	for {
-		conn, err := l.listener.Accept(ctx)
+		conn, err := m.listener.Accept(ctx)
 		if err != nil {
 			return
 		}
-		l.done.Add(1)
+		m.done.Add(1)
 		go func() {
-			defer l.done.Done()
-			l.serve(ctx, conn)
+			defer m.done.Done()
+			m.serve(ctx, conn)
 		}()
 	}
 }
 
 // serve answers a peer's requests one by one.
-func (l *Lender) serve(ctx context.Context, conn *quic.Conn) {
+func (m *Mesh) serve(ctx context.Context, conn *quic.Conn) {
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		m.receive(ctx, conn)
+	}()
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
 			return
 		}
-		if err := l.lend(stream); err != nil {
-			l.log.WithError(err).Warn("loan request failed")
+		if err := m.lend(stream); err != nil {
+			m.log.WithError(err).Warn("loan request failed")
 		}
 	}
 }
 
-func (l *Lender) lend(stream *quic.Stream) error {
+func (m *Mesh) lend(stream *quic.Stream) error {
 	defer stream.CancelRead(0)
 	if err := stream.SetDeadline(time.Now().Add(callTimeout)); err != nil {
-		return fmt.Errorf("lending.lend: %w", err)
+		return fmt.Errorf("mesh.lend: %w", err)
 	}
 	var r request
 	if err := cbor.NewDecoder(io.LimitReader(stream, maxMessage)).Decode(&r); err != nil {
-		return fmt.Errorf("lending.lend: %w", err)
+		return fmt.Errorf("mesh.lend: %w", err)
 	}
-	given, left := l.books.Of(r.Workspace).Lend(r.Workspace, r.Need, r.Wanted, l.clock.Now())
-	l.lent.AddInt64(given)
+	given, left := m.books.Of(r.Workspace).Lend(r.Workspace, r.Need, r.Wanted, m.clock.Now())
+	m.lent.AddInt64(given)
 	if err := cbor.NewEncoder(stream).Encode(answer{Lent: given, Left: left}); err != nil {
-		return fmt.Errorf("lending.lend: %w", err)
+		return fmt.Errorf("mesh.lend: %w", err)
 	}
 	return stream.Close()
 }
@@ -249,119 +265,119 @@
 // Borrow asks the peers with the most left of a workspace's quota for tokens.
 // Concurrent calls for one workspace share a round. It returns when the round
 // has ended or ctx has.
-func (l *Lender) Borrow(ctx context.Context, workspace string, need int64) {
-	l.mu.Lock()
-	round, running := l.asking[workspace]
+func (m *Mesh) Borrow(ctx context.Context, workspace string, need int64) {
+	m.mu.Lock()
+	round, running := m.asking[workspace]
 	if !running {
 		round = make(chan struct{})
-		l.asking[workspace] = round
-		l.done.Add(1)
+		m.asking[workspace] = round
+		m.done.Add(1)
 		go func() {
-			defer l.done.Done()
-			l.ask(workspace, need)
-			l.mu.Lock()
-			delete(l.asking, workspace)
-			l.mu.Unlock()
+			defer m.done.Done()
+			m.ask(workspace, need)
+			m.mu.Lock()
+			delete(m.asking, workspace)
+			m.mu.Unlock()
 			close(round)
 		}()
 	}
-	l.mu.Unlock()
+	m.mu.Unlock()
 	select {
 	case <-round:
 	case <-ctx.Done():
 	}
 }
 
-func (l *Lender) ask(workspace string, need int64) {
+func (m *Mesh) ask(workspace string, need int64) {
 	asked := 0
-	book := l.books.Of(workspace)
+	book := m.books.Of(workspace)
 	for _, peer := range book.Lenders(workspace, mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0))) {
-		now := l.clock.Now()
-		if l.isSilent(peer.Fingerprint, now) {
+		now := m.clock.Now()
+		if m.isSilent(peer.Fingerprint, now) {
 			continue
 		}
 		if asked++; asked > maxAsked {
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		a, err := l.call(ctx, peer, request{Workspace: workspace, Need: need, Wanted: book.Wanted(workspace, now)})
+		a, err := m.call(ctx, peer, request{Workspace: workspace, Need: need, Wanted: book.Wanted(workspace, now)})
 		cancel()
 		if err != nil {
-			l.failed.Inc()
-			l.drop(peer.Fingerprint, now)
-			l.log.WithField("peer", peer.Holder).WithField("workspace", workspace).WithError(err).Info("loan not answered")
+			m.failed.Inc()
+			m.drop(peer.Fingerprint, now)
+			m.log.WithField("peer", peer.Holder).WithField("workspace", workspace).WithError(err).Info("loan not answered")
 			continue
 		}
 		book.Borrowed(workspace, a.Lent, peer.Holder, a.Left)
-		l.borrowed.AddInt64(a.Lent)
-		l.log.WithFields(log.Fields{"peer": peer.Holder, "workspace": workspace, "need": need, "lent": a.Lent, "left": a.Left}).Info("quota borrowed")
+		m.borrowed.AddInt64(a.Lent)
+		m.log.WithFields(log.Fields{"peer": peer.Holder, "workspace": workspace, "need": need, "lent": a.Lent, "left": a.Left}).Info("quota borrowed")
 		if need -= a.Lent; need <= 0 {
 			return
 		}
 	}
 }
 
-func (l *Lender) isSilent(peer string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return now.Before(l.silent[peer])
+func (m *Mesh) isSilent(peer string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Before(m.silent[peer])
 }
 
-func (l *Lender) drop(peer string, now time.Time) {
-	l.mu.Lock()
-	conn := l.conns[peer]
-	delete(l.conns, peer)
-	l.silent[peer] = now.Add(silentFor)
-	l.mu.Unlock()
+func (m *Mesh) drop(peer string, now time.Time) {
+	m.mu.Lock()
+	conn := m.conns[peer]
+	delete(m.conns, peer)
+	m.silent[peer] = now.Add(silentFor)
+	m.mu.Unlock()
 	if conn != nil {
 		_ = conn.CloseWithError(0, "no answer")
 	}
 }
 
-func (l *Lender) call(ctx context.Context, peer quota.Peer, r request) (answer, error) {
+func (m *Mesh) call(ctx context.Context, peer quota.Peer, r request) (answer, error) {
 	var a answer
-	conn, err := l.connect(ctx, peer)
+	conn, err := m.connect(ctx, peer)
 	if err != nil {
-		return a, fmt.Errorf("lending.call: %w", err)
+		return a, fmt.Errorf("mesh.call: %w", err)
 	}
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		return a, fmt.Errorf("lending.call: %w", err)
+		return a, fmt.Errorf("mesh.call: %w", err)
 	}
 	defer stream.CancelRead(0)
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := stream.SetDeadline(deadline); err != nil {
-			return a, fmt.Errorf("lending.call: %w", err)
+			return a, fmt.Errorf("mesh.call: %w", err)
 		}
 	}
 	if err := cbor.NewEncoder(stream).Encode(r); err != nil {
-		return a, fmt.Errorf("lending.call: %w", err)
+		return a, fmt.Errorf("mesh.call: %w", err)
 	}
 	if err := stream.Close(); err != nil {
-		return a, fmt.Errorf("lending.call: %w", err)
+		return a, fmt.Errorf("mesh.call: %w", err)
 	}
 	if err := cbor.NewDecoder(io.LimitReader(stream, maxMessage)).Decode(&a); err != nil {
-		return a, fmt.Errorf("lending.call: %w", err)
+		return a, fmt.Errorf("mesh.call: %w", err)
 	}
 	if a.Lent < 0 {
-		return answer{}, fmt.Errorf("lending.call: negative loan %d", a.Lent)
+		return answer{}, fmt.Errorf("mesh.call: negative loan %d", a.Lent)
 	}
 	return a, nil
 }
 
-func (l *Lender) connect(ctx context.Context, peer quota.Peer) (*quic.Conn, error) {
-	l.mu.Lock()
-	conn := l.conns[peer.Fingerprint]
-	l.mu.Unlock()
+func (m *Mesh) connect(ctx context.Context, peer quota.Peer) (*quic.Conn, error) {
+	m.mu.Lock()
+	conn := m.conns[peer.Fingerprint]
+	m.mu.Unlock()
 	if conn != nil && conn.Context().Err() == nil {
 		return conn, nil
 	}
-	conn, err := l.transport.Dial(ctx, udpAddr(peer.Address), l.tls(peer.Fingerprint), quicConfig())
+	conn, err := m.transport.Dial(ctx, udpAddr(peer.Address), m.tls(peer.Fingerprint), quicConfig())
 	if err != nil {
 		return nil, err
 	}
-	l.mu.Lock()
-	l.conns[peer.Fingerprint] = conn
-	l.mu.Unlock()
+	m.mu.Lock()
+	m.conns[peer.Fingerprint] = conn
+	m.mu.Unlock()
 	return conn, nil
 }
--- a/lending/lending_test.go
+++ b/mesh/mesh_test.go
@@ -1,4 +1,4 @@
-package lending_test
+package mesh_test
 
 import (
 	"context"
@@ -8,26 +8,26 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"briarreach/lending"
+	"briarreach/mesh"
 	"briarreach/quota"
 	"briarreach/quotastore"
 	"briarreach/rowstore"
 )
 
-// holder is a process with its book and lender.
+// holder is a process with its book and mesh.
 type holder struct {
-	books  quotastore.Books
-	lender *lending.Lender
+	books quotastore.Books
+	mesh  *mesh.Mesh
 }
 
 func start(name string) holder {
 	GinkgoHelper()
 	books := quotastore.NewBooks(1, name, name+"-1", quota.Defaults())
-	l, err := lending.New(netip.MustParseAddrPort("127.0.0.1:0"), books)
+	l, err := mesh.New(netip.MustParseAddrPort("127.0.0.1:0"), books)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
 	books.SetLimits(1, []quota.Limit{{Workspace: "w", Tokens: 100_000}})
-	return holder{books: books, lender: l}
+	return holder{books: books, mesh: l}
 }
 
 // grant draws quota for a holder and returns its rows.
@@ -60,7 +60,7 @@
 		for b.books[0].Reserve("w", 500, time.Now()) == quota.Granted {
 			continue
 		}
-		b.lender.Borrow(ctx, "w", 500)
+		b.mesh.Borrow(ctx, "w", 500)
 		Expect(b.books[0].Reserve("w", 500, time.Now())).To(Equal(quota.Granted))
 	})
 
@@ -69,7 +69,7 @@
 		a, stranger := start("a"), start("stranger")
 		rows := grant(a, 1, nil)
 		Expect(stranger.books[0].Load(rows, true, time.Second, time.Now())).To(Succeed())
-		stranger.lender.Borrow(ctx, "w", 500)
+		stranger.mesh.Borrow(ctx, "w", 500)
 		Expect(stranger.books[0].Reserve("w", 500, time.Now())).NotTo(Equal(quota.Granted))
 	})
 
@@ -77,11 +77,11 @@
 		a, b := start("a"), start("b")
 		rows := grant(a, 1, nil)
 		Expect(b.books[0].Load(rows, true, time.Second, time.Now())).To(Succeed())
-		Expect(a.lender.Close()).To(Succeed())
+		Expect(a.mesh.Close()).To(Succeed())
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			b.lender.Borrow(ctx, "w", 500)
+			b.mesh.Borrow(ctx, "w", 500)
 		}()
 		Eventually(done, "1s").Should(BeClosed())
 	})
--- a/lending/socket.go
+++ b/mesh/socket.go
@@ -1,4 +1,4 @@
-package lending
+package mesh
 
 import (
 	"net"
--- a/lending/suite_test.go
+++ b/mesh/suite_test.go
@@ -1,4 +1,4 @@
-package lending_test
+package mesh_test
 
 import (
 	"testing"
@@ -9,5 +9,5 @@
 
 func TestSuite(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "lending")
+	RunSpecs(t, "mesh")
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,14 +1,20 @@
 // Package placement chooses the replica for a request from what this process
-// knows: its own work in flight and the outcomes that it has seen.
+// knows: its own work in flight, the placements that other processes tell, and
+// the outcomes that it has seen.
 //
-// Load patterns: requests that share the first parts of their prompt go to the
-// replica that has read them, until it has more than its part of the load (a
-// hot prompt); replicas that crash, fall silent or fail requests get no new
-// work for a while. The tests "hot prompt" and "silent replicas" replay them.
+// Load patterns: long prompts delay the first event and the pauses of all that
+// runs beside them, so that each request goes where the least is waiting to be
+// read, counting what the replica has read already; requests that share the
+// first parts of their prompt meet at one replica until it has more than its
+// part of the load (a hot prompt); replicas that crash, fall silent or fail
+// requests get no new work for a while. The specs "long prompts", "hot prompt"
+// and "silent replicas" replay them.
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +31,9 @@
 	EjectFor    time.Duration // a replica that failed gets no work for so long
 	EjectLimit  time.Duration // bound of EjectFor as failures go on
 	SilentAfter time.Duration // a replica that works and sends nothing for so long gets no more work
+	ReadRate    float64       // prompt tokens that a replica reads per second
+	CacheTime   time.Duration // how long a part of a prompt is taken to be kept by a replica
+	TellFrom    int           // tokens from which other processes are told of a placement
 	RefusedFor  time.Duration // a replica that refused a request gets no work for so long
 	MaxEjected  float64       // share of a service's replicas
 }
@@ -32,26 +41,41 @@
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
 	return Settings{LoadFactor: 1.25, LoadSlack: 2, EjectFor: 1500 * time.Millisecond, EjectLimit: 6 * time.Second,
-		SilentAfter: 700 * time.Millisecond, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5}
+		SilentAfter: 700 * time.Millisecond, ReadRate: 35_000, CacheTime: 8 * time.Second, TellFrom: 1500, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5}
 }
 
 // Need is what a request asks of a replica.
 type Need struct {
-	Affinity []uint64 // hashes of the shared parts of the prompt, in order; none if it does not matter
-	Tokens   int      // prompt and output at most
-	Exclude  map[string]bool
+	Shared  []Shared // the shared parts of the prompt, in order; none if there is no prompt
+	Tail    int      // tokens of the prompt that no other request shares
+	Exclude map[string]bool
 }
 
-// Affinity hashes the shared parts of a prompt, given by their identifiers.
-func Affinity(ids []string) []uint64 {
-	hashes := make([]uint64, 0, len(ids))
+// Shared is a part of a prompt that requests share. Hash covers the parts
+// before it, too.
+type Shared struct {
+	Hash   uint64
+	Tokens int
+}
+
+// Placed tells other processes of a placement.
+type Placed struct {
+	Replica string `cbor:"1,keyasint"`
+	Key     uint64 `cbor:"2,keyasint"` // hash of all shared parts
+	Tokens  int    `cbor:"3,keyasint"` // to be read
+}
+
+// Parts hashes the shared parts of a prompt.
+func Parts(ids []string, tokens []int) []Shared {
+	parts := make([]Shared, 0, len(ids))
 	var d xxhash.Digest
-	for _, id := range ids {
+	d.Reset()
+	for i, id := range ids {
 		_, _ = d.WriteString(id)
 		_, _ = d.Write([]byte{0})
-		hashes = append(hashes, d.Sum64())
+		parts = append(parts, Shared{Hash: d.Sum64(), Tokens: tokens[i]})
 	}
-	return hashes
+	return parts
 }
 
 // Choice is the replica for a request and why.
@@ -59,8 +83,9 @@
 	Replica  replica.Replica
 	Reason   string
 	InFlight int // of this process, on that replica
+	Backlog  int // tokens waiting to be read there, as far as known
+	Cached   int // tokens of the prompt that it has read, as far as known
 	ticket   *stats
-	tokens   int64
 }
 
 // Outcome is how a send ended.
@@ -82,12 +107,13 @@
 	settings Settings
 	mu       sync.Mutex // serializes updates of the snapshot
 	known    atomic.Pointer[map[replica.Incarnation]*stats]
+	cache    cache
+	tell     func(Placed)
 }
 
 // stats is what this process knows of one start of a replica.
 type stats struct {
 	inFlight  atomic.Int64
-	tokens    atomic.Int64
 	lastHeard atomic.Int64 // Unix nanoseconds; also when work began at an idle replica
 
 	mu         sync.Mutex
@@ -95,11 +121,28 @@
 	ejected    time.Time
 	failRate   float64 // exponentially weighted
 	lastServed time.Time
+	backlog    float64 // tokens waiting to be read at backlogAt
+	backlogAt  time.Time
+}
+
+// waiting returns the tokens that wait to be read. Rate is tokens per second.
+func (s *stats) waiting(now time.Time, rate float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.backlog-rate*now.Sub(s.backlogAt).Seconds(), 0)
 }
 
-// New returns a placer.
-func New(s Settings) *Placer {
-	p := &Placer{settings: s}
+func (s *stats) add(tokens int, now time.Time, rate float64) {
+	waiting := s.waiting(now, rate)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backlog, s.backlogAt = waiting+float64(tokens), now
+}
+
+// New returns a placer. Tell is called with placements that other processes
+// should know of.
+func New(s Settings, tell func(Placed)) *Placer {
+	p := &Placer{settings: s, tell: tell, cache: newCache(s.CacheTime)}
 	p.known.Store(&map[replica.Incarnation]*stats{})
 	return p
 }
@@ -151,8 +194,8 @@
 	best, reason := candidates[0], "only"
 	switch {
 	case len(candidates) == 1:
-	case len(need.Affinity) > 0:
-		best, reason = p.byAffinity(need.Affinity[len(need.Affinity)-1], candidates, rnd)
+	case len(need.Shared) > 0 || need.Tail > 0:
+		best, reason = p.byWaiting(need, candidates, now)
 	default:
 		best, reason = leastLoaded(candidates, rnd), "least_loaded"
 	}
@@ -162,14 +205,52 @@
 	if best.stats.inFlight.Add(1) == 1 {
 		best.stats.lastHeard.Store(now.UnixNano())
 	}
-	best.stats.tokens.Add(int64(need.Tokens))
-	return Choice{Replica: best.replica, Reason: reason, InFlight: int(best.load), ticket: best.stats, tokens: int64(need.Tokens)}, true
+	choice := Choice{Replica: best.replica, Reason: reason, InFlight: int(best.load), Backlog: int(best.backlog),
+		Cached: best.cached, ticket: best.stats}
+	p.place(need, best, now)
+	return choice, true
+}
+
+// place notes what a replica has to read for a request, and tells others if it
+// is much.
+func (p *Placer) place(need Need, c candidate, now time.Time) {
+	if len(need.Shared) == 0 && need.Tail == 0 {
+		return
+	}
+	tokens := need.Tail - c.cached
+	for _, part := range need.Shared {
+		tokens += part.Tokens
+		p.cache.add(part.Hash, c.replica.ID, now)
+	}
+	c.stats.add(tokens, now, p.settings.ReadRate)
+	if tokens >= p.settings.TellFrom && p.tell != nil {
+		placed := Placed{Replica: c.replica.ID, Tokens: tokens}
+		if n := len(need.Shared); n > 0 {
+			placed.Key = need.Shared[n-1].Hash
+		}
+		p.tell(placed)
+	}
+}
+
+// Told takes a placement of another process.
+func (p *Placer) Told(placed Placed, now time.Time) {
+	for k, s := range *p.known.Load() {
+		if k.ID == placed.Replica {
+			s.add(max(placed.Tokens, 0), now, p.settings.ReadRate)
+			if placed.Key != 0 {
+				p.cache.add(placed.Key, placed.Replica, now)
+			}
+			return
+		}
+	}
 }
 
 type candidate struct {
 	replica replica.Replica
 	stats   *stats
 	load    int64
+	backlog float64
+	cached  int
 }
 
 // candidates returns the replicas that may be chosen. When more than the
@@ -195,32 +276,50 @@
 	return list, false
 }
 
-// byAffinity takes the replica with the highest hash among those whose load is
-// within the bound.
-func (p *Placer) byAffinity(key uint64, list []candidate, rnd *rand.Rand) (candidate, string) {
+// byWaiting takes the replica with the fewest tokens to read before the
+// request's first event, among those whose load is within the bound. Without
+// any other knowledge, all processes take the replica with the highest weight
+// for one that has read the shared parts.
+func (p *Placer) byWaiting(need Need, list []candidate, now time.Time) (candidate, string) {
 	total := int64(1)
-	for _, c := range list {
-		total += c.load
+	shared, key := 0, uint64(0)
+	for _, part := range need.Shared {
+		shared, key = shared+part.Tokens, part.Hash
+	}
+	home := 0
+	for i := range list {
+		total += list[i].load
+		if key != 0 && weight(key, list[i].replica.ID) > weight(key, list[home].replica.ID) {
+			home = i
+		}
 	}
 	bound := int64(p.settings.LoadFactor*float64(total)/float64(len(list))) + int64(p.settings.LoadSlack)
-	var best, first *candidate
-	var bestWeight, firstWeight uint64
+	best := -1
+	cost := func(c candidate) float64 { return c.backlog + float64(shared-c.cached) }
 	for i := range list {
-		w := weight(key, list[i].replica.ID)
-		if first == nil || w > firstWeight {
-			first, firstWeight = &list[i], w
+		c := &list[i]
+		c.backlog = c.stats.waiting(now, p.settings.ReadRate)
+		if i == home && key != 0 {
+			c.cached = shared
+		} else {
+			c.cached = p.cache.depth(need.Shared, c.replica.ID, now)
+		}
+		if c.load >= bound {
+			continue
 		}
-		if list[i].load < bound && (best == nil || w > bestWeight) {
-			best, bestWeight = &list[i], w
+		if best < 0 || cost(*c) < cost(list[best]) || cost(*c) == cost(list[best]) && i == home {
+			best = i
 		}
 	}
 	switch {
-	case best == nil:
-		return leastLoaded(list, rnd), "all_over_bound"
-	case best == first:
-		return *best, "affinity"
+	case best < 0:
+		return slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(a.load, b.load) }), "all_over_bound"
+	case best == home && key != 0:
+		return list[best], "home"
+	case list[best].cached == shared && shared > 0:
+		return list[best], "cached"
 	default:
-		return *best, "affinity_over_bound"
+		return list[best], "least_waiting"
 	}
 }
 
@@ -275,7 +374,6 @@
 		return
 	}
 	c.ticket.inFlight.Add(-1)
-	c.ticket.tokens.Add(-c.tokens)
 	c.ticket.observe(o, now, p.settings)
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -29,14 +29,15 @@
 	// Guards against prompts that are read again at other replicas while the
 	// replica that has read them is free.
 	It("sends requests with the same shared parts to one replica", func() {
-		p, r := placement.New(placement.Defaults()), rnd()
-		need := placement.Need{Affinity: placement.Affinity([]string{"a", "b"})}
+		p, r := placement.New(placement.Defaults(), nil), rnd()
+		need := placement.Need{Shared: placement.Parts([]string{"a", "b"}, []int{2000, 4000}), Tail: 100}
 		seen := map[string]bool{}
 		for range 20 {
 			c, ok := p.Choose(need, replicas(9), now, r)
 			Expect(ok).To(BeTrue())
 			seen[c.Replica.ID] = true
 			p.Done(c, placement.Served, now)
+			now = now.Add(100 * time.Millisecond)
 		}
 		Expect(seen).To(HaveLen(1))
 	})
@@ -44,8 +45,8 @@
 	// Guards against a replica that is overloaded by one popular prompt while
 	// others are free.
 	It("spreads a hot prompt within the load bound", func() {
-		p, r := placement.New(placement.Defaults()), rnd()
-		need := placement.Need{Affinity: placement.Affinity([]string{"hot"})}
+		p, r := placement.New(placement.Defaults(), nil), rnd()
+		need := placement.Need{Shared: placement.Parts([]string{"hot"}, []int{500}), Tail: 10}
 		load := map[string]int{}
 		for range 90 {
 			c, _ := p.Choose(need, replicas(9), now, r)
@@ -56,8 +57,48 @@
 		}
 	})
 
+	Describe("long prompts", func() {
+		long := func(id string) placement.Need {
+			return placement.Need{Shared: placement.Parts([]string{id}, []int{2000}), Tail: 20_000}
+		}
+
+		// Guards against two long prompts that are read one after the other at
+		// one replica while others are free.
+		It("are not read behind one another while other replicas are free", func() {
+			p, r := placement.New(placement.Defaults(), nil), rnd()
+			seen := map[string]bool{}
+			for range 5 {
+				c, _ := p.Choose(long("same"), replicas(9), now, r)
+				seen[c.Replica.ID] = true
+			}
+			Expect(seen).To(HaveLen(5))
+		})
+
+		// Guards against processes that each see a small part of the load.
+		It("count when another process has placed them", func() {
+			a := placement.New(placement.Defaults(), nil)
+			var told []placement.Placed
+			b := placement.New(placement.Defaults(), func(p placement.Placed) { told = append(told, p) })
+			r := rnd()
+			a.Update(replicas(9))
+			first, _ := b.Choose(long("same"), replicas(9), now, r)
+			Expect(told).To(HaveLen(1))
+			a.Told(told[0], now)
+			second, _ := a.Choose(long("same"), replicas(9), now, r)
+			Expect(second.Replica.ID).NotTo(Equal(first.Replica.ID))
+		})
+
+		It("are forgotten as they are read", func() {
+			p, r := placement.New(placement.Defaults(), nil), rnd()
+			first, _ := p.Choose(long("same"), replicas(9), now, r)
+			p.Done(first, placement.Served, now)
+			later, _ := p.Choose(long("same"), replicas(9), now.Add(time.Second), r)
+			Expect(later.Replica.ID).To(Equal(first.Replica.ID))
+		})
+	})
+
 	It("spreads requests without a prompt by load", func() {
-		p, r := placement.New(placement.Defaults()), rnd()
+		p, r := placement.New(placement.Defaults(), nil), rnd()
 		load := map[string]int{}
 		for range 30 {
 			c, _ := p.Choose(placement.Need{}, replicas(3), now, r)
@@ -69,7 +110,7 @@
 	// Guards against replicas that keep getting work while they fail, and
 	// against a service without candidates when all have failed.
 	It("ejects replicas that fail, and none if too many do", func() {
-		p, r := placement.New(placement.Defaults()), rnd()
+		p, r := placement.New(placement.Defaults(), nil), rnd()
 		list := replicas(3)
 		fail := func(id string, o placement.Outcome) {
 			for {
@@ -95,7 +136,7 @@
 
 	// Guards against silent replicas: no answer fails, but none comes.
 	It("sends nothing more to a replica that works and says nothing", func() {
-		p, r := placement.New(placement.Defaults()), rnd()
+		p, r := placement.New(placement.Defaults(), nil), rnd()
 		list := replicas(3)
 		var held placement.Choice
 		for held.Replica.ID != "r0" {
@@ -120,14 +161,14 @@
 	})
 
 	It("leaves out excluded replicas", func() {
-		p := placement.New(placement.Defaults())
+		p := placement.New(placement.Defaults(), nil)
 		_, ok := p.Choose(placement.Need{Exclude: map[string]bool{"r0": true}}, replicas(1), now, rnd())
 		Expect(ok).To(BeFalse())
 	})
 
 	// Guards against counts of an earlier start of a replica at its successor.
 	It("knows two starts under one ID apart", func() {
-		p, r := placement.New(placement.Defaults()), rnd()
+		p, r := placement.New(placement.Defaults(), nil), rnd()
 		list := replicas(1)
 		for range 5 {
 			_, _ = p.Choose(placement.Need{}, list, now, r)
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -37,6 +37,19 @@
 	return false
 }
 
+// Peers returns the other live holders.
+func (b *Book) Peers() []Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var peers []Peer
+	for name, h := range b.holdings {
+		if name != b.holder && h.Fingerprint != "" && b.live(h) {
+			peers = append(peers, Peer{Holder: name, Address: h.Address, Fingerprint: h.Fingerprint})
+		}
+	}
+	return peers
+}
+
 // Lenders returns the holders that may have quota of a workspace left, those
 // with more of it rather first.
 func (b *Book) Lenders(workspace string, rnd *rand.Rand) []Peer {
--- a/quotastore/shards.go
+++ b/quotastore/shards.go
@@ -62,6 +62,9 @@
 	return false
 }
 
+// Peers returns the other live holders.
+func (b Books) Peers() []quota.Peer { return b[0].Peers() }
+
 // Holders returns the number of live holders.
 func (b Books) Holders() int {
 	n := 1
