--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,22 +26,23 @@
 
 // Settings are the figures of the choice.
 type Settings struct {
-	LoadFactor  float64       // a replica's load may exceed the mean by this factor
-	LoadSlack   int           // and by this number of requests
-	EjectFor    time.Duration // a replica that failed gets no work for so long
-	EjectLimit  time.Duration // bound of EjectFor as failures go on
-	SilentAfter time.Duration // a replica that works and sends nothing for so long gets no more work
-	ReadRate    float64       // prompt tokens that a replica reads per second
-	CacheTime   time.Duration // how long a part of a prompt is taken to be kept by a replica
-	TellFrom    int           // tokens from which other processes are told of a placement
-	RefusedFor  time.Duration // a replica that refused a request gets no work for so long
-	MaxEjected  float64       // share of a service's replicas
+	LoadFactor   float64       // a replica's load may exceed the mean by this factor
+	LoadSlack    int           // and by this number of requests
+	EjectFor     time.Duration // a replica that failed gets no work for so long
+	EjectLimit   time.Duration // bound of EjectFor as failures go on
+	SilentAfter  time.Duration // a replica that works and sends nothing for so long gets no more work
+	ReadRate     float64       // prompt tokens that a replica reads per second
+	CacheTime    time.Duration // how long a part of a prompt is taken to be kept by a replica
+	RereadWeight float64       // of a token that another replica has read, against one that waits
+	TellFrom     int           // tokens from which other processes are told of a placement
+	RefusedFor   time.Duration // a replica that refused a request gets no work for so long
+	MaxEjected   float64       // share of a service's replicas
 }
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
 	return Settings{LoadFactor: 1.25, LoadSlack: 2, EjectFor: 1500 * time.Millisecond, EjectLimit: 6 * time.Second,
-		SilentAfter: 700 * time.Millisecond, ReadRate: 35_000, CacheTime: 8 * time.Second, TellFrom: 1500, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5}
+		SilentAfter: 700 * time.Millisecond, ReadRate: 35_000, CacheTime: 8 * time.Second, RereadWeight: 2, TellFrom: 1500, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5}
 }
 
 // Need is what a request asks of a replica.
@@ -295,7 +296,7 @@
 	}
 	bound := int64(p.settings.LoadFactor*float64(total)/float64(len(list))) + int64(p.settings.LoadSlack)
 	best := -1
-	cost := func(c candidate) float64 { return c.backlog + float64(shared-c.cached) }
+	cost := func(c candidate) float64 { return c.backlog + p.settings.RereadWeight*float64(shared-c.cached) }
 	for i := range list {
 		c := &list[i]
 		c.backlog = c.stats.waiting(now, p.settings.ReadRate)
