Withhold a version that the operator orders a move to

Gateways do not lead moves; without this, a version under a move would get its full share of traffic with no control (EXPOSURE). The order is logged.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,17 @@
 type Belief struct {
 	Table    *route.Table // nil before the first configuration
 	Replicas *replica.Set
+	Withheld map[string]string // by service, the version that gets no requests
+}
+
+// candidates returns the replicas of a service that may get requests.
+func (b Belief) candidates(service string) []replica.Replica {
+	list := b.Replicas.Of(service)
+	version, ok := b.Withheld[service]
+	if !ok {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(r replica.Replica) bool { return r.Version == version })
 }
 
 // Quota admits model requests by their workspace's token quota.
@@ -293,7 +305,7 @@
 	var last *failure
 	for n := 0; n < maxSends; n++ {
 		now := e.g.clock.Now()
-		choice, ok := e.g.placer.Choose(e.need(exclude), e.g.Belief().Replicas.Of(e.service), now, e.rand)
+		choice, ok := e.g.placer.Choose(e.need(exclude), e.g.Belief().candidates(e.service), now, e.rand)
 		if !ok {
 			if last == nil {
 				return nil, &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -139,7 +139,7 @@
 func (s *eventStream) resume() (resumed, again bool) {
 	e := s.e
 	now := e.g.clock.Now()
-	choice, ok := e.g.placer.Choose(e.need(s.exclude), e.g.Belief().Replicas.Of(e.service), now, e.rand)
+	choice, ok := e.g.placer.Choose(e.need(s.exclude), e.g.Belief().candidates(e.service), now, e.rand)
 	if !ok {
 		return false, false
 	}
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -207,12 +208,39 @@
 				fields["quota."+l.Workspace] = l.Tokens
 			}
 			d.log.WithFields(fields).Info("configuration in force")
+		case platform.MoveOrdered:
+			d.withhold(event.Service, event.Version)
+			d.log.WithFields(log.Fields{"service": event.Service, "version": event.Version}).
+				Warn("move ordered; the version is withheld, as gateways do not lead moves yet")
+		case platform.MoveWithdrawn:
+			d.withhold(event.Service, "")
+			d.log.WithField("service", event.Service).Info("move withdrawn")
 		case platform.ConfigUnreadable:
 			d.log.WithError(event.Err).Error("configuration ignored")
 		}
 	}
 }
 
+// withhold keeps a version of a service from getting requests; no version lifts
+// that.
+func (d *Daemon) withhold(service, version string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gateway.Believe(func(belief gateway.Belief) gateway.Belief {
+		withheld := maps.Clone(belief.Withheld)
+		if withheld == nil {
+			withheld = make(map[string]string)
+		}
+		if version == "" {
+			delete(withheld, service)
+		} else {
+			withheld[service] = version
+		}
+		belief.Withheld = withheld
+		return belief
+	})
+}
+
 func quotaLimits(t *route.Table) []quota.Limit {
 	var limits []quota.Limit
 	for _, w := range t.Workspaces() {
--- a/gatewaydaemon/gatewaydaemon_test.go
+++ b/gatewaydaemon/gatewaydaemon_test.go
@@ -188,6 +188,21 @@
 		)
 	})
 
+	// Guards against traffic that reaches a new version without any control.
+	It("sends nothing to a version that is being moved to", func() {
+		in := newInstallation(1, 2, standin.Answering{Status: 200})
+		entry := strings.Replace(string(in.plain[1].Entry("plain", "ready")), `"version":"v1"`, `"version":"v2"`, 1)
+		in.store.Put("op", "", "rollout/plain", []byte(`{"service":"plain","target":"v2","duration_s":12}`))
+		in.store.Put("servers", "", in.plain[1].ID, []byte(entry))
+		time.Sleep(200 * time.Millisecond)
+		before := len(in.plain[1].Runs())
+		for range 20 {
+			_, r := in.call(ctx, "POST", "/book/1", nil, "")
+			Expect(r.Status).To(Equal(200))
+		}
+		Expect(in.plain[1].Runs()).To(HaveLen(before))
+	})
+
 	Describe("the quota", func() {
 		It("is served to its end and not beyond, over a restart", func() {
 			in := newInstallation(1, 1, standin.Streaming{Events: 2})
