--- a/cmd/briarreach/main.go
+++ b/cmd/briarreach/main.go
@@ -33,7 +33,7 @@
 		Name:  "briarreach",
 		Usage: "a router fleet for prepaid token budgets",
 		Commands: []*cli.Command{
-			demoCommand(), entryCommand(), agentCommand(), gatewayCommand(), standinCommand(),
+			demoCommand(), entryCommand(), agentCommand(), gatewayCommand(), explainCommand(), standinCommand(),
 			initCommand(), keysCommand(), checkConfigCommand(),
 			configCommand(), workspaceCommand(), budgetCommand(), targetCommand(), moveCommand(), drainCommand(),
 			timelineCommand(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,9 @@
 type QuotaError struct {
 	Exhausted  bool // the whole quota is consumed or reserved
 	RetryAfter time.Duration
+	Balance    int64         // granted to this process and not consumed
+	Allowed    int64         // of the balance, what may be consumed now
+	RowsAge    time.Duration // age of what is known of the other processes' grants
 }
 
 func (e *QuotaError) Error() string {
@@ -174,6 +177,7 @@
 	priority  int
 	deadline  time.Time
 	reserved  Reservation
+	short     *QuotaError // why nothing was reserved
 	sends     []send
 	delivered int // events that were passed on
 	first     time.Duration
@@ -267,7 +271,10 @@
 	reserved, err := e.g.quota.Reserve(wait, e.workspace, int64(e.r.Prompt.Tokens+e.r.Prompt.MaxOutput))
 	if err != nil {
 		var short *QuotaError
-		if errors.As(err, &short) && short.Exhausted {
+		if errors.As(err, &short) {
+			e.short = short
+		}
+		if short != nil && short.Exhausted {
 			return &Refusal{Ran: NotRun, Reason: QuotaExhausted}
 		}
 		retry := staleRetry
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -14,7 +13,6 @@
 type meters struct {
 	set          *metrics.Set
 	retryRefused *metrics.Counter
-	sends        sync.Map // outcome to counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -54,6 +52,9 @@
 	if outcome == outcomeServed {
 		fields["first_ms"] = e.first.Milliseconds()
 	}
+	if q := e.short; q != nil {
+		fields["quota_balance"], fields["quota_allowed"], fields["quota_rows_age_ms"] = q.Balance, q.Allowed, q.RowsAge.Milliseconds()
+	}
 	if p := e.r.Prompt; p != nil {
 		fields["prompt_tokens"], fields["events"] = p.Tokens, e.delivered
 	}
--- /dev/null
+++ b/gatewaydaemon/tuning_test.go
@@ -0,0 +1,50 @@
+package gatewaydaemon_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/gatewaydaemon"
+)
+
+func TestGatewayDaemon(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gatewaydaemon")
+}
+
+var _ = Describe("the tuning file", func() {
+	load := func(text string) (gatewaydaemon.Tuning, error) {
+		path := filepath.Join(GinkgoT().TempDir(), "gateway.toml")
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		return gatewaydaemon.LoadTuning(path)
+	}
+
+	It("changes what it names and keeps the rest", func() {
+		t, err := load("[placement]\neject_for = \"2s\"\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Placement.EjectFor).To(Equal(2 * time.Second))
+		Expect(t.Quota).To(Equal(gatewaydaemon.DefaultTuning().Quota))
+	})
+
+	It("that is deployed is valid", func() {
+		_, err := gatewaydaemon.LoadTuning("../deploy/gateway.toml")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against a process that starts with a value it misreads.
+	DescribeTable("with faults is refused by key",
+		func(text, want string) {
+			_, err := load(text)
+			Expect(err).To(MatchError(ContainSubstring(want)))
+		},
+		Entry("unknown key", "[placement]\nejectfor = \"2s\"\n", "ejectfor"),
+		Entry("no duration", "[placement]\neject_for = \"soon\"\n", "placement.eject_for: accepted is a duration from 1ms to 1h"),
+		Entry("out of range", "[quota]\ngranted_part = 1.5\n", "quota.granted_part: accepted is a number from 0.01 to 1"),
+		Entry("no TOML", "[placement", "gateway.toml"),
+	)
+})
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -318,6 +318,15 @@
 	return b.limits[workspace]
 }
 
+// Balance returns what is granted and not consumed, how much of it may be
+// consumed now, and the age of what is known of other holders.
+func (b *Book) Balance(workspace string, now time.Time) (balance, allowed int64, age time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	spent := b.local(workspace).spent()
+	return b.states[0].holding.Accounts[workspace].Granted - spent, max(b.allowance(workspace, now)-spent, 0), now.Sub(b.loadedAt)
+}
+
 // free returns what is granted to nobody.
 func (b *Book) free(workspace string) (int64, bool) {
 	if !b.loaded {
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -246,7 +246,7 @@
 		case quota.Unlimited:
 			return unlimited{}, nil
 		case quota.Exhausted:
-			return nil, &gateway.QuotaError{Exhausted: true}
+			return nil, s.refusal(workspace, true)
 		}
 		s.Wake()
 		if s.borrow != nil && s.clock.Since(began) >= storeTime {
@@ -257,11 +257,20 @@
 		case <-s.clock.After(storeTime):
 		case <-ctx.Done():
 			s.shorts.Inc()
-			return nil, &gateway.QuotaError{RetryAfter: s.retry}
+			return nil, s.refusal(workspace, false)
 		}
 	}
 }
 
+func (s *Syncer) refusal(workspace string, exhausted bool) *gateway.QuotaError {
+	e := &gateway.QuotaError{Exhausted: exhausted}
+	if !exhausted {
+		e.RetryAfter = s.retry
+	}
+	e.Balance, e.Allowed, e.RowsAge = s.book.Balance(workspace, s.clock.Now())
+	return e
+}
+
 type reservation struct {
 	book      *quota.Book
 	workspace string
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -135,11 +135,11 @@
 	reused := c.used
 	c.used = true
 	written := c.write(r)
-	res, err := c.read(r.Method, accept)
+	res, err := c.read(r.Method, accept) //nolint:bodyclose // closed by the caller of Do
 	if err != nil {
 		stop()
 		_ = c.Close()
-		<-written // the caller may reuse the body's memory
+		_ = wait(written) // the caller may reuse the body's memory
 		if ctx.Err() != nil {
 			err = errors.Join(err, ctx.Err())
 		}
@@ -240,6 +240,9 @@
 	return done
 }
 
+// wait returns the outcome of a write.
+func wait(written <-chan error) error { return <-written }
+
 // maxStrayResponses bounds the responses to earlier requests that are skipped.
 const maxStrayResponses = 4
 
@@ -319,7 +322,7 @@
 	if canceled || !b.ended || b.res.Close || !sent || b.conn.reader.Buffered() > 0 {
 		err := b.conn.Close()
 		if pending {
-			<-b.written // the caller may reuse the request's memory
+			_ = wait(b.written) // the caller may reuse the request's memory
 		}
 		return err
 	}
