End soon after the last request when a gateway stops

The return of grants has 0.3 s now and feeds are not waited for; the successor adopts what was not returned.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -106,10 +106,14 @@
 	return f.status
 }
 
-// Close stops the follower.
-func (f *Follower[E]) Close() {
+// Close stops the follower. It returns when the follower has stopped or ctx
+// ends; a call to the source may be going on then.
+func (f *Follower[E]) Close(ctx context.Context) {
 	f.cancel()
-	<-f.done
+	select {
+	case <-f.done:
+	case <-ctx.Done():
+	}
 }
 
 func (f *Follower[E]) run(ctx context.Context) {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -51,7 +51,7 @@
 		s := &script{lists: make(chan feed.Batch[int], 4), nexts: make(chan any, 4)}
 		got := make(chan feed.Batch[int], 8)
 		f := feed.New("test", s, func(b feed.Batch[int]) { got <- b }, feed.WithWait(100*time.Millisecond, 50*time.Millisecond))
-		DeferCleanup(f.Close)
+		DeferCleanup(func(ctx context.Context) { f.Close(ctx) })
 		return s, got, f
 	}
 
@@ -90,7 +90,7 @@
 	It("leaves no goroutine behind", func() {
 		before := goleak.IgnoreCurrent()
 		s := &script{lists: make(chan feed.Batch[int]), nexts: make(chan any)}
-		feed.New("test", s, func(feed.Batch[int]) {}).Close()
+		feed.New("test", s, func(feed.Batch[int]) {}).Close(context.Background())
 		Expect(goleak.Find(before)).To(Succeed())
 	})
 })
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -290,6 +290,9 @@
 	// the platform needs two failed checks, a second apart, to send them
 	// elsewhere.
 	announceTime = 2500 * time.Millisecond
+	// settleTime bounds the return of grants. The process takes no connections
+	// meanwhile, and its successor adopts what was not returned.
+	settleTime = 300 * time.Millisecond
 	// exitMargin is left before SIGKILL.
 	exitMargin = 500 * time.Millisecond
 )
@@ -328,10 +331,12 @@
 	drain, cancel := context.WithTimeout(context.Background(), max(d.settings.Bounds.GracePeriod-announceTime-exitMargin, exitMargin))
 	defer cancel()
 	err := d.callers.Close(drain)
-	d.quota.Close(drain)
-	err = errors.Join(err, d.peers.Close(), d.readiness.Close(drain))
-	d.configs.Close()
-	d.replicas.Close()
+	settle, cancelSettle := context.WithTimeout(context.Background(), settleTime)
+	defer cancelSettle()
+	d.quota.Close(settle)
+	d.configs.Close(settle)
+	d.replicas.Close(settle)
+	err = errors.Join(err, d.peers.Close(), d.readiness.Close(settle))
 	d.log.Info("stopped")
 	return err
 }
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -99,11 +99,15 @@
 	return s
 }
 
-// Close returns what is granted and not consumed, and stops.
+// Close returns what is granted and not consumed, as far as the store answers
+// until ctx ends, and stops.
 func (s *Syncer) Close(ctx context.Context) {
 	s.cancel()
-	<-s.done
-	s.commit(ctx, true)
+	select {
+	case <-s.done:
+		s.commit(ctx, true)
+	case <-ctx.Done():
+	}
 }
 
 // Wake makes the syncer look at the book at once.
@@ -161,6 +165,9 @@
 
 func (s *Syncer) commit(ctx context.Context, closing bool) bool {
 	for n := range maxConflicts {
+		if ctx.Err() != nil {
+			return false
+		}
 		if n > 0 {
 			s.clock.Sleep(rand.N(time.Duration(n) * conflictPause))
 		}
--- a/quotastore/shards.go
+++ b/quotastore/shards.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -101,9 +102,12 @@
 	}
 }
 
-// Close returns what is granted and not consumed, and stops.
+// Close returns what is granted and not consumed, as far as the store answers
+// until ctx ends, and stops.
 func (s *Shards) Close(ctx context.Context) {
+	var done sync.WaitGroup
 	for _, syncer := range s.syncers {
-		syncer.Close(ctx)
+		done.Go(func() { syncer.Close(ctx) })
 	}
+	done.Wait()
 }
