Take connections while the open streams of a stopping gateway end

Cause: a gateway that stopped closed its listener and then finished streams for up to 5 s; when all stop in turn, callers found no connection. Short requests are served and new streams refused until the open streams have ended.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,7 +100,8 @@
 	metrics *meters
 	belief  atomic.Pointer[Belief]
 	heard   func() time.Time // last word from the operator's configuration
-	open    sync.WaitGroup
+	streams atomic.Int64     // open
+	leaving atomic.Bool      // whether new streams are refused
 }
 
 // Option changes a default of New.
@@ -153,12 +154,15 @@
 // Belief returns what the gateway knows.
 func (g *Gateway) Belief() Belief { return *g.belief.Load() }
 
-// Wait returns when all requests have ended.
-func (g *Gateway) Wait() { g.open.Wait() }
+// RefuseStreams makes the gateway refuse new streams, which could outlast the
+// process. Other requests are served.
+func (g *Gateway) RefuseStreams() { g.leaving.Store(true) }
+
+// Streams returns the number of open streams.
+func (g *Gateway) Streams() int { return int(g.streams.Load()) }
 
 // Serve answers a request. The context ends when the caller has gone.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
-	g.open.Add(1)
 	e := &exchange{g: g, r: r, belief: g.Belief(), started: g.clock.Now(), configAge: g.clock.Since(g.heard()), rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	return e.serve(ctx)
 }
@@ -181,6 +185,7 @@
 	sends     []send
 	delivered int // events that were passed on
 	first     time.Duration
+	streaming bool
 	once      sync.Once
 }
 
@@ -241,6 +246,12 @@
 		return e.unlessStale(UnknownRoute)
 	}
 	e.route = r
+	if _, e.streaming = r.Kind.(route.Streaming); e.streaming {
+		e.g.streams.Add(1)
+		if e.g.leaving.Load() {
+			return &Refusal{Ran: NotRun, Reason: Stopping, RetryAfter: staleRetry}
+		}
+	}
 	priority := 0
 	if t.RequiresKey() {
 		w, known := t.Workspace(e.r.Key)
@@ -586,7 +597,9 @@
 			e.reserved.Settle(e.consumed())
 		}
 		e.report(outcome, reason)
-		e.g.open.Done()
+		if e.streaming {
+			e.g.streams.Add(-1)
+		}
 	})
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -72,6 +72,7 @@
 	ReplicaFull     Reason = "replica_full"
 	ReplicaFailed   Reason = "replica_failed"
 	TimedOut        Reason = "timed_out"
+	Stopping        Reason = "stopping"
 	CallerGone      Reason = "caller_gone"
 )
 
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -290,6 +290,11 @@
 	// the platform needs two failed checks, a second apart, to send them
 	// elsewhere.
 	announceTime = 2500 * time.Millisecond
+	// shortTime is left for requests without streams, which are taken until the
+	// open streams have ended.
+	shortTime = 1200 * time.Millisecond
+	// drainCheck is how often the open streams are counted.
+	drainCheck = 20 * time.Millisecond
 	// settleTime bounds the return of grants. The process takes no connections
 	// meanwhile, and its successor adopts what was not returned.
 	settleTime = 300 * time.Millisecond
@@ -322,13 +327,21 @@
 	d.log.Info("settings reloaded")
 }
 
-// Close announces that the process stops, finishes the requests in flight and
-// returns what is left of its grants.
+// Close announces that the process stops, takes short requests until the open
+// streams have ended, and returns what is left of its grants. Connections are
+// accepted for as long as possible: the platform may have nowhere else to send
+// them.
 func (d *Daemon) Close() error {
 	d.log.Info("stopping")
 	d.stopping.Store(true)
+	end := d.clock.Now().Add(d.settings.Bounds.GracePeriod - exitMargin)
 	d.clock.Sleep(min(announceTime, d.settings.Bounds.GracePeriod/3))
-	drain, cancel := context.WithTimeout(context.Background(), max(d.settings.Bounds.GracePeriod-announceTime-exitMargin, exitMargin))
+	d.gateway.RefuseStreams()
+	d.callers.CloseAfterAnswers()
+	for d.gateway.Streams() > 0 && d.clock.Until(end) > shortTime {
+		d.clock.Sleep(drainCheck)
+	}
+	drain, cancel := context.WithTimeout(context.Background(), max(d.clock.Until(end), exitMargin))
 	defer cancel()
 	err := d.callers.Close(drain)
 	settle, cancelSettle := context.WithTimeout(context.Background(), settleTime)
