--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"briarreach/placement"
+	"briarreach/route"
+	"briarreach/upstream"
+)
+
+// send is one dispatch of a request and its outcome, for the log.
+type send struct {
+	Replica  string `json:"replica"`
+	Why      string `json:"why"`
+	InFlight int    `json:"in_flight"`
+	Backlog  int    `json:"backlog,omitempty"`
+	Cached   int    `json:"cached,omitempty"`
+	Outcome  string `json:"outcome"`
+	MS       int64  `json:"ms"`
+}
+
+// Outcomes of a send in the log.
+const (
+	sendServed       = "served"
+	sendRefused      = "refused"       // by the replica, which did not run it
+	sendOtherReplica = "other_replica" // another replica has the address
+	sendNotSent      = "not_sent"      // no byte left this process
+	sendCanceled     = "canceled"      // the caller left, or time ran out, before it was sent
+	sendSilent       = "silent"
+	sendBroken       = "broken"
+	sendResumeFailed = "resume_failed"
+)
+
+// mayHaveRun reports whether a send with this outcome may have run.
+func (s send) mayHaveRun() bool {
+	switch s.Outcome {
+	case sendRefused, sendOtherReplica, sendNotSent, sendCanceled:
+		return false
+	default:
+		return true
+	}
+}
+
+// attempt is one send while it is going on.
+type attempt struct {
+	e       *exchange
+	choice  placement.Choice
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	silence clockwork.Timer // nil if silence is accepted
+	limit   time.Duration
+	body    io.Closer
+	ended   bool
+}
+
+// heard notes that the replica sent something.
+func (a *attempt) heard() {
+	a.e.g.placer.Heard(a.choice, a.e.g.clock.Now())
+	if a.silence != nil {
+		a.silence.Reset(a.limit)
+	}
+}
+
+// end ends the send, once. The body is closed first, as the end of the context
+// closes a connection that is still in use.
+func (a *attempt) end(o placement.Outcome, outcome string) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.silence != nil {
+		a.silence.Stop()
+	}
+	if a.body != nil {
+		_ = a.body.Close()
+	}
+	a.cancel(nil)
+	now := a.e.g.clock.Now()
+	a.e.g.placer.Done(a.choice, o, now)
+	a.e.sends = append(a.e.sends, send{Replica: a.choice.Replica.ID, Why: a.choice.Reason, InFlight: a.choice.InFlight, Backlog: a.choice.Backlog, Cached: a.choice.Cached,
+		Outcome: outcome, MS: now.Sub(a.started).Milliseconds()})
+}
+
+var errSilent = errors.New("no answer in time")
+
+// open sends the request to one replica, to go on after an event of its
+// stream, and waits for the header of the answer. Again says whether the
+// request can be sent once more, so that a silent replica can be given up.
+func (e *exchange) open(ctx context.Context, choice placement.Choice, after string, again bool) (*attempt, *Response, *failure) {
+	g := e.g
+	a := &attempt{e: e, choice: choice, started: g.clock.Now()}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	left := e.deadline.Sub(a.started)
+	if left < g.tuning.MinTimeLeft {
+		a.end(placement.Canceled, sendCanceled)
+		return nil, nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: TimedOut}}
+	}
+	if again {
+		a.limit = min(g.tuning.SilenceTimeout, left/2)
+		a.silence = g.clock.AfterFunc(a.limit, func() { a.checkSilence() })
+	}
+	res, err := g.sender.Send(a.ctx, Dispatch{Request: e.r, Replica: choice.Replica, Workspace: e.workspace,
+		Priority: e.priority, Timeout: left, After: after})
+	if err != nil {
+		return nil, nil, e.sendFailed(ctx, a, err)
+	}
+	a.body = res.Body
+	if res.Other {
+		g.sender.Forget(choice.Replica)
+		a.end(placement.Broken, sendOtherReplica)
+		return nil, nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}}
+	}
+	a.heard()
+	if res.NotRun {
+		a.end(placement.Refused, sendRefused)
+		return nil, nil, &failure{refusal: &Refusal{Ran: NotRun, Reason: ReplicaFull, RetryAfter: e.fullRetry()}}
+	}
+	return a, res, nil
+}
+
+// checkSilence gives the send up, unless the replica has sent something for
+// another request meanwhile.
+func (a *attempt) checkSilence() {
+	now := a.e.g.clock.Now()
+	if quiet := now.Sub(a.e.g.placer.LastHeard(a.choice)); quiet < a.limit/2 && now.Sub(a.started) < 2*a.limit {
+		a.silence.Reset(a.limit / 2)
+		return
+	}
+	a.cancel(errSilent)
+}
+
+// send sends the request to one replica and waits for its answer. Ran is the
+// number of earlier sends that may have run.
+func (e *exchange) send(ctx context.Context, choice placement.Choice, exclude map[string]bool, ran int) (*Relay, *failure) {
+	a, res, failed := e.open(ctx, choice, "", e.mayRepeat(ran+1))
+	if failed != nil {
+		return nil, failed
+	}
+	if _, streaming := e.route.Kind.(route.Streaming); streaming && res.Status < 300 {
+		return e.relayStream(ctx, a, res, exclude, ran+1)
+	}
+	whole, err := readWhole(res.Body, e.g.tuning.MaxHeld)
+	if err != nil {
+		return nil, e.sendFailed(ctx, a, &upstream.BrokenError{Err: err})
+	}
+	relay := &Relay{Status: res.Status, Header: res.Header, Whole: whole}
+	if res.Status >= 500 {
+		a.end(placement.Failed, fmt.Sprint("status_", res.Status))
+		return nil, &failure{relay: relay, ran: true, refusal: &Refusal{Ran: HasRun, Reason: ReplicaFailed}}
+	}
+	a.end(placement.Served, sendServed)
+	e.first = e.g.clock.Since(e.started)
+	return relay, nil
+}
+
+// sendFailed classifies a send without an answer and ends it.
+func (e *exchange) sendFailed(ctx context.Context, a *attempt, err error) *failure {
+	e.g.sender.Forget(a.choice.Replica)
+	var unsent *upstream.NotSentError
+	if errors.As(err, &unsent) {
+		if ctx.Err() != nil {
+			a.end(placement.Canceled, sendCanceled)
+			return &failure{refusal: e.ended(ctx, &Refusal{Ran: NotRun, Reason: TimedOut})}
+		}
+		a.end(placement.Broken, sendNotSent)
+		return &failure{refusal: &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}}
+	}
+	refusal := &Refusal{Ran: RanUnknown, Reason: ReplicaFailed}
+	switch {
+	case ctx.Err() != nil:
+		refusal = e.ended(ctx, &Refusal{Ran: RanUnknown, Reason: TimedOut})
+		if refusal.Reason == CallerGone {
+			a.end(placement.Canceled, string(CallerGone))
+		} else {
+			a.end(placement.Silent, string(TimedOut))
+		}
+	case errors.Is(context.Cause(a.ctx), errSilent):
+		a.end(placement.Silent, sendSilent)
+	default:
+		a.end(placement.Broken, sendBroken)
+	}
+	return &failure{refusal: refusal, ran: true}
+}
+
+// AnswerTooLargeError reports an answer that exceeds what is held to check
+// that it is whole.
+type AnswerTooLargeError struct{ Limit int }
+
+func (e *AnswerTooLargeError) Error() string {
+	return fmt.Sprintf("answer exceeds %d bytes", e.Limit)
+}
+
+func readWhole(body io.Reader, limit int) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	if err != nil {
+		return nil, fmt.Errorf("gateway.readWhole: %w", err)
+	}
+	if len(data) > limit {
+		return nil, &AnswerTooLargeError{Limit: limit}
+	}
+	return data, nil
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -105,7 +105,7 @@
 // fail ends the stream, or goes on at another replica.
 func (s *eventStream) fail(err error) {
 	if errors.Is(err, io.EOF) {
-		s.attempt.end(placement.Served, "served")
+		s.attempt.end(placement.Served, sendServed)
 		s.e.end(outcomeServed, "")
 		s.err = io.EOF
 		return
@@ -158,7 +158,7 @@
 	}
 	if res.Status >= 300 {
 		_ = res.Body.Close()
-		a.end(placement.Failed, "resume_failed")
+		a.end(placement.Failed, sendResumeFailed)
 		s.ran++
 		return false, true
 	}
