--- a/placement/placement.go
+++ b/placement/placement.go
@@ -117,13 +117,11 @@
 	inFlight  atomic.Int64
 	lastHeard atomic.Int64 // Unix nanoseconds; also when work began at an idle replica
 
-	mu         sync.Mutex
-	failures   int // in a row
-	ejected    time.Time
-	failRate   float64 // exponentially weighted
-	lastServed time.Time
-	backlog    float64 // tokens waiting to be read at backlogAt
-	backlogAt  time.Time
+	mu        sync.Mutex
+	failures  int // in a row
+	ejected   time.Time
+	backlog   float64 // tokens waiting to be read at backlogAt
+	backlogAt time.Time
 }
 
 // waiting returns the tokens that wait to be read. Rate is tokens per second.
@@ -287,11 +285,14 @@
 	for _, part := range need.Shared {
 		shared, key = shared+part.Tokens, part.Hash
 	}
-	home := 0
+	home, heaviest := 0, uint64(0)
 	for i := range list {
 		total += list[i].load
-		if key != 0 && weight(key, list[i].replica.ID) > weight(key, list[home].replica.ID) {
-			home = i
+		if key == 0 {
+			continue
+		}
+		if w := weight(key, list[i].replica.ID); i == 0 || w > heaviest {
+			home, heaviest = i, w
 		}
 	}
 	bound := int64(p.settings.LoadFactor*float64(total)/float64(len(list))) + int64(p.settings.LoadSlack)
@@ -378,24 +379,17 @@
 	c.ticket.observe(o, now, p.settings)
 }
 
-// failRateWeight is the weight of one outcome in the failure rate.
-const failRateWeight = 0.1
-
 func (s *stats) observe(o Outcome, now time.Time, settings Settings) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch o {
-	case Canceled:
+	case Canceled, Failed:
 	case Served:
-		s.failures, s.lastServed = 0, now
-		s.failRate *= 1 - failRateWeight
-	case Failed:
-		s.failRate += failRateWeight * (1 - s.failRate)
+		s.failures = 0
 	case Refused:
 		s.ejected = now.Add(settings.RefusedFor)
 	case Broken, Silent:
 		s.failures++
-		s.failRate += failRateWeight * (1 - s.failRate)
 		pause := settings.EjectFor << min(s.failures-1, 4)
 		s.ejected = now.Add(min(pause, settings.EjectLimit))
 	}
