Keep idle holders of quota live, so that their grants come back

Cause: a holder wrote its row only when its consumption had changed. One without requests of a workspace dropped out of the live holders after 15 s, and with it its 30,000 tokens: nobody asked it for a loan, and it never returned them.

Change: a row is written every 4 s also when nothing is consumed.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -147,6 +147,16 @@
 	}
 }
 
+// tick does what a process does between requests.
+func (f *fleet) tick(h *holder) {
+	if now := f.clock(h); h.book.NeedsList(now) {
+		Expect(h.book.Load(f.store.list(), true, f.store.now, now)).To(Succeed())
+	}
+	if h.book.Due(f.clock(h)) {
+		f.sync(h, answered)
+	}
+}
+
 // applyLate applies the transactions whose answers were lost.
 func (f *fleet) applyLate() {
 	for _, tx := range f.store.late {
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -30,7 +30,11 @@
 	if b.urgent && !b.recorded.IsZero() {
 		return now.Sub(b.recorded) >= b.urgentPause()
 	}
-	return now.Sub(b.recorded) >= b.settings.SyncEvery && b.changed()
+	pause := b.settings.IdleEvery
+	if b.changed() {
+		pause = b.settings.SyncEvery
+	}
+	return now.Sub(b.recorded) >= pause
 }
 
 // urgentPause shares the transactions that the part of the store takes among
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -75,6 +75,30 @@
 		Expect(float64(refused)).To(BeNumerically("<=", 0.05*float64(fit)), "refused of those that fit")
 	})
 
+	Context("one busy process", func() {
+		// Guards against quota that stays with processes that have no use for
+		// it: callers of a workspace may all come to one process.
+		It("gets what the idle processes hold", func() {
+			f := newFleet(5, 800_000)
+			busy := f.holders[0]
+			refusedAt := int64(0)
+			for range 1200 {
+				if d := f.reserve(busy, 1000, true); d == quota.Granted {
+					f.finish(busy, 1000)
+				} else if refusedAt == 0 {
+					refusedAt = f.consumed
+				}
+				for _, h := range f.holders {
+					f.tick(h)
+				}
+				f.pass(50 * time.Millisecond)
+			}
+			Expect(f.reserved()).To(BeNumerically("<=", f.limit))
+			Expect(f.reserved()).To(BeNumerically(">=", f.limit*97/100))
+			Expect(refusedAt).To(BeNumerically(">=", f.limit*97/100), "consumed before the first refusal")
+		})
+	})
+
 	Context("partition", func() {
 		// Guards against refusals while the processes are cut off from the
 		// store for as long as the platform's cuts last, at a steady demand.
--- a/quota/settings.go
+++ b/quota/settings.go
@@ -23,6 +23,7 @@
 	LiveFor     time.Duration // a holder whose record is older does not count
 	FreshFor    time.Duration // age up to which the rows decide that a quota is exhausted
 	SyncEvery   time.Duration // pause between records while tokens are consumed
+	IdleEvery   time.Duration // pause between records while nothing is consumed; below LiveFor, so that idle holders count as live
 	UrgentEvery time.Duration // pause between records while a request waits
 	TxTime      time.Duration // that the store has for each transaction of all holders
 	ListEvery   time.Duration // pause between readings of all rows
@@ -33,7 +34,7 @@
 func Defaults() Settings {
 	return Settings{Parts: 4, Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowTime: 1500 * time.Millisecond, PlentyTime: time.Minute, RiskPart: 0.25, ScarceRisk: 0.05, FloorPart: 0.2,
 		HoldTime: 2 * time.Second, ReleaseTime: 6 * time.Second, GrantedPart: 0.75, RefillBelow: 0.8, ReturnAbove: 1.5,
-		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 700 * time.Millisecond,
+		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 700 * time.Millisecond, IdleEvery: 4 * time.Second,
 		UrgentEvery: 30 * time.Millisecond, TxTime: 3 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
 }
 
@@ -46,7 +47,7 @@
 		name  string
 		value time.Duration
 	}{{"horizon", s.Horizon}, {"demand_time", s.DemandTime}, {"release_time", s.ReleaseTime}, {"live_for", s.LiveFor},
-		{"fresh_for", s.FreshFor}, {"sync_every", s.SyncEvery}, {"list_every", s.ListEvery}} {
+		{"fresh_for", s.FreshFor}, {"sync_every", s.SyncEvery}, {"idle_every", s.IdleEvery}, {"list_every", s.ListEvery}} {
 		if d.value <= 0 {
 			return &SettingError{Name: d.name}
 		}
