Read the quota rows again soon while requests find too little granted

Cause: a gateway whose grant was used up did not draw what other holders had returned, nor ask them again, until its next regular reading of the rows, up to 2 s later: its copy of the workspace's total said that nothing was left, and each lender's last answer stood until a newer row was seen. Callers waited 250 to 400 ms and were told to come back (503) although the quota was used up, or was there. Ruled out: conflicts of transactions (no failed commits in the log).

Change: rows are read again every 200 ms while requests are short. The first process of a VM after a kill also logs what it writes off (lost.WORKSPACE).

--- a/quota/peer.go
+++ b/quota/peer.go
@@ -65,14 +65,7 @@
 		if name == b.holder || h.Fingerprint == "" || !b.live(h) {
 			continue
 		}
-		a := h.Accounts[workspace]
-		left := a.Granted - a.Spent
-		if told, ok := b.told[name]; ok && told.sequence == h.Sequence {
-			if n, ok := told.left[workspace]; ok {
-				left = n
-			}
-		}
-		if left > 0 {
+		if left := b.leftAt(name, h, workspace); left > 0 {
 			lenders = append(lenders, lender{peer: Peer{Holder: name, Address: h.Address, Fingerprint: h.Fingerprint}, left: left})
 		}
 	}
@@ -88,6 +81,17 @@
 	return peers
 }
 
+// leftAt returns what a holder had left when it was last heard of.
+func (b *Book) leftAt(name string, h holding, workspace string) int64 {
+	if told, ok := b.told[name]; ok && told.sequence == h.Sequence {
+		if left, ok := told.left[workspace]; ok {
+			return left
+		}
+	}
+	a := h.Accounts[workspace]
+	return a.Granted - a.Spent
+}
+
 // told is what a lender said it has left, since its row of that sequence.
 type told struct {
 	sequence int64
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -16,6 +16,7 @@
 	Left     map[string]int64 // of each changed quota, granted to nobody
 	Others   map[string]int64 // of each changed quota, unspent at other holders
 	Adopted  map[string]int64 // left in the grants of this VM's earlier process; nil if there was none
+	Lost     map[string]int64 // of these grants, what that process may have consumed after its last record
 	next     state
 	totals   map[string]total
 }
@@ -64,6 +65,9 @@
 	if b.strangers && now.Sub(b.loadedAt) >= b.settings.SyncEvery {
 		return true
 	}
+	if b.short && now.Sub(b.loadedAt) >= b.settings.ShortEvery {
+		return true
+	}
 	return !b.loaded || now.Sub(b.loadedAt) >= b.settings.ListEvery || len(b.states) > 1
 }
 
@@ -97,12 +101,12 @@
 	for name, spent := range b.adopted {
 		b.local(name).used -= spent // a plan that was not applied
 	}
-	p.Adopted, b.adopted = map[string]int64{}, map[string]int64{}
+	p.Adopted, p.Lost, b.adopted = map[string]int64{}, map[string]int64{}, map[string]int64{}
 	since := b.storeTime + elapsed - time.Duration(old.At)*time.Millisecond
 	accounts := make(map[string]account, len(old.Accounts))
 	for name, a := range old.Accounts {
 		spent := a.maxSpent(since)
-		p.Adopted[name] = a.Granted - spent
+		p.Adopted[name], p.Lost[name] = a.Granted-spent, spent-a.Spent
 		accounts[name] = account{Granted: a.Granted, Spent: spent}
 		b.local(name).used += spent
 		b.adopted[name] = spent
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -57,6 +57,7 @@
 	lowered       map[string]lowered
 	adopted       map[string]int64 // what the earlier process is taken to have consumed
 	strangers     bool             // whether a peer called that no row names
+	short         bool             // whether too little was granted for a request since the rows were read
 	peer          Peer
 	told          map[string]told
 }
@@ -139,7 +140,7 @@
 	if tokens > l.waiting {
 		l.waiting = tokens
 	}
-	b.urgent = true
+	b.urgent, b.short = true, true
 	return Short
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -99,6 +99,31 @@
 		})
 	})
 
+	Context("a short quota", func() {
+		// Guards against callers that wait in vain at one process while another
+		// has returned what they need, or who are told to come back although
+		// nothing is left.
+		It("is looked at again soon while requests wait", func() {
+			f := newFleet(2, 100_000)
+			busy, idle := f.holders[0], f.holders[1]
+			f.tick(idle)
+			f.tick(busy)
+			for f.reserve(busy, 1000, true) == quota.Granted {
+				f.finish(busy, 1000)
+			}
+			f.tick(busy)
+			Expect(idle.book.Load(f.store.list(), true, f.store.now, f.clock(idle))).To(Succeed())
+			plan := idle.book.Prepare(f.clock(idle), true)
+			committed, current := f.store.commit(plan.Tx)
+			Expect(current).To(BeNil())
+			idle.book.Committed(plan, committed, f.clock(idle))
+			Expect(f.reserve(busy, 1000, true)).To(Equal(quota.Short))
+			f.pass(200 * time.Millisecond)
+			f.tick(busy)
+			Expect(f.reserve(busy, 1000, true)).To(Equal(quota.Granted))
+		})
+	})
+
 	Context("partition", func() {
 		// Guards against refusals while the processes are cut off from the
 		// store for as long as the platform's cuts last, at a steady demand.
--- a/quota/rows.go
+++ b/quota/rows.go
@@ -97,7 +97,7 @@
 			l.unverified = false
 			b.lowered[name] = l
 		}
-		b.loaded, b.loadedAt, b.strangers = true, now, false
+		b.loaded, b.loadedAt, b.strangers, b.short = true, now, false, false
 	}
 	b.resolve()
 	return first
--- a/quota/settings.go
+++ b/quota/settings.go
@@ -27,6 +27,7 @@
 	UrgentEvery time.Duration // pause between records while a request waits
 	TxTime      time.Duration // that the store has for each transaction of all holders
 	ListEvery   time.Duration // pause between readings of all rows
+	ShortEvery  time.Duration // pause between readings of all rows while requests find too little granted
 	UnsureRetry time.Duration // after how long a caller may come back
 }
 
@@ -35,7 +36,7 @@
 	return Settings{Parts: 4, Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowTime: 1500 * time.Millisecond, PlentyTime: time.Minute, RiskPart: 0.25, ScarceRisk: 0.05, FloorPart: 0.2,
 		HoldTime: 2 * time.Second, ReleaseTime: 6 * time.Second, GrantedPart: 0.75, RefillBelow: 0.8, ReturnAbove: 1.5,
 		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 700 * time.Millisecond, IdleEvery: 4 * time.Second,
-		UrgentEvery: 30 * time.Millisecond, TxTime: 3 * time.Millisecond, ListEvery: 2 * time.Second, UnsureRetry: 500 * time.Millisecond}
+		UrgentEvery: 30 * time.Millisecond, TxTime: 3 * time.Millisecond, ListEvery: 2 * time.Second, ShortEvery: 200 * time.Millisecond, UnsureRetry: 500 * time.Millisecond}
 }
 
 // Validate reports the first setting out of range.
@@ -47,7 +48,7 @@
 		name  string
 		value time.Duration
 	}{{"horizon", s.Horizon}, {"demand_time", s.DemandTime}, {"release_time", s.ReleaseTime}, {"live_for", s.LiveFor},
-		{"fresh_for", s.FreshFor}, {"sync_every", s.SyncEvery}, {"idle_every", s.IdleEvery}, {"list_every", s.ListEvery}} {
+		{"fresh_for", s.FreshFor}, {"sync_every", s.SyncEvery}, {"idle_every", s.IdleEvery}, {"list_every", s.ListEvery}, {"short_every", s.ShortEvery}} {
 		if d.value <= 0 {
 			return &SettingError{Name: d.name}
 		}
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -205,7 +205,7 @@
 	}
 	fields := log.Fields{}
 	for name, n := range p.Adopted {
-		fields["adopted."+name] = n
+		fields["adopted."+name], fields["lost."+name] = n, p.Lost[name]
 	}
 	for name, n := range p.Drawn {
 		s.drawn.AddInt64(n)
