Serve what a gateway believes as metrics, and measure what its log costs

New: version and age of configuration and registry, replicas by state, repeats against their budget, placements by reason, prompt tokens and those expected in caches, pauses between events, waits for quota, open streams, dropped log lines.

--- a/cmd/briarreach/gateway.go
+++ b/cmd/briarreach/gateway.go
@@ -56,7 +56,7 @@
 			sink := logsink.New(os.Stdout)
 			defer sink.Close()
 			logger := &log.Logger{Level: log.InfoLevel, Handler: json.New(sink)}
-			d, err := gatewaydaemon.New(s, gatewaydaemon.WithLog(logger), gatewaydaemon.WithTuning(tuning))
+			d, err := gatewaydaemon.New(s, gatewaydaemon.WithLog(logger), gatewaydaemon.WithTuning(tuning), gatewaydaemon.WithDroppedLines(sink.TotalDropped))
 			if err != nil {
 				return err
 			}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -114,7 +114,9 @@
 	}
 	wait, cancel := context.WithTimeout(ctx, r.TargetLatency/quotaWaitPart)
 	defer cancel()
+	asked := e.g.clock.Now()
 	reserved, err := e.g.quota.Reserve(wait, e.workspace, int64(e.r.Prompt.Tokens+e.r.Prompt.MaxOutput))
+	e.g.metrics.quotaWait.Update(e.g.clock.Since(asked).Seconds())
 	if err != nil {
 		var short *QuotaError
 		if errors.As(err, &short) {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -13,10 +13,18 @@
 type meters struct {
 	set          *metrics.Set
 	retryRefused *metrics.Counter
+	pause        *metrics.Histogram // between events of a stream
+	quotaWait    *metrics.Histogram
+	prompt       *metrics.Counter // tokens of prompts sent to replicas
+	cached       *metrics.Counter // of these, expected to be cached there
 }
 
 func newMeters(set *metrics.Set) *meters {
-	return &meters{set: set, retryRefused: set.NewCounter("briarreach_retry_budget_exhausted_total")}
+	return &meters{set: set, retryRefused: set.NewCounter("briarreach_retry_budget_exhausted_total"),
+		pause:     set.NewHistogram("briarreach_event_pause_seconds"),
+		quotaWait: set.NewHistogram("briarreach_quota_wait_seconds"),
+		prompt:    set.NewCounter("briarreach_prompt_tokens_total"),
+		cached:    set.NewCounter("briarreach_prompt_tokens_expected_cached_total")}
 }
 
 // report writes the request's log line and counts it.
@@ -34,6 +42,11 @@
 	}
 	for _, s := range e.sends {
 		m.GetOrCreateCounter(fmt.Sprintf("briarreach_sends_total{outcome=%q}", s.Outcome)).Inc()
+		m.GetOrCreateCounter(fmt.Sprintf("briarreach_placements_total{why=%q}", s.Why)).Inc()
+		if e.r.Prompt != nil {
+			e.g.metrics.prompt.Add(e.r.Prompt.Tokens)
+			e.g.metrics.cached.Add(s.Cached)
+		}
 	}
 	fields := log.Fields{
 		"request": e.r.ID, "kind": kind, "route": name, "workspace": e.workspace, "service": e.service,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"briarreach/placement"
 	"briarreach/upstream"
@@ -23,6 +24,7 @@
 	exclude map[string]bool
 	ran     int
 	err     error
+	eventAt time.Time // when the last event came
 }
 
 const (
@@ -82,6 +84,11 @@
 		s.lastID = id
 	}
 	s.pending = event
+	now := s.e.g.clock.Now()
+	if !s.eventAt.IsZero() {
+		s.e.g.metrics.pause.Update(now.Sub(s.eventAt).Seconds())
+	}
+	s.eventAt = now
 	s.e.delivered++
 	s.attempt.heard()
 	return nil
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -39,11 +39,16 @@
 type Option func(*options)
 
 type options struct {
-	clock  clockwork.Clock
-	log    log.Interface
-	tuning Tuning
+	clock   clockwork.Clock
+	log     log.Interface
+	tuning  Tuning
+	dropped droppedLines
 }
 
+// droppedLines returns the number of log lines that were dropped since the
+// start.
+type droppedLines func() int64
+
 // WithClock sets the clock.
 func WithClock(c clockwork.Clock) Option { return func(o *options) { o.clock = c } }
 
@@ -53,9 +58,14 @@
 // WithTuning sets the operator's tuning.
 func WithTuning(t Tuning) Option { return func(o *options) { o.tuning = t } }
 
+// WithDroppedLines sets where the number of dropped log lines is read.
+func WithDroppedLines(total func() int64) Option {
+	return func(o *options) { o.dropped = total }
+}
+
 // New builds and starts a gateway.
 func New(s *platform.Settings, opts ...Option) (*Daemon, error) {
-	o := options{clock: clockwork.NewRealClock(), log: log.Log, tuning: DefaultTuning()}
+	o := options{clock: clockwork.NewRealClock(), log: log.Log, tuning: DefaultTuning(), dropped: func() int64 { return 0 }}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -65,6 +75,7 @@
 		func() clockwork.Clock { return o.clock },
 		func() log.Interface { return o.log.WithField("process", s.Process) },
 		func() Tuning { return o.tuning },
+		func() droppedLines { return o.dropped },
 		metrics.NewSet,
 		newStore,
 		newQuotaBooks,
@@ -169,12 +180,13 @@
 }
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
-	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, books quotastore.Books, shards *quotastore.Shards, peers *mesh.Mesh, t Tuning) (*Daemon, error) {
+	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, books quotastore.Books, shards *quotastore.Shards, peers *mesh.Mesh, t Tuning, dropped droppedLines) (*Daemon, error) {
 	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), books: books, quota: shards, peers: peers}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithTuning(t.Gateway), gateway.WithQuota(shards), gateway.WithFreshness(func() time.Time { return d.configs.Status().Heard }))
 	d.configs = feed.New("configuration", platform.NewOperator(store), d.followConfig, feed.WithClock(clock), feed.WithLog(l))
 	d.replicas = feed.New("replicas", platform.NewRegistry(store), d.followReplicas, feed.WithClock(clock), feed.WithLog(l))
+	d.addGauges(set, retries, dropped)
 	var err error
 	if d.readiness, err = platform.NewReadiness(s.Readiness, d.ready, set, l); err != nil {
 		return nil, err
--- /dev/null
+++ b/gatewaydaemon/gauges.go
@@ -0,0 +1,53 @@
+package gatewaydaemon
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"briarreach/feed"
+	"briarreach/retrybudget"
+)
+
+// addGauges serves what the daemon believes, and how old that is. Ages are
+// counted from the last answer of the source, or from the start.
+func (d *Daemon) addGauges(set *metrics.Set, retries *retrybudget.Budget, droppedLines func() int64) {
+	started := d.clock.Now()
+	age := func(s feed.Status) float64 {
+		if s.Heard.IsZero() {
+			return d.clock.Since(started).Seconds()
+		}
+		return d.clock.Since(s.Heard).Seconds()
+	}
+	set.NewGauge("briarreach_config_version", func() float64 {
+		if t := d.gateway.Belief().Table; t != nil {
+			return float64(t.Version())
+		}
+		return 0
+	})
+	set.NewGauge("briarreach_config_age_seconds", func() float64 { return age(d.configs.Status()) })
+	set.NewGauge("briarreach_registry_version", func() float64 { return float64(d.replicas.Status().Version) })
+	set.NewGauge("briarreach_registry_age_seconds", func() float64 { return age(d.replicas.Status()) })
+	set.NewGauge("briarreach_quota_holders", func() float64 { return float64(d.books.Holders()) })
+	set.NewGauge(`briarreach_replicas{state="registered"}`, func() float64 { return float64(len(d.gateway.Belief().Replicas.All())) })
+	set.NewGauge(`briarreach_replicas{state="ejected"}`, func() float64 { return float64(d.placer.Ejected(d.clock.Now())) })
+	set.NewGauge(`briarreach_replicas{state="missing"}`, func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return float64(d.directory.Missing())
+	})
+	usage := func(part func(retrybudget.Usage) float64) func() float64 {
+		return func() float64 {
+			sum := 0.0
+			for _, u := range retries.Usage(d.clock.Now()) {
+				sum += part(u)
+			}
+			return sum
+		}
+	}
+	set.NewGauge("briarreach_repeats_in_window", usage(func(u retrybudget.Usage) float64 { return u.Repeats }))
+	set.NewGauge("briarreach_repeats_allowed_in_window", usage(func(u retrybudget.Usage) float64 { return u.Allowed }))
+	set.NewGauge("briarreach_streams_open", func() float64 { return float64(d.gateway.Streams()) })
+	set.NewGauge("briarreach_log_lines_dropped_total", func() float64 { return float64(droppedLines()) })
+	set.NewGauge("briarreach_uptime_seconds", func() float64 { return d.clock.Since(started).Round(time.Millisecond).Seconds() })
+}
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -33,7 +33,8 @@
 	stop    chan struct{}
 	once    sync.Once
 	done    chan struct{}
-	dropped atomic.Int64
+	dropped atomic.Int64 // and not reported yet
+	total   atomic.Int64 // dropped since the start
 }
 
 // Option changes a default of New.
@@ -74,17 +75,25 @@
 // Write implements io.Writer. It never blocks and never fails.
 func (s *Sink) Write(p []byte) (int, error) {
 	if !s.limit.AllowN(s.clock.Now(), 1) {
-		s.dropped.Add(1)
+		s.drop()
 		return len(p), nil
 	}
 	select {
 	case s.lines <- append([]byte(nil), p...):
 	default:
-		s.dropped.Add(1)
+		s.drop()
 	}
 	return len(p), nil
 }
 
+func (s *Sink) drop() {
+	s.dropped.Add(1)
+	s.total.Add(1)
+}
+
+// TotalDropped returns the number of lines that were dropped since the start.
+func (s *Sink) TotalDropped() int64 { return s.total.Load() }
+
 // Dropped returns the number of lines that were dropped and not reported yet.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -183,6 +183,18 @@
 	return next[k]
 }
 
+// Ejected returns the number of replicas that get no requests for their
+// failures or their silence.
+func (p *Placer) Ejected(now time.Time) int {
+	n := 0
+	for _, s := range *p.known.Load() {
+		if s.isEjected(now) || s.isSilent(now, p.settings.SilentAfter) {
+			n++
+		}
+	}
+	return n
+}
+
 // Choose returns the replica for a request, and counts it as in flight until
 // Done. It returns false if there is none.
 func (p *Placer) Choose(need Need, replicas []replica.Replica, now time.Time, rnd *rand.Rand) (Choice, bool) {
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -64,15 +64,36 @@
 	defer b.mu.Unlock()
 	w := b.window(service)
 	w.advance(now, b.limit.Window)
-	requests, repeats := w.sums()
-	allowed := safety * (b.limit.Ratio*requests + b.limit.Slack/float64(b.processes))
-	if repeats+1 > allowed {
+	if u := b.usage(w); u.Repeats+1 > u.Allowed {
 		return false
 	}
 	w.repeats[w.index]++
 	return true
 }
 
+// Usage is what one process has used of a service's budget in the window.
+type Usage struct {
+	Repeats float64
+	Allowed float64
+}
+
+// Usage returns the state of all services.
+func (b *Budget) Usage(now time.Time) map[string]Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make(map[string]Usage, len(b.services))
+	for service, w := range b.services {
+		w.advance(now, b.limit.Window)
+		all[service] = b.usage(w)
+	}
+	return all
+}
+
+func (b *Budget) usage(w *window) Usage {
+	requests, repeats := w.sums()
+	return Usage{Repeats: repeats, Allowed: safety * (b.limit.Ratio*requests + b.limit.Slack/float64(b.processes))}
+}
+
 func (b *Budget) window(service string) *window {
 	w := b.services[service]
 	if w == nil {
