Split the quota rows by how often they are read, and let the pauses grow with the holders

Change: workspaces and holders have tables of their own; the rows of workspaces are read while requests are short, those of all holders at pauses that grow with the holders. Records take a quarter of the transactions that the store has; the window and the hold of a record grow with their pause. The test with 330 holders bounds transactions and bytes by what the store takes.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -24,10 +24,12 @@
 
 func newMemory() *memory { return &memory{rows: make(map[string]rowstore.Row)} }
 
-func (m *memory) list() []rowstore.Row {
+func (m *memory) list(scope quota.Scope) []rowstore.Row {
 	rows := make([]rowstore.Row, 0, len(m.rows))
 	for _, r := range m.rows {
-		rows = append(rows, r)
+		if scope == quota.Everything || r.Key.Table == quota.WorkspaceTable {
+			rows = append(rows, r)
+		}
 	}
 	return rows
 }
@@ -72,6 +74,7 @@
 	limit    int64
 	version  int64
 	epoch    time.Time
+	rowsRead int
 }
 
 func newFleet(n int, limit int64) *fleet {
@@ -122,9 +125,7 @@
 // sync brings a holder and the store together once.
 func (f *fleet) sync(h *holder, how answer) {
 	now := f.clock(h)
-	if h.book.NeedsList(now) {
-		Expect(h.book.Load(f.store.list(), true, f.store.now, now)).To(Succeed())
-	}
+	f.read(h, h.book.Needs(now))
 	for range 3 {
 		plan := h.book.Prepare(now, false)
 		switch how {
@@ -143,20 +144,28 @@
 			return
 		}
 		h.book.Rejected(plan)
-		Expect(h.book.Load(current, false, f.store.now, now)).To(Succeed())
+		Expect(h.book.Load(current, quota.Nothing, f.store.now, now)).To(Succeed())
 	}
 }
 
 // tick does what a process does between requests.
 func (f *fleet) tick(h *holder) {
-	if now := f.clock(h); h.book.NeedsList(now) {
-		Expect(h.book.Load(f.store.list(), true, f.store.now, now)).To(Succeed())
-	}
+	f.read(h, h.book.Needs(f.clock(h)))
 	if h.book.Due(f.clock(h)) {
 		f.sync(h, answered)
 	}
 }
 
+// read gives a holder the rows of a scope.
+func (f *fleet) read(h *holder, scope quota.Scope) {
+	if scope == quota.Nothing {
+		return
+	}
+	rows := f.store.list(scope)
+	f.rowsRead += len(rows)
+	Expect(h.book.Load(rows, scope, f.store.now, f.clock(h))).To(Succeed())
+}
+
 // applyLate applies the transactions whose answers were lost.
 func (f *fleet) applyLate() {
 	for _, tx := range f.store.late {
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -33,7 +33,7 @@
 	}
 	pause := b.settings.IdleEvery
 	if b.changed() {
-		pause = b.settings.SyncEvery
+		pause = b.recordPause()
 	}
 	return now.Sub(b.recorded) >= pause
 }
@@ -53,22 +53,44 @@
 	return false
 }
 
-// NeedsList reports whether all rows should be read again.
-func (b *Book) NeedsList(now time.Time) bool {
+// recordPause shares the transactions that the part of the store takes for
+// records among all holders.
+func (b *Book) recordPause() time.Duration {
+	return max(b.settings.SyncEvery, time.Duration(b.holders())*recordCost*b.settings.TxTime)
+}
+
+// recordCost is the part of the store's transactions, as a divisor, that
+// regular records take; the rest is for those that wait.
+const recordCost = 4
+
+// listFactor lets the pauses between readings of all rows grow with the number
+// of holders, as each of them reads the rows of all.
+func (b *Book) listFactor() int { return max(1, b.holders()/b.settings.ListHolders) }
+
+// Needs returns the rows that should be read now.
+func (b *Book) Needs(now time.Time) Scope {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, l := range b.lowered {
 		if l.unverified {
-			return true
+			return Everything
 		}
 	}
-	if b.strangers && now.Sub(b.loadedAt) >= b.settings.SyncEvery {
-		return true
+	factor := b.listFactor()
+	every := b.settings.ListEvery * time.Duration(factor)
+	switch {
+	case b.strangers:
+		every = b.settings.SyncEvery * time.Duration(factor*factor)
+	case b.short:
+		every = min(every, b.settings.ShortEvery*time.Duration(factor*factor))
 	}
-	if b.short && now.Sub(b.loadedAt) >= b.settings.ShortEvery {
-		return true
+	if !b.loaded || now.Sub(b.loadedAt) >= every || len(b.states) > 1 {
+		return Everything
+	}
+	if b.short && now.Sub(b.workspacesAt) >= b.settings.ShortEvery {
+		return Workspaces
 	}
-	return !b.loaded || now.Sub(b.loadedAt) >= b.settings.ListEvery || len(b.states) > 1
+	return Nothing
 }
 
 // Prepare returns the next transaction. Its state binds from now on, as the
@@ -182,14 +204,14 @@
 		return
 	}
 	balance = max(granted-l.spent(), 0)
-	window := max(int64(demand*b.settings.WindowTime.Seconds()), l.waiting,
+	window := max(int64(demand*(b.settings.WindowTime+b.recordPause()-b.settings.SyncEvery).Seconds()), l.waiting,
 		int64(b.settings.ScarceRisk*float64(left)/float64(b.holders())))
 	if float64(left) > (demand+b.demandOfOthers(name))*b.settings.PlentyTime.Seconds() {
 		window = max(window, l.largest, int64(b.settings.RiskPart*float64(left)/float64(b.holders())))
 	}
 	p.next.holding.Accounts[name] = account{Granted: granted, Spent: l.spent(),
 		Window: min(window, balance),
-		HoldMS: b.settings.HoldTime.Milliseconds(), Released: int64(float64(balance) / b.settings.ReleaseTime.Seconds()),
+		HoldMS: (b.settings.HoldTime + b.recordPause() - b.settings.SyncEvery).Milliseconds(), Released: int64(float64(balance) / b.settings.ReleaseTime.Seconds()),
 		Demand: int64(demand)}
 	l.waiting, l.recalled = 0, false
 }
@@ -208,16 +230,16 @@
 
 // fill makes the transaction of a plan.
 func (b *Book) fill(p *Plan) {
-	add := func(name string, value any) {
+	add := func(table, name string, value any) {
 		data, err := json.Marshal(value)
 		if err != nil {
 			panic(err) // structs of numbers and text
 		}
-		key := rowstore.Key{Table: Table, Part: b.part, Name: name}
+		key := rowstore.Key{Table: table, Part: b.part, Name: name}
 		p.Tx.Expect = append(p.Tx.Expect, rowstore.Row{Key: key, Version: b.rows[name].Version})
 		p.Tx.Put = append(p.Tx.Put, rowstore.Row{Key: key, Value: data})
 	}
-	add(holderPrefix+b.holder, p.next.holding)
+	add(HolderTable, holderPrefix+b.holder, p.next.holding)
 	names := make([]string, 0, len(p.totals))
 	for name := range p.totals {
 		names = append(names, name)
@@ -226,7 +248,7 @@
 	for _, name := range names {
 		p.Others[name] = b.unspent(name)
 		p.Left[name] = b.limit(name) - p.totals[name].Granted
-		add(totalPrefix+name, p.totals[name])
+		add(WorkspaceTable, totalPrefix+name, p.totals[name])
 	}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -47,6 +47,7 @@
 	holdings      map[string]holding
 	loaded        bool
 	loadedAt      time.Time
+	workspacesAt  time.Time     // when the rows of the workspaces were read
 	storeTime     time.Duration // at loadedStore
 	storeAt       time.Time
 	sequence      int64
@@ -247,7 +248,7 @@
 // exhausted reports whether a request can't fit, whoever holds the rest.
 func (b *Book) exhausted(workspace string, tokens int64, now time.Time) bool {
 	free, ok := b.free(workspace)
-	if !ok || now.Sub(b.loadedAt) > b.settings.FreshFor {
+	if !ok || now.Sub(b.loadedAt) > b.settings.FreshFor*time.Duration(b.listFactor()) {
 		return false
 	}
 	own := max(b.states[0].holding.Accounts[workspace].Granted-b.local(workspace).spent(), 0)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -112,7 +112,7 @@
 				f.finish(busy, 1000)
 			}
 			f.tick(busy)
-			Expect(idle.book.Load(f.store.list(), true, f.store.now, f.clock(idle))).To(Succeed())
+			Expect(idle.book.Load(f.store.list(quota.Everything), quota.Everything, f.store.now, f.clock(idle))).To(Succeed())
 			plan := idle.book.Prepare(f.clock(idle), true)
 			committed, current := f.store.commit(plan.Tx)
 			Expect(current).To(BeNil())
@@ -124,6 +124,34 @@
 		})
 	})
 
+	Context("many processes", func() {
+		// Guards against records and readings that grow with the square of the
+		// number of processes: a part of the platform's store takes 200
+		// transactions a second, and its link 4 parts of 1,000 Mbit/s each.
+		It("keep within what a part of the store takes", func() {
+			const holders, partWrites, rowBytes, partBytes = 330, 200, 500, 125_000_000
+			f := newFleet(holders, 2_000_000_000)
+			step := func() {
+				for _, h := range f.holders {
+					if f.reserve(h, 600, false) == quota.Granted {
+						f.finish(h, 600)
+					}
+					f.tick(h)
+				}
+				f.pass(250 * time.Millisecond)
+			}
+			for range 40 {
+				step()
+			}
+			writes, rows := f.store.version, f.rowsRead
+			for range 80 {
+				step()
+			}
+			Expect(float64(f.store.version-writes)/20).To(BeNumerically("<=", partWrites), "transactions a second")
+			Expect(float64(f.rowsRead-rows)*rowBytes/20).To(BeNumerically("<=", partBytes), "bytes a second")
+		})
+	})
+
 	Context("partition", func() {
 		// Guards against refusals while the processes are cut off from the
 		// store for as long as the platform's cuts last, at a steady demand.
--- a/quota/rows.go
+++ b/quota/rows.go
@@ -9,9 +9,13 @@
 	"briarreach/rowstore"
 )
 
-// Table holds the rows. Workspaces are spread over its parts; a transaction
-// spans the workspaces of one part.
-const Table = "quota"
+// Tables of the rows. Workspaces are spread over the parts, which are the same
+// in both tables; a transaction spans the rows of one part. The few rows of
+// the workspaces are read often, the rows of all holders seldom.
+const (
+	WorkspaceTable = "quota"
+	HolderTable    = "quota_holder"
+)
 
 const (
 	totalPrefix  = "workspace/"
@@ -80,9 +84,19 @@
 // Unwrap returns the cause.
 func (e *RowError) Unwrap() error { return e.Err }
 
-// Load takes rows as they are in the store. Complete says that they are all
-// rows of the part.
-func (b *Book) Load(rows []rowstore.Row, complete bool, storeTime time.Duration, now time.Time) error {
+// Scope says which rows of a part are read.
+type Scope int
+
+// Scopes, each with the one before it.
+const (
+	Nothing    Scope = iota // or only some rows
+	Workspaces              // all rows of WorkspaceTable
+	Everything              // all rows of both tables
+)
+
+// Load takes rows as they are in the store. Scope says which rows are all
+// there.
+func (b *Book) Load(rows []rowstore.Row, scope Scope, storeTime time.Duration, now time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var first error
@@ -92,7 +106,10 @@
 		}
 	}
 	b.storeTime, b.storeAt = storeTime, now
-	if complete {
+	if scope >= Workspaces {
+		b.workspacesAt = now
+	}
+	if scope >= Everything {
 		for name, l := range b.lowered {
 			l.unverified = false
 			b.lowered[name] = l
--- a/quota/settings.go
+++ b/quota/settings.go
@@ -27,7 +27,8 @@
 	UrgentEvery time.Duration // pause between records while a request waits
 	TxTime      time.Duration // that the store has for each transaction of all holders
 	ListEvery   time.Duration // pause between readings of all rows
-	ShortEvery  time.Duration // pause between readings of all rows while requests find too little granted
+	ListHolders int           // holders from which on the pauses between readings of all rows grow
+	ShortEvery  time.Duration // pause between readings while requests find too little granted
 	UnsureRetry time.Duration // after how long a caller may come back
 }
 
@@ -36,7 +37,7 @@
 	return Settings{Parts: 4, Horizon: 15 * time.Second, DemandTime: 6 * time.Second, WindowTime: 1500 * time.Millisecond, PlentyTime: time.Minute, RiskPart: 0.25, ScarceRisk: 0.05, FloorPart: 0.2,
 		HoldTime: 2 * time.Second, ReleaseTime: 6 * time.Second, GrantedPart: 0.75, RefillBelow: 0.8, ReturnAbove: 1.5,
 		Floor: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 700 * time.Millisecond, IdleEvery: 4 * time.Second,
-		UrgentEvery: 30 * time.Millisecond, TxTime: 3 * time.Millisecond, ListEvery: 2 * time.Second, ShortEvery: 200 * time.Millisecond, UnsureRetry: 500 * time.Millisecond}
+		UrgentEvery: 30 * time.Millisecond, TxTime: 3 * time.Millisecond, ListEvery: 2 * time.Second, ListHolders: 20, ShortEvery: 200 * time.Millisecond, UnsureRetry: 500 * time.Millisecond}
 }
 
 // Validate reports the first setting out of range.
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -141,7 +141,7 @@
 
 // step brings book and store together, and reports whether the store answered.
 func (s *Syncer) step(ctx context.Context) bool {
-	if s.book.NeedsList(s.clock.Now()) && !s.list(ctx) {
+	if scope := s.book.Needs(s.clock.Now()); scope > quota.Nothing && !s.list(ctx, scope) {
 		return false
 	}
 	if !s.book.Due(s.clock.Now()) {
@@ -150,14 +150,25 @@
 	return s.commit(ctx, false)
 }
 
-func (s *Syncer) list(ctx context.Context) bool {
-	page, err := s.store.List(ctx, quota.Table, s.book.Part())
-	if err != nil {
-		s.failed(ctx, "list", err)
-		return false
+func (s *Syncer) list(ctx context.Context, scope quota.Scope) bool {
+	tables := []string{quota.WorkspaceTable}
+	if scope == quota.Everything {
+		// A holder's row that is older than the workspace's counts what it
+		// holds twice, never not at all.
+		tables = []string{quota.HolderTable, quota.WorkspaceTable}
+	}
+	var rows []rowstore.Row
+	var page rowstore.Page
+	for _, table := range tables {
+		var err error
+		if page, err = s.store.List(ctx, table, s.book.Part()); err != nil {
+			s.failed(ctx, "list", err)
+			return false
+		}
+		rows = append(rows, page.Rows...)
 	}
 	s.answered()
-	if err := s.book.Load(page.Rows, true, page.Time, s.clock.Now()); err != nil {
+	if err := s.book.Load(rows, scope, page.Time, s.clock.Now()); err != nil {
 		s.log.WithError(err).Error("quota row ignored")
 	}
 	return true
@@ -184,7 +195,7 @@
 		case errors.As(err, &conflict):
 			s.answered()
 			s.book.Rejected(plan)
-			if err := s.book.Load(conflict.Current, false, conflict.Time, s.clock.Now()); err != nil {
+			if err := s.book.Load(conflict.Current, quota.Nothing, conflict.Time, s.clock.Now()); err != nil {
 				s.log.WithError(err).Error("quota row ignored")
 			}
 		case errors.As(err, &refused):
