--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,7 @@
 	sendRefused      = "refused"       // by the replica, which did not run it
 	sendOtherReplica = "other_replica" // another replica has the address
 	sendNotSent      = "not_sent"      // no byte left this process
+	sendOverloaded   = "overloaded"    // not sent, as it would have waited too long; ms is the expected wait
 	sendCanceled     = "canceled"      // the caller left, or time ran out, before it was sent
 	sendSilent       = "silent"
 	sendBroken       = "broken"
@@ -40,7 +41,7 @@
 // mayHaveRun reports whether a send with this outcome may have run.
 func (s send) mayHaveRun() bool {
 	switch s.Outcome {
-	case sendRefused, sendOtherReplica, sendNotSent, sendCanceled:
+	case sendRefused, sendOtherReplica, sendNotSent, sendCanceled, sendOverloaded:
 		return false
 	default:
 		return true
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -160,7 +160,11 @@
 	var last *failure
 	for n := 0; n < maxSends; n++ {
 		now := e.g.clock.Now()
-		choice, ok := e.g.placer.Choose(e.need(exclude), e.g.Belief().candidates(e.service), now, e.rand)
+		need := e.need(exclude)
+		if n == 0 && e.streaming {
+			need.Target = e.route.TargetLatency
+		}
+		choice, ok := e.g.placer.Choose(need, e.g.Belief().candidates(e.service), now, e.rand)
 		if !ok {
 			if last == nil {
 				return nil, &Refusal{Ran: NotRun, Reason: NoReplica, RetryAfter: noReplicaRetry}
@@ -172,6 +176,11 @@
 			e.g.metrics.retryRefused.Inc()
 			break
 		}
+		if choice.Refused {
+			e.sends = append(e.sends, send{Replica: choice.Replica.ID, Why: choice.Reason, InFlight: choice.InFlight, Backlog: choice.Backlog, Cached: choice.Cached,
+				Outcome: sendOverloaded, MS: choice.Wait.Milliseconds()})
+			return nil, &Refusal{Ran: NotRun, Reason: Overloaded, RetryAfter: choice.RetryAfter}
+		}
 		exclude[choice.Replica.ID] = true
 		relay, failed := e.send(ctx, choice, exclude, ran)
 		if failed == nil {
@@ -213,7 +222,7 @@
 }
 
 func (e *exchange) need(exclude map[string]bool) placement.Need {
-	n := placement.Need{Exclude: exclude}
+	n := placement.Need{Exclude: exclude, Urgency: e.priority}
 	if p := e.r.Prompt; p != nil {
 		n.Tail = p.Tokens
 		if shared := len(p.Parts) - 1; shared > 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,7 @@
 		return nil, e.sendFailed(ctx, a, &upstream.BrokenError{Err: err})
 	}
 	e.first = e.g.clock.Since(e.started)
+	e.g.placer.Began(a.choice)
 	return &Relay{Status: res.Status, Header: res.Header, Body: s, Length: -1}, nil
 }
 
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -125,8 +125,17 @@
 }
 
 func newMesh(s *platform.Settings, books quotastore.Books, clock clockwork.Clock, l log.Interface, set *metrics.Set) (*mesh.Mesh, error) {
-	return mesh.New(netip.AddrPortFrom(s.Address, s.PeerPorts[0]), books,
-		mesh.WithClock(clock), mesh.WithLog(l), mesh.WithMetrics(set))
+	// An earlier process or another program may still hold a port. The others
+	// learn the address from the process's row.
+	var m *mesh.Mesh
+	var err error
+	for port := s.PeerPorts[0]; ; port++ {
+		m, err = mesh.New(netip.AddrPortFrom(s.Address, port), books, mesh.WithClock(clock), mesh.WithLog(l), mesh.WithMetrics(set))
+		if !errors.Is(err, syscall.EADDRINUSE) || port >= s.PeerPorts[1] {
+			return m, err
+		}
+		l.WithError(err).Warn("port in use; trying the next")
+	}
 }
 
 func newQuotaShards(books quotastore.Books, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -37,18 +37,22 @@
 	TellFrom     int           // tokens from which other processes are told of a placement
 	RefusedFor   time.Duration // a replica that refused a request gets no work for so long
 	MaxEjected   float64       // share of a service's replicas
+	Overload     Overload
 }
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
 	return Settings{LoadFactor: 1.25, LoadSlack: 2, EjectFor: 1500 * time.Millisecond, EjectLimit: 6 * time.Second,
-		SilentAfter: 700 * time.Millisecond, ReadRate: 35_000, CacheTime: 8 * time.Second, RereadWeight: 2, TellFrom: 1500, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5}
+		SilentAfter: 700 * time.Millisecond, ReadRate: 35_000, CacheTime: 8 * time.Second, RereadWeight: 2, TellFrom: 1500, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5,
+		Overload: Overload{LateFactor: 0.5, IdlePart: 0.15}}
 }
 
 // Need is what a request asks of a replica.
 type Need struct {
-	Shared  []Shared // the shared parts of the prompt, in order; none if there is no prompt
-	Tail    int      // tokens of the prompt that no other request shares
+	Shared  []Shared      // the shared parts of the prompt, in order; none if there is no prompt
+	Tail    int           // tokens of the prompt that no other request shares
+	Urgency int           // 0 is the most urgent; replicas begin urgent requests first
+	Target  time.Duration // by when the first event should come; a request that would be late is refused. 0 refuses nothing
 	Exclude map[string]bool
 }
 
@@ -81,12 +85,17 @@
 
 // Choice is the replica for a request and why.
 type Choice struct {
-	Replica  replica.Replica
-	Reason   string
-	InFlight int // of this process, on that replica
-	Backlog  int // tokens waiting to be read there, as far as known
-	Cached   int // tokens of the prompt that it has read, as far as known
-	ticket   *stats
+	Replica    replica.Replica
+	Reason     string
+	InFlight   int           // of this process, on that replica
+	Backlog    int           // tokens waiting to be read there, as far as known
+	Cached     int           // tokens of the prompt that it has read, as far as known
+	Wait       time.Duration // expected until it begins to read the prompt
+	Read       time.Duration // expected until it has read the prompt then
+	Refused    bool          // for overload; the request is not counted anywhere
+	RetryAfter time.Duration // of a refused request
+	ticket     *stats
+	waiter     *waiter
 }
 
 // Outcome is how a send ended.
@@ -122,6 +131,7 @@
 	ejected   time.Time
 	backlog   float64 // tokens waiting to be read at backlogAt
 	backlogAt time.Time
+	waiters   []*waiter // requests of this process without a first event
 }
 
 // waiting returns the tokens that wait to be read. Rate is tokens per second.
@@ -213,21 +223,25 @@
 	if ejected {
 		reason += "_all_ejected"
 	}
+	choice := Choice{Replica: best.replica, Reason: reason, InFlight: int(best.load), Backlog: int(best.backlog),
+		Cached: best.cached, ticket: best.stats}
+	if len(need.Shared) > 0 || need.Tail > 0 {
+		p.expect(&choice, need, best)
+		if choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, need.Target, rnd.Float64()); choice.Refused {
+			return choice, true
+		}
+		choice.waiter = best.stats.wait(choice.Read, need.Urgency, now)
+		p.place(need, best, now)
+	}
 	if best.stats.inFlight.Add(1) == 1 {
 		best.stats.lastHeard.Store(now.UnixNano())
 	}
-	choice := Choice{Replica: best.replica, Reason: reason, InFlight: int(best.load), Backlog: int(best.backlog),
-		Cached: best.cached, ticket: best.stats}
-	p.place(need, best, now)
 	return choice, true
 }
 
 // place notes what a replica has to read for a request, and tells others if it
 // is much.
 func (p *Placer) place(need Need, c candidate, now time.Time) {
-	if len(need.Shared) == 0 && need.Tail == 0 {
-		return
-	}
 	tokens := need.Tail - c.cached
 	for _, part := range need.Shared {
 		tokens += part.Tokens
@@ -309,10 +323,16 @@
 	}
 	bound := int64(p.settings.LoadFactor*float64(total)/float64(len(list))) + int64(p.settings.LoadSlack)
 	best := -1
+	// Replicas at which nothing of this process waits are taken to be as the
+	// others are in the mean: requests of other processes wait there.
+	var overdue time.Duration
+	for _, c := range list {
+		overdue += c.stats.overdue(now, need.Urgency) / time.Duration(len(list))
+	}
 	cost := func(c candidate) float64 { return c.backlog + p.settings.RereadWeight*float64(shared-c.cached) }
 	for i := range list {
 		c := &list[i]
-		c.backlog = c.stats.waiting(now, p.settings.ReadRate)
+		c.backlog = max(c.stats.waiting(now, p.settings.ReadRate), max(overdue, c.stats.overdue(now, need.Urgency)).Seconds()*p.settings.ReadRate)
 		if i == home && key != 0 {
 			c.cached = shared
 		} else {
@@ -388,6 +408,7 @@
 		return
 	}
 	c.ticket.inFlight.Add(-1)
+	c.ticket.began(c.waiter)
 	c.ticket.observe(o, now, p.settings)
 }
 
