Replay load patterns against the placement decisions (briarreach replay)

Package loadreplay plays generated or recorded loads in simulated time against a model of the engines, with five gateways, and compares the product with random, least loaded, prefix hash and its own version without refusals.

The specs replay each pattern; the one on overload was red for the bound on refusals while places are free (5 in 100 requests) before the change.

--- a/cmd/briarreach/main.go
+++ b/cmd/briarreach/main.go
@@ -33,7 +33,7 @@
 		Name:  "briarreach",
 		Usage: "a router fleet for prepaid token budgets",
 		Commands: []*cli.Command{
-			demoCommand(), entryCommand(), agentCommand(), gatewayCommand(), explainCommand(), standinCommand(),
+			demoCommand(), entryCommand(), agentCommand(), gatewayCommand(), explainCommand(), replayCommand(), standinCommand(),
 			initCommand(), keysCommand(), checkConfigCommand(),
 			configCommand(), workspaceCommand(), budgetCommand(), targetCommand(), moveCommand(), drainCommand(),
 			timelineCommand(),
--- /dev/null
+++ b/loadreplay/loadreplay_test.go
@@ -0,0 +1,97 @@
+package loadreplay_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/loadreplay"
+)
+
+func TestLoadReplay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loadreplay")
+}
+
+// replays plays a pattern with all policies, the product last.
+func replays(name string, seed uint64) (baselines []loadreplay.Result, product loadreplay.Result) {
+	GinkgoHelper()
+	pattern, err := loadreplay.Generate(name, seed)
+	Expect(err).NotTo(HaveOccurred())
+	for _, policy := range loadreplay.Policies() {
+		baselines = append(baselines, loadreplay.Replay(pattern, policy, loadreplay.DefaultEngine(), seed))
+	}
+	return baselines[:len(baselines)-1], baselines[len(baselines)-1]
+}
+
+var _ = Describe("the placement decisions", func() {
+	inAim := func(r loadreplay.Result) float64 {
+		part, _ := r.All.Part()
+		return part
+	}
+
+	// Guards against a placement that earns less than a simpler one under any
+	// load that the replicas can carry.
+	DescribeTable("serve as many in time as each baseline",
+		func(pattern string) {
+			for seed := range uint64(2) {
+				baselines, product := replays(pattern, seed+1)
+				for _, b := range baselines {
+					Expect(inAim(product)).To(BeNumerically(">=", inAim(b)-0.02), b.Policy)
+				}
+				Expect(product.Worst).To(BeNumerically(">=", 0.9), "no workspace is left behind")
+				Expect(product.Idle).To(BeNumerically("<=", product.All.Asked/100), "refused while places are free")
+			}
+		},
+		Entry(nil, "calm"), Entry(nil, "burst"), Entry(nil, "hot_key"), Entry(nil, "hot_tenant"),
+		Entry(nil, "quarter_gone"), Entry(nil, "retry_storm"), Entry(nil, "long_prompts"),
+	)
+
+	// Guards against queues that grow until callers leave: nothing was refused
+	// then, and most of what was read was read in vain.
+	It("refuse in time what the replicas can't begin, in overload", func() {
+		for seed := range uint64(3) {
+			baselines, product := replays("overload", seed+1)
+			accepting := baselines[len(baselines)-1]
+			Expect(accepting.Policy).To(Equal("without_refusals"))
+			Expect(inAim(product)).To(BeNumerically(">", inAim(accepting)))
+			Expect(product.All.Failed).To(BeNumerically("<=", accepting.All.Failed/2), "callers that leave or lose their answer")
+			Expect(product.Idle).To(BeNumerically("<=", product.All.Asked/20), "refused while places are free")
+		}
+	})
+})
+
+var _ = Describe("a load", func() {
+	It("is read as it was written", func() {
+		pattern, err := loadreplay.Generate("burst", 1)
+		Expect(err).NotTo(HaveOccurred())
+		var file bytes.Buffer
+		for _, r := range pattern.Requests {
+			Expect(json.NewEncoder(&file).Encode(r)).To(Succeed())
+		}
+		read, err := loadreplay.Read("burst", &file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.Requests).To(Equal(pattern.Requests))
+	})
+
+	It("with a fault is refused by its line", func() {
+		_, err := loadreplay.Read("load.jsonl", strings.NewReader("{}\n{\n"))
+		Expect(err).To(MatchError(ContainSubstring("load.jsonl:2")))
+	})
+
+	It("of an unknown name is refused", func() {
+		_, err := loadreplay.Generate("storm", 1)
+		Expect(err).To(MatchError(ContainSubstring(`load pattern "storm": accepted are`)))
+	})
+
+	It("without requests has an empty result", func() {
+		r := loadreplay.Replay(&loadreplay.Pattern{}, loadreplay.Random{}, loadreplay.DefaultEngine(), 1)
+		Expect(r.All.Asked).To(BeZero())
+		Expect(r.First[0]).To(Equal(time.Duration(0)))
+	})
+})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -42,7 +42,7 @@
 
 // Defaults returns the settings that hold if nothing else is said.
 func Defaults() Settings {
-	return Settings{LoadFactor: 1.25, LoadSlack: 2, EjectFor: 1500 * time.Millisecond, EjectLimit: 6 * time.Second,
+	return Settings{LoadFactor: 1.25, LoadSlack: 2, EjectFor: 1500 * time.Millisecond, EjectLimit: 2 * time.Second,
 		SilentAfter: 700 * time.Millisecond, ReadRate: 35_000, CacheTime: 8 * time.Second, RereadWeight: 2, TellFrom: 1500, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5,
 		Overload: Overload{LateFactor: 0.5, IdlePart: 0.15}}
 }
@@ -227,7 +227,16 @@
 		Cached: best.cached, ticket: best.stats}
 	if len(need.Shared) > 0 || need.Tail > 0 {
 		p.expect(&choice, need, best)
-		if choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, need.Target, rnd.Float64()); choice.Refused {
+		spread := rnd.Float64()
+		if choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, need.Target, spread); choice.Refused {
+			// A replica that has to read more may begin sooner.
+			best = soonest(need, candidates)
+			choice.Replica, choice.Reason, choice.InFlight, choice.Backlog = best.replica, "soonest", int(best.load), int(best.backlog)
+			choice.Cached, choice.ticket = best.cached, best.stats
+			p.expect(&choice, need, best)
+			choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, need.Target, spread)
+		}
+		if choice.Refused {
 			return choice, true
 		}
 		choice.waiter = best.stats.wait(choice.Read, need.Urgency, now)
@@ -323,8 +332,8 @@
 	}
 	bound := int64(p.settings.LoadFactor*float64(total)/float64(len(list))) + int64(p.settings.LoadSlack)
 	best := -1
-	// Replicas at which nothing of this process waits are taken to be as the
-	// others are in the mean: requests of other processes wait there.
+	// Replicas at which only requests of other processes wait are taken to be
+	// as the others are in the mean.
 	var overdue time.Duration
 	for _, c := range list {
 		overdue += c.stats.overdue(now, need.Urgency) / time.Duration(len(list))
@@ -332,7 +341,12 @@
 	cost := func(c candidate) float64 { return c.backlog + p.settings.RereadWeight*float64(shared-c.cached) }
 	for i := range list {
 		c := &list[i]
-		c.backlog = max(c.stats.waiting(now, p.settings.ReadRate), max(overdue, c.stats.overdue(now, need.Urgency)).Seconds()*p.settings.ReadRate)
+		c.backlog = c.stats.waiting(now, p.settings.ReadRate)
+		late := c.stats.overdue(now, need.Urgency)
+		if c.backlog > 0 {
+			late = max(late, overdue)
+		}
+		c.backlog = max(c.backlog, late.Seconds()*p.settings.ReadRate)
 		if i == home && key != 0 {
 			c.cached = shared
 		} else {
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -52,14 +53,25 @@
 
 // expect fills in how long the request waits and reads.
 func (p *Placer) expect(choice *Choice, need Need, c candidate) {
-	tokens := need.Tail - c.cached
-	for _, part := range need.Shared {
-		tokens += part.Tokens
-	}
 	seconds := func(tokens float64) time.Duration {
 		return time.Duration(tokens / p.settings.ReadRate * float64(time.Second))
 	}
-	choice.Wait, choice.Read = seconds(c.backlog), seconds(float64(max(tokens, 0)))
+	choice.Wait, choice.Read = seconds(c.backlog), seconds(float64(max(need.tokens()-c.cached, 0)))
+}
+
+// tokens returns the size of the prompt.
+func (n Need) tokens() int {
+	sum := n.Tail
+	for _, part := range n.Shared {
+		sum += part.Tokens
+	}
+	return sum
+}
+
+// soonest returns the replica that has the request's prompt read first.
+func soonest(need Need, list []candidate) candidate {
+	left := func(c candidate) float64 { return c.backlog + float64(need.tokens()-c.cached) }
+	return slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(left(a), left(b)) })
 }
 
 // Began notes the first event of a request's answer.
@@ -78,7 +90,7 @@
 // that would be late is refused, and told to come back when the queue has been
 // worked off, so that those that are accepted are in time.
 type Overload struct {
-	LateFactor float64 // of the target latency, from which a first event is too late
+	LateFactor float64 // of the target latency, from which a first event is too late; 0 refuses nothing
 	IdlePart   float64 // of the target latency; with a shorter wait there are places free, and nothing is refused
 }
 
@@ -86,7 +98,7 @@
 // long its caller may come back. Spread, from 0 to 1, keeps the callers apart
 // that are refused together.
 func (o Overload) refuses(c Choice, target time.Duration, spread float64) (retryAfter time.Duration, refused bool) {
-	if target <= 0 || float64(c.Wait) < o.IdlePart*float64(target) || float64(c.Wait+c.Read) < o.LateFactor*float64(target) {
+	if target <= 0 || o.LateFactor <= 0 || float64(c.Wait) < o.IdlePart*float64(target) || float64(c.Wait+c.Read) < o.LateFactor*float64(target) {
 		return 0, false
 	}
 	return time.Duration(float64(c.Wait) * (0.5 + spread)), true
