Make the refusals in overload tunable, and apply them with one replica, too

Cause: with a single candidate the wait was not estimated, so that nothing was refused; seen red in the new specs of overload.

Thresholds: 0.7 of the target expected, 0.2 waiting.

--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -40,6 +40,8 @@
 		EjectLimit  *settings.Duration `toml:"eject_limit"`
 		SilentAfter *settings.Duration `toml:"silent_after"`
 		MaxEjected  *float64           `toml:"max_ejected"`
+		LateFactor  *float64           `toml:"overload_late_factor"`
+		IdlePart    *float64           `toml:"overload_idle_part"`
 	} `toml:"placement"`
 	Quota struct {
 		Horizon     *settings.Duration `toml:"horizon"`
@@ -82,6 +84,8 @@
 	c.duration("placement.eject_limit", f.Placement.EjectLimit, &t.Placement.EjectLimit)
 	c.duration("placement.silent_after", f.Placement.SilentAfter, &t.Placement.SilentAfter)
 	c.number("placement.max_ejected", f.Placement.MaxEjected, &t.Placement.MaxEjected, 0, 1)
+	c.number("placement.overload_late_factor", f.Placement.LateFactor, &t.Placement.Overload.LateFactor, 0, 100)
+	c.number("placement.overload_idle_part", f.Placement.IdlePart, &t.Placement.Overload.IdlePart, 0, 100)
 	c.duration("quota.horizon", f.Quota.Horizon, &t.Quota.Horizon)
 	c.number("quota.granted_part", f.Quota.GrantedPart, &t.Quota.GrantedPart, 0.01, 1)
 	c.duration("quota.sync_every", f.Quota.SyncEvery, &t.Quota.SyncEvery)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,7 +44,7 @@
 func Defaults() Settings {
 	return Settings{LoadFactor: 1.25, LoadSlack: 2, EjectFor: 1500 * time.Millisecond, EjectLimit: 2 * time.Second,
 		SilentAfter: 700 * time.Millisecond, ReadRate: 35_000, CacheTime: 8 * time.Second, RereadWeight: 2, TellFrom: 1500, RefusedFor: 100 * time.Millisecond, MaxEjected: 0.5,
-		Overload: Overload{LateFactor: 0.5, IdlePart: 0.15}}
+		Overload: Overload{LateFactor: 0.7, IdlePart: 0.2}}
 }
 
 // Need is what a request asks of a replica.
@@ -214,9 +214,9 @@
 	}
 	best, reason := candidates[0], "only"
 	switch {
-	case len(candidates) == 1:
 	case len(need.Shared) > 0 || need.Tail > 0:
 		best, reason = p.byWaiting(need, candidates, now)
+	case len(candidates) == 1:
 	default:
 		best, reason = leastLoaded(candidates, rnd), "least_loaded"
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -97,6 +97,45 @@
 		})
 	})
 
+	Describe("overload", func() {
+		need := func(urgency int) placement.Need {
+			return placement.Need{Tail: 500, Urgency: urgency, Target: 500 * time.Millisecond}
+		}
+
+		// Guards against requests that wait at a replica until their callers
+		// leave: the tokens known to wait say nothing of a replica that is slow.
+		It("is seen by the requests that have waited too long", func() {
+			p, r := placement.New(placement.Defaults(), nil), rnd()
+			waiting, _ := p.Choose(need(1), replicas(1), now, r)
+			later := now.Add(600 * time.Millisecond)
+			c, ok := p.Choose(need(1), replicas(1), later, r)
+			Expect(ok).To(BeTrue())
+			Expect(c.Refused).To(BeTrue())
+			Expect(c.RetryAfter).To(BeNumerically("~", c.Wait, c.Wait/2+1))
+			urgent, _ := p.Choose(need(0), replicas(1), later, r)
+			Expect(urgent.Refused).To(BeFalse(), "urgent requests go first")
+			p.Began(urgent)
+			p.Began(waiting)
+			c, _ = p.Choose(need(1), replicas(1), later, r)
+			Expect(c.Refused).To(BeFalse())
+		})
+
+		// Guards against a refused request that makes the next one wait.
+		It("does not count what was refused", func() {
+			told := 0
+			p, r := placement.New(placement.Defaults(), func(placement.Placed) { told++ }), rnd()
+			huge := placement.Need{Tail: 50_000, Target: 500 * time.Millisecond}
+			first, _ := p.Choose(huge, replicas(1), now, r)
+			Expect(first.Refused).To(BeFalse(), "nothing waits before it")
+			for range 3 {
+				c, _ := p.Choose(huge, replicas(1), now, r)
+				Expect(c.Refused).To(BeTrue())
+				Expect(c.InFlight).To(Equal(1))
+			}
+			Expect(told).To(Equal(1))
+		})
+	})
+
 	It("spreads requests without a prompt by load", func() {
 		p, r := placement.New(placement.Defaults(), nil), rnd()
 		load := map[string]int{}
--- a/retrybudget/retrybudget_test.go
+++ b/retrybudget/retrybudget_test.go
@@ -10,6 +10,21 @@
 	"briarreach/retrybudget"
 )
 
+var _ = Describe("the usage of a budget", func() {
+	It("shows what one process has used and may use", func() {
+		now := time.Unix(1e9, 0)
+		b := retrybudget.New(retrybudget.Limit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, 1)
+		for range 10 {
+			b.Request("s", now)
+		}
+		Expect(b.Spend("s", now)).To(BeTrue())
+		u := b.Usage(now)["s"]
+		Expect(u.Repeats).To(Equal(1.0))
+		Expect(u.Allowed).To(And(BeNumerically(">", 1), BeNumerically("<=", 0.2*10+10)))
+		Expect(b.Usage(now.Add(11 * time.Second))["s"].Repeats).To(BeZero())
+	})
+})
+
 var _ = Describe("the retry budget", func() {
 	limit := retrybudget.Limit{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 
