Count a resumed stream as begun at its first event

Cause: only the first replica of a stream was told that the answer had begun. After a resumption the second one counted as overdue for as long as the stream lasted, so that it got less work and requests were refused as late. Found by reading; the spec was red (0.6 s of wait at a replica with nothing to read).

Placer.Choose is split: choice makes a candidate the choice of a request.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,7 @@
 	ran     int
 	err     error
 	eventAt time.Time // when the last event came
+	began   bool      // whether the replica has sent an event
 }
 
 const (
@@ -47,13 +48,12 @@
 		return nil, e.sendFailed(ctx, a, &upstream.BrokenError{Err: err})
 	}
 	e.first = e.g.clock.Since(e.started)
-	e.g.placer.Began(a.choice)
 	return &Relay{Status: res.Status, Header: res.Header, Body: s, Length: -1}, nil
 }
 
 func (s *eventStream) open(a *attempt, res *Response) {
 	a.body = res.Body
-	s.attempt = a
+	s.attempt, s.began = a, false
 	s.reader = bufio.NewReaderSize(res.Body, streamBuffer)
 }
 
@@ -91,6 +91,10 @@
 	}
 	s.eventAt = now
 	s.e.delivered++
+	if !s.began {
+		s.began = true
+		s.e.g.placer.Began(s.attempt.choice)
+	}
 	s.attempt.heard()
 	return nil
 }
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,80 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/gateway"
+	"briarreach/placement"
+	"briarreach/replica"
+	"briarreach/retrybudget"
+	"briarreach/route"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// sender answers the sends one after the other with the bodies that it holds.
+type sender struct{ bodies []io.ReadCloser }
+
+func (s *sender) Send(context.Context, gateway.Dispatch) (*gateway.Response, error) {
+	body := s.bodies[0]
+	s.bodies = s.bodies[1:]
+	return &gateway.Response{Status: 200, Signed: true, Length: -1, Body: body}, nil
+}
+
+func (*sender) Forget(replica.Replica) {}
+
+var _ = Describe("a stream that goes on at another replica", func() {
+	// Guards against a replica that counts as overdue, and gets no more work,
+	// for as long as a resumed stream lasts.
+	It("does not count as waiting once it has sent an event", func() {
+		clock := clockwork.NewFakeClock()
+		placer := placement.New(placement.Defaults(), nil)
+		resumed, write := io.Pipe()
+		s := &sender{bodies: []io.ReadCloser{io.NopCloser(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda")), resumed}}
+		g := gateway.New(s, placer, retrybudget.New(retrybudget.Limit{Ratio: 1, Slack: 100, Window: 10 * time.Second}, 1),
+			gateway.WithClock(clock), gateway.WithLog(&log.Logger{Handler: discard.Default}))
+		var events []replica.Event
+		for i, id := range []string{"r0", "r1"} {
+			events = append(events, replica.Registered{Replica: replica.Replica{ID: id, Service: "engine", Slots: 8,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}})
+		}
+		directory := replica.New(0)
+		directory.Replace(events, 1, clock.Now())
+		set := directory.Set(clock.Now())
+		placer.Update(set.All())
+		g.Believe(func(b gateway.Belief) gateway.Belief {
+			b.Replicas = set
+			b.Table = route.New(route.Config{Version: 1, Services: []route.Service{{Name: "engine"}},
+				Routes: []route.Route{{Host: "h.example", PathPrefix: "/", Kind: route.Streaming{Resumable: true}, Timeout: time.Minute,
+					TargetLatency: 500 * time.Millisecond, MaxAttempts: 2, Split: []route.Share{{Service: "engine", Weight: 1}}}}})
+			return b
+		})
+		answer := g.Serve(context.Background(), &gateway.Request{ID: "1", Host: "h.example", Path: "/", Prompt: &gateway.Prompt{Tokens: 100, MaxOutput: 10,
+			Parts: []gateway.Part{{ID: "a", Tokens: 100}}}})
+		relay, ok := answer.(*gateway.Relay)
+		Expect(ok).To(BeTrue())
+		go func() { _, _ = io.WriteString(write, "id: 2\ndata: b\n\n") }()
+		got := make([]byte, len("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		_, err := io.ReadFull(relay.Body, got)
+		Expect(err).NotTo(HaveOccurred())
+		clock.Advance(600 * time.Millisecond)
+		c, _ := placer.Choose(placement.Need{Tail: 100, Target: 500 * time.Millisecond}, set.All(), clock.Now(), rand.New(rand.NewPCG(1, 1)))
+		Expect(c.Wait).To(BeZero())
+		Expect(relay.Body.Close()).To(Succeed())
+	})
+})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -223,20 +223,15 @@
 	if ejected {
 		reason += "_all_ejected"
 	}
-	choice := Choice{Replica: best.replica, Reason: reason, InFlight: int(best.load), Backlog: int(best.backlog),
-		Cached: best.cached, ticket: best.stats}
+	choice := p.choice(need, best, reason)
 	if len(need.Shared) > 0 || need.Tail > 0 {
-		p.expect(&choice, need, best)
 		spread := rnd.Float64()
-		if choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, need.Target, spread); choice.Refused {
+		if _, late := p.settings.Overload.refuses(choice, need.Target, spread); late {
 			// A replica that has to read more may begin sooner.
 			best = soonest(need, candidates)
-			choice.Replica, choice.Reason, choice.InFlight, choice.Backlog = best.replica, "soonest", int(best.load), int(best.backlog)
-			choice.Cached, choice.ticket = best.cached, best.stats
-			p.expect(&choice, need, best)
-			choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, need.Target, spread)
+			choice = p.choice(need, best, "soonest")
 		}
-		if choice.Refused {
+		if choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, need.Target, spread); choice.Refused {
 			return choice, true
 		}
 		choice.waiter = best.stats.wait(choice.Read, need.Urgency, now)
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -51,12 +51,14 @@
 	return w
 }
 
-// expect fills in how long the request waits and reads.
-func (p *Placer) expect(choice *Choice, need Need, c candidate) {
+// choice returns a candidate as the choice for a request, with how long the
+// request is expected to wait and to be read there.
+func (p *Placer) choice(need Need, c candidate, reason string) Choice {
 	seconds := func(tokens float64) time.Duration {
 		return time.Duration(tokens / p.settings.ReadRate * float64(time.Second))
 	}
-	choice.Wait, choice.Read = seconds(c.backlog), seconds(float64(max(need.tokens()-c.cached, 0)))
+	return Choice{Replica: c.replica, Reason: reason, InFlight: int(c.load), Backlog: int(c.backlog), Cached: c.cached,
+		Wait: seconds(c.backlog), Read: seconds(float64(max(need.tokens()-c.cached, 0))), ticket: c.stats}
 }
 
 // tokens returns the size of the prompt.
