Compute a request's size and a replica's overdue time once in placement

Choose scanned the waiters of each candidate twice under its lock, and summed up the prompt in three places. stats.add read the backlog under one lock and wrote it under another, so that a placement told in between was lost; it now holds the lock once.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -138,14 +138,18 @@
 func (s *stats) waiting(now time.Time, rate float64) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(s.backlog-rate*now.Sub(s.backlogAt).Seconds(), 0)
+	return s.backlogNow(now, rate)
 }
 
 func (s *stats) add(tokens int, now time.Time, rate float64) {
-	waiting := s.waiting(now, rate)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.backlog, s.backlogAt = waiting+float64(tokens), now
+	s.backlog, s.backlogAt = s.backlogNow(now, rate)+float64(tokens), now
+}
+
+// backlogNow is called with the lock held.
+func (s *stats) backlogNow(now time.Time, rate float64) float64 {
+	return max(s.backlog-rate*now.Sub(s.backlogAt).Seconds(), 0)
 }
 
 // New returns a placer. Tell is called with placements that other processes
@@ -214,7 +218,7 @@
 	}
 	best, reason := candidates[0], "only"
 	switch {
-	case len(need.Shared) > 0 || need.Tail > 0:
+	case need.hasPrompt():
 		best, reason = p.byWaiting(need, candidates, now)
 	case len(candidates) == 1:
 	default:
@@ -224,7 +228,7 @@
 		reason += "_all_ejected"
 	}
 	choice := p.choice(need, best, reason)
-	if len(need.Shared) > 0 || need.Tail > 0 {
+	if need.hasPrompt() {
 		spread := rnd.Float64()
 		if _, late := p.settings.Overload.refuses(choice, need.Target, spread); late {
 			// A replica that has to read more may begin sooner.
@@ -246,9 +250,8 @@
 // place notes what a replica has to read for a request, and tells others if it
 // is much.
 func (p *Placer) place(need Need, c candidate, now time.Time) {
-	tokens := need.Tail - c.cached
+	tokens := need.tokens() - c.cached
 	for _, part := range need.Shared {
-		tokens += part.Tokens
 		p.cache.add(part.Hash, c.replica.ID, now)
 	}
 	c.stats.add(tokens, now, p.settings.ReadRate)
@@ -279,6 +282,7 @@
 	stats   *stats
 	load    int64
 	backlog float64
+	overdue time.Duration
 	cached  int
 }
 
@@ -311,13 +315,18 @@
 // for one that has read the shared parts.
 func (p *Placer) byWaiting(need Need, list []candidate, now time.Time) (candidate, string) {
 	total := int64(1)
-	shared, key := 0, uint64(0)
-	for _, part := range need.Shared {
-		shared, key = shared+part.Tokens, part.Hash
+	shared, key := need.tokens()-need.Tail, uint64(0)
+	if n := len(need.Shared); n > 0 {
+		key = need.Shared[n-1].Hash
 	}
 	home, heaviest := 0, uint64(0)
+	// Replicas at which only requests of other processes wait are taken to be
+	// as the others are in the mean.
+	var overdue time.Duration
 	for i := range list {
 		total += list[i].load
+		list[i].overdue = list[i].stats.overdue(now, need.Urgency)
+		overdue += list[i].overdue / time.Duration(len(list))
 		if key == 0 {
 			continue
 		}
@@ -327,21 +336,14 @@
 	}
 	bound := int64(p.settings.LoadFactor*float64(total)/float64(len(list))) + int64(p.settings.LoadSlack)
 	best := -1
-	// Replicas at which only requests of other processes wait are taken to be
-	// as the others are in the mean.
-	var overdue time.Duration
-	for _, c := range list {
-		overdue += c.stats.overdue(now, need.Urgency) / time.Duration(len(list))
-	}
 	cost := func(c candidate) float64 { return c.backlog + p.settings.RereadWeight*float64(shared-c.cached) }
 	for i := range list {
 		c := &list[i]
 		c.backlog = c.stats.waiting(now, p.settings.ReadRate)
-		late := c.stats.overdue(now, need.Urgency)
 		if c.backlog > 0 {
-			late = max(late, overdue)
+			c.overdue = max(c.overdue, overdue)
 		}
-		c.backlog = max(c.backlog, late.Seconds()*p.settings.ReadRate)
+		c.backlog = max(c.backlog, c.overdue.Seconds()*p.settings.ReadRate)
 		if i == home && key != 0 {
 			c.cached = shared
 		} else {
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -61,6 +61,9 @@
 		Wait: seconds(c.backlog), Read: seconds(float64(max(need.tokens()-c.cached, 0))), ticket: c.stats}
 }
 
+// hasPrompt reports whether there is anything to read.
+func (n Need) hasPrompt() bool { return len(n.Shared) > 0 || n.Tail > 0 }
+
 // tokens returns the size of the prompt.
 func (n Need) tokens() int {
 	sum := n.Tail
