Walk the other live holders of a quota in one place

Five loops in quota repeated the condition; others yields them. A plan counted the holders and summed their demand up to five times for each workspace, which grows with their number; it does so once.

--- a/quota/peer.go
+++ b/quota/peer.go
@@ -42,9 +42,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var peers []Peer
-	for name, h := range b.holdings {
-		if name != b.holder && h.Fingerprint != "" && b.live(h) {
-			peers = append(peers, Peer{Holder: name, Address: h.Address, Fingerprint: h.Fingerprint})
+	for name, h := range b.others() {
+		if h.Fingerprint != "" {
+			peers = append(peers, h.peer(name))
 		}
 	}
 	return peers
@@ -61,12 +61,9 @@
 		rank float64
 	}
 	var lenders []lender
-	for name, h := range b.holdings {
-		if name == b.holder || h.Fingerprint == "" || !b.live(h) {
-			continue
-		}
-		if left := b.leftAt(name, h, workspace); left > 0 {
-			lenders = append(lenders, lender{peer: Peer{Holder: name, Address: h.Address, Fingerprint: h.Fingerprint}, left: left})
+	for name, h := range b.others() {
+		if left := b.leftAt(name, h, workspace); left > 0 && h.Fingerprint != "" {
+			lenders = append(lenders, lender{peer: h.peer(name), left: left})
 		}
 	}
 	// A random order weighted by what is left keeps borrowers apart.
@@ -88,8 +85,11 @@
 			return left
 		}
 	}
-	a := h.Accounts[workspace]
-	return a.Granted - a.Spent
+	return h.Accounts[workspace].left()
+}
+
+func (h holding) peer(name string) Peer {
+	return Peer{Holder: name, Address: h.Address, Fingerprint: h.Fingerprint}
 }
 
 // told is what a lender said it has left, since its row of that sequence.
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -161,10 +161,11 @@
 	limit := b.limit(name)
 	free := limit - t.Granted
 	balance := granted - l.spent()
-	demand := l.demandNow(now, b.settings.DemandTime)
+	demand, others := l.demandNow(now, b.settings.DemandTime), b.demandOfOthers(name)
+	holders := float64(b.holders())
 	left := max(free+max(balance, 0)+b.unspent(name), 0)
-	fair := int64(b.settings.GrantedPart * float64(left) * b.share(demand, b.demandOfOthers(name)))
-	floor := min(b.settings.Floor, int64(b.settings.FloorPart*float64(left)/float64(b.holders())))
+	fair := int64(b.settings.GrantedPart * float64(left) * share(demand, others, holders))
+	floor := min(b.settings.Floor, int64(b.settings.FloorPart*float64(left)/holders))
 	wanted := min(max(int64(demand*b.settings.Horizon.Seconds()), floor), fair)
 	if l.recalled {
 		wanted = min(wanted, int64(demand*b.settings.Horizon.Seconds()))
@@ -204,14 +205,15 @@
 		return
 	}
 	balance = max(granted-l.spent(), 0)
-	window := max(int64(demand*(b.settings.WindowTime+b.recordPause()-b.settings.SyncEvery).Seconds()), l.waiting,
-		int64(b.settings.ScarceRisk*float64(left)/float64(b.holders())))
-	if float64(left) > (demand+b.demandOfOthers(name))*b.settings.PlentyTime.Seconds() {
-		window = max(window, l.largest, int64(b.settings.RiskPart*float64(left)/float64(b.holders())))
+	longer := b.recordPause() - b.settings.SyncEvery // than with few holders
+	window := max(int64(demand*(b.settings.WindowTime+longer).Seconds()), l.waiting,
+		int64(b.settings.ScarceRisk*float64(left)/holders))
+	if float64(left) > (demand+others)*b.settings.PlentyTime.Seconds() {
+		window = max(window, l.largest, int64(b.settings.RiskPart*float64(left)/holders))
 	}
 	p.next.holding.Accounts[name] = account{Granted: granted, Spent: l.spent(),
 		Window: min(window, balance),
-		HoldMS: (b.settings.HoldTime + b.recordPause() - b.settings.SyncEvery).Milliseconds(), Released: int64(float64(balance) / b.settings.ReleaseTime.Seconds()),
+		HoldMS: (b.settings.HoldTime + longer).Milliseconds(), Released: int64(float64(balance) / b.settings.ReleaseTime.Seconds()),
 		Demand: int64(demand)}
 	l.waiting, l.recalled = 0, false
 }
@@ -220,8 +222,8 @@
 const idleShare = 0.25
 
 // share returns this holder's part of what all holders may have.
-func (b *Book) share(own, others float64) float64 {
-	equal := 1 / float64(b.holders())
+func share(own, others, holders float64) float64 {
+	equal := 1 / holders
 	if own+others <= 0 {
 		return equal
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,6 +18,7 @@
 package quota
 
 import (
+	"iter"
 	"math"
 	"sync"
 	"time"
@@ -221,11 +222,8 @@
 // unspent returns what the other holders had left in their last records.
 func (b *Book) unspent(workspace string) int64 {
 	var sum int64
-	for name, h := range b.holdings {
-		if name != b.holder && b.live(h) {
-			a := h.Accounts[workspace]
-			sum += max(a.Granted-a.Spent, 0)
-		}
+	for _, h := range b.others() {
+		sum += max(h.Accounts[workspace].left(), 0)
 	}
 	return sum
 }
@@ -233,14 +231,23 @@
 // demandOfOthers returns the demand that the other holders recorded.
 func (b *Book) demandOfOthers(workspace string) float64 {
 	sum := 0.0
-	for name, h := range b.holdings {
-		if name != b.holder && b.live(h) {
-			sum += float64(h.Accounts[workspace].Demand)
-		}
+	for _, h := range b.others() {
+		sum += float64(h.Accounts[workspace].Demand)
 	}
 	return sum
 }
 
+// others yields the other live holders by name.
+func (b *Book) others() iter.Seq2[string, holding] {
+	return func(yield func(string, holding) bool) {
+		for name, h := range b.holdings {
+			if name != b.holder && b.live(h) && !yield(name, h) {
+				return
+			}
+		}
+	}
+}
+
 func (b *Book) live(h holding) bool {
 	return b.storeTime-time.Duration(h.At)*time.Millisecond < b.settings.LiveFor
 }
@@ -264,10 +271,8 @@
 
 func (b *Book) holders() int {
 	n := 1
-	for name, h := range b.holdings {
-		if name != b.holder && b.live(h) {
-			n++
-		}
+	for range b.others() {
+		n++
 	}
 	return n
 }
--- a/quota/rows.go
+++ b/quota/rows.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"briarreach/rowstore"
@@ -52,6 +53,9 @@
 	Demand   int64 `json:"demand"` // tokens per second that callers ask this holder for
 }
 
+// left returns what is granted and not spent.
+func (a account) left() int64 { return a.Granted - a.Spent }
+
 // maxSpent bounds what the holder can have consumed some time after the row.
 // A time before the row means that the clocks can't be compared.
 func (a account) maxSpent(elapsed time.Duration) int64 {
@@ -129,19 +133,19 @@
 	if r.Version == 0 || r.Deleted {
 		return nil
 	}
-	switch {
-	case len(name) > len(totalPrefix) && name[:len(totalPrefix)] == totalPrefix:
+	if workspace, ok := strings.CutPrefix(name, totalPrefix); ok {
 		var t total
 		if err := json.Unmarshal(r.Value, &t); err != nil {
 			return &RowError{Row: name, Err: err}
 		}
-		b.totals[name[len(totalPrefix):]] = t
-	case len(name) > len(holderPrefix) && name[:len(holderPrefix)] == holderPrefix:
+		b.totals[workspace] = t
+	}
+	if holder, ok := strings.CutPrefix(name, holderPrefix); ok {
 		var h holding
 		if err := json.Unmarshal(r.Value, &h); err != nil {
 			return &RowError{Row: name, Err: err}
 		}
-		b.holdings[name[len(holderPrefix):]] = h
+		b.holdings[holder] = h
 	}
 	return nil
 }
