Remove what nobody reads in upstream and gateway

Options and fields without a reader (dial timeout and idle bounds of the pool, whether a connection or an answer was reused or signed, the time of receipt, read for each request), a second type for a header field, and a second literal of a send's log entry.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,8 +85,13 @@
 	a.cancel(nil)
 	now := a.e.g.clock.Now()
 	a.e.g.placer.Done(a.choice, o, now)
-	a.e.sends = append(a.e.sends, send{Replica: a.choice.Replica.ID, Why: a.choice.Reason, InFlight: a.choice.InFlight, Backlog: a.choice.Backlog, Cached: a.choice.Cached,
-		Outcome: outcome, MS: now.Sub(a.started).Milliseconds()})
+	a.e.note(a.choice, outcome, now.Sub(a.started))
+}
+
+// note adds a send to the request's log line.
+func (e *exchange) note(c placement.Choice, outcome string, took time.Duration) {
+	e.sends = append(e.sends, send{Replica: c.Replica.ID, Why: c.Reason, InFlight: c.InFlight, Backlog: c.Backlog, Cached: c.Cached,
+		Outcome: outcome, MS: took.Milliseconds()})
 }
 
 var errSilent = errors.New("no answer in time")
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -177,8 +177,7 @@
 			break
 		}
 		if choice.Refused {
-			e.sends = append(e.sends, send{Replica: choice.Replica.ID, Why: choice.Reason, InFlight: choice.InFlight, Backlog: choice.Backlog, Cached: choice.Cached,
-				Outcome: sendOverloaded, MS: choice.Wait.Milliseconds()})
+			e.note(choice, sendOverloaded, choice.Wait)
 			return nil, &Refusal{Ran: NotRun, Reason: Overloaded, RetryAfter: choice.RetryAfter}
 		}
 		exclude[choice.Replica.ID] = true
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"briarreach/replica"
+	"briarreach/upstream"
 )
 
 // Request is a caller's request. Its identifier covers one attempt of the
@@ -16,18 +17,14 @@
 	Host      string
 	Target    string // path and query, as received
 	Path      string
-	Key       string        // API key
-	Timeout   time.Duration // how long the caller waits; 0 if it did not say
-	Prompt    *Prompt       // nil for requests to plain services
-	Header    []Field       // end-to-end fields to pass on
+	Key       string           // API key
+	Timeout   time.Duration    // how long the caller waits; 0 if it did not say
+	Prompt    *Prompt          // nil for requests to plain services
+	Header    []upstream.Field // end-to-end fields to pass on
 	Body      []byte
 	LastEvent string // the event after which the caller resumes a stream
-	Received  time.Time
 }
 
-// Field is a header field.
-type Field struct{ Name, Value string }
-
 // Prompt is the size and the composition of a model request.
 type Prompt struct {
 	Model     string
@@ -87,7 +84,7 @@
 // Body fails if the answer is not complete; it is closed in any case.
 type Relay struct {
 	Status int
-	Header []Field
+	Header []upstream.Field
 	Whole  []byte
 	Body   io.ReadCloser
 	Length int64 // of Body; -1 if unknown
@@ -109,8 +106,7 @@
 // Response is a replica's answer to one send. Body must be closed.
 type Response struct {
 	Status int
-	Header []Field
-	Signed bool // whether the replica vouches for it
+	Header []upstream.Field
 	NotRun bool // whether the replica states that the request did not run
 	Other  bool // whether another replica has the address
 	Length int64
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -33,7 +33,7 @@
 func (s *sender) Send(context.Context, gateway.Dispatch) (*gateway.Response, error) {
 	body := s.bodies[0]
 	s.bodies = s.bodies[1:]
-	return &gateway.Response{Status: 200, Signed: true, Length: -1, Body: body}, nil
+	return &gateway.Response{Status: 200, Length: -1, Body: body}, nil
 }
 
 func (*sender) Forget(replica.Replica) {}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -31,10 +31,7 @@
 
 // BrokenError reports that the request was sent at least in part and that no
 // whole answer came. It may have run.
-type BrokenError struct {
-	Err    error
-	Reused bool // whether the connection had served an earlier request
-}
+type BrokenError struct{ Err error }
 
 func (e *BrokenError) Error() string { return "no whole answer: " + e.Err.Error() }
 
@@ -52,19 +49,9 @@
 // Field is a header field.
 type Field struct{ Name, Value string }
 
-// Response is what a replica answered. Body must be closed; a connection whose
-// response was not read to its end is closed.
-type Response struct {
-	*http.Response
-	Reused bool
-}
-
 // Pool holds the idle connections to all replicas.
 type Pool struct {
-	clock       clockwork.Clock
-	dialTimeout time.Duration
-	idleTimeout time.Duration
-	maxIdle     int
+	clock clockwork.Clock
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
@@ -78,21 +65,12 @@
 // WithClock sets the clock.
 func WithClock(c clockwork.Clock) Option { return func(p *Pool) { p.clock = c } }
 
-// WithDialTimeout bounds the time to open a connection.
-func WithDialTimeout(d time.Duration) Option { return func(p *Pool) { p.dialTimeout = d } }
-
-// WithIdle bounds how long, and how many, connections to a replica stay idle.
-func WithIdle(timeout time.Duration, perReplica int) Option {
-	return func(p *Pool) { p.idleTimeout, p.maxIdle = timeout, perReplica }
-}
-
 // WithDialHook calls a function for each connection that is opened.
 func WithDialHook(f func()) Option { return func(p *Pool) { p.dials = f } }
 
 // New returns an empty pool.
 func New(opts ...Option) *Pool {
-	p := &Pool{clock: clockwork.NewRealClock(), dialTimeout: 300 * time.Millisecond, idleTimeout: 30 * time.Second,
-		maxIdle: 128, idle: make(map[netip.AddrPort][]*conn), dials: func() {}}
+	p := &Pool{clock: clockwork.NewRealClock(), idle: make(map[netip.AddrPort][]*conn), dials: func() {}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -126,14 +104,14 @@
 // Do sends a request and reads the response's header. Accept is called with
 // each response; one that it rejects belongs to an earlier request and is
 // skipped. When ctx ends the connection is closed, also while the body is read.
-func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request, accept func(*http.Response) bool) (*Response, error) {
+// The response's body must be closed; a connection whose response was not read
+// to its end is closed.
+func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request, accept func(*http.Response) bool) (*http.Response, error) {
 	c, err := p.take(ctx, address)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	reused := c.used
-	c.used = true
 	written := c.write(r)
 	res, err := c.read(r.Method, accept) //nolint:bodyclose // closed by the caller of Do
 	if err != nil {
@@ -143,10 +121,10 @@
 		if ctx.Err() != nil {
 			err = errors.Join(err, ctx.Err())
 		}
-		return nil, &BrokenError{Err: err, Reused: reused}
+		return nil, &BrokenError{Err: err}
 	}
 	res.Body = &body{ReadCloser: res.Body, pool: p, conn: c, res: res, stop: stop, written: written}
-	return &Response{Response: res, Reused: reused}, nil
+	return res, nil
 }
 
 func (p *Pool) take(ctx context.Context, address netip.AddrPort) (*conn, error) {
@@ -164,12 +142,12 @@
 		return nil, err
 	}
 	p.dials()
-	d := net.Dialer{Timeout: p.dialTimeout}
+	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer), idleLimit: p.idleTimeout}, nil
+	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer), idleLimit: idleTimeout}, nil
 }
 
 func (p *Pool) pop(address netip.AddrPort) *conn {
@@ -188,7 +166,7 @@
 	c.idleSince = p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.address]) >= p.maxIdle {
+	if p.closed || len(p.idle[c.address]) >= maxIdle {
 		_ = c.Close()
 		return
 	}
@@ -196,7 +174,13 @@
 }
 
 const (
-	readBuffer = 4 << 10
+	// dialTimeout bounds the time to open a connection.
+	dialTimeout = 300 * time.Millisecond
+	// idleTimeout and maxIdle bound how long, and how many, connections to a
+	// replica stay idle.
+	idleTimeout = 30 * time.Second
+	maxIdle     = 128
+	readBuffer  = 4 << 10
 	// largeRequest is the size from which a request is written while the
 	// response is read, as a replica may answer before it has read it all.
 	largeRequest = 8 << 10
@@ -210,7 +194,6 @@
 	net.Conn
 	address   netip.AddrPort
 	reader    *bufio.Reader
-	used      bool
 	idleSince time.Time
 	idleLimit time.Duration
 }
@@ -326,7 +309,7 @@
 		}
 		return err
 	}
-	b.conn.idleLimit = idleLimit(b.res.Header.Get("Keep-Alive"), b.pool.idleTimeout)
+	b.conn.idleLimit = idleLimit(b.res.Header.Get("Keep-Alive"))
 	b.pool.put(b.conn)
 	return nil
 }
@@ -342,12 +325,12 @@
 	}
 }
 
-func idleLimit(keepAlive string, limit time.Duration) time.Duration {
+func idleLimit(keepAlive string) time.Duration {
 	for part := range strings.SplitSeq(keepAlive, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if seconds, err := strconv.Atoi(value); strings.EqualFold(name, "timeout") && err == nil {
-			return min(limit, time.Duration(seconds)*time.Second-keepAliveMargin)
+			return min(idleTimeout, time.Duration(seconds)*time.Second-keepAliveMargin)
 		}
 	}
-	return limit
+	return idleTimeout
 }
