Share the look-up of a live connection in mesh

connect and connectAll tested for it in their own words. Goroutines that the mesh waits for are started by WaitGroup.Go. The daemon derived the quotas of a configuration and the list of replicas twice. The uptime is no longer rounded.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -222,10 +222,11 @@
 			d.mu.Lock()
 			d.gateway.Believe(func(belief gateway.Belief) gateway.Belief { belief.Table = table; return belief })
 			d.mu.Unlock()
-			d.books.SetLimits(table.Version(), quotaLimits(table))
+			limits := quotaLimits(table)
+			d.books.SetLimits(table.Version(), limits)
 			d.quota.Wake()
 			fields := log.Fields{"config_version": table.Version(), "routes": len(event.Config.Routes)}
-			for _, l := range quotaLimits(table) {
+			for _, l := range limits {
 				fields["quota."+l.Workspace] = l.Tokens
 			}
 			d.log.WithFields(fields).Info("configuration in force")
@@ -299,9 +300,10 @@
 // publishReplicas is called with the lock held.
 func (d *Daemon) publishReplicas(now time.Time) {
 	set := d.directory.Set(now)
+	all := set.All()
 	d.gateway.Believe(func(belief gateway.Belief) gateway.Belief { belief.Replicas = set; return belief })
-	d.placer.Update(set.All())
-	d.log.WithField("registry_version", set.Version).WithField("replicas", len(set.All())).
+	d.placer.Update(all)
+	d.log.WithField("registry_version", set.Version).WithField("replicas", len(all)).
 		WithField("missing", d.directory.Missing()).Info("replicas changed")
 }
 
--- a/gatewaydaemon/gauges.go
+++ b/gatewaydaemon/gauges.go
@@ -1,8 +1,6 @@
 package gatewaydaemon
 
 import (
-	"time"
-
 	"github.com/VictoriaMetrics/metrics"
 
 	"briarreach/feed"
@@ -49,5 +47,5 @@
 	set.NewGauge("briarreach_repeats_allowed_in_window", usage(func(u retrybudget.Usage) float64 { return u.Allowed }))
 	set.NewGauge("briarreach_streams_open", func() float64 { return float64(d.gateway.Streams()) })
 	set.NewGauge("briarreach_log_lines_dropped_total", func() float64 { return float64(droppedLines()) })
-	set.NewGauge("briarreach_uptime_seconds", func() float64 { return d.clock.Since(started).Round(time.Millisecond).Seconds() })
+	set.NewGauge("briarreach_uptime_seconds", func() float64 { return d.clock.Since(started).Seconds() })
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -140,16 +140,8 @@
 	books.SetPeer(quota.Peer{Address: address, Fingerprint: fingerprint(m.certificate.Certificate[0])})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
-	m.done.Add(1)
-	go func() {
-		defer m.done.Done()
-		m.spread(ctx)
-	}()
-	m.done.Add(1)
-	go func() {
-		defer m.done.Done()
-		m.accept(ctx)
-	}()
+	m.done.Go(func() { m.spread(ctx) })
+	m.done.Go(func() { m.accept(ctx) })
 	return m, nil
 }
 
@@ -219,21 +211,13 @@
 		if err != nil {
 			return
 		}
-		m.done.Add(1)
-		go func() {
-			defer m.done.Done()
-			m.serve(ctx, conn)
-		}()
+		m.done.Go(func() { m.serve(ctx, conn) })
 	}
 }
 
 // serve answers a peer's requests one by one.
 func (m *Mesh) serve(ctx context.Context, conn *quic.Conn) {
-	m.done.Add(1)
-	go func() {
-		defer m.done.Done()
-		m.receive(ctx, conn)
-	}()
+	m.done.Go(func() { m.receive(ctx, conn) })
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
@@ -271,15 +255,13 @@
 	if !running {
 		round = make(chan struct{})
 		m.asking[workspace] = round
-		m.done.Add(1)
-		go func() {
-			defer m.done.Done()
+		m.done.Go(func() {
 			m.ask(workspace, need)
 			m.mu.Lock()
 			delete(m.asking, workspace)
 			m.mu.Unlock()
 			close(round)
-		}()
+		})
 	}
 	m.mu.Unlock()
 	select {
@@ -365,11 +347,18 @@
 	return a, nil
 }
 
-func (m *Mesh) connect(ctx context.Context, peer quota.Peer) (*quic.Conn, error) {
+// connected returns the connection to a peer, or nil if there is none.
+func (m *Mesh) connected(peer string) *quic.Conn {
 	m.mu.Lock()
-	conn := m.conns[peer.Fingerprint]
-	m.mu.Unlock()
-	if conn != nil && conn.Context().Err() == nil {
+	defer m.mu.Unlock()
+	if conn := m.conns[peer]; conn != nil && conn.Context().Err() == nil {
+		return conn
+	}
+	return nil
+}
+
+func (m *Mesh) connect(ctx context.Context, peer quota.Peer) (*quic.Conn, error) {
+	if conn := m.connected(peer.Fingerprint); conn != nil {
 		return conn, nil
 	}
 	conn, err := m.transport.Dial(ctx, udpAddr(peer.Address), m.tls(peer.Fingerprint), quicConfig())
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -73,22 +73,16 @@
 		if i >= maxTold {
 			return
 		}
-		m.mu.Lock()
-		conn := m.conns[peer.Fingerprint]
-		missing := conn == nil || conn.Context().Err() != nil
-		m.mu.Unlock()
-		if !missing || m.isSilent(peer.Fingerprint, now) {
+		if m.connected(peer.Fingerprint) != nil || m.isSilent(peer.Fingerprint, now) {
 			continue
 		}
-		m.done.Add(1)
-		go func() {
-			defer m.done.Done()
+		m.done.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			if _, err := m.connect(ctx, peer); err != nil {
 				m.drop(peer.Fingerprint, now)
 			}
-		}()
+		})
 	}
 }
 
