--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -85,7 +85,7 @@
 // Replay plays a pattern with a policy.
 func Replay(p *Pattern, policy Policy, figures Engine, seed uint64) Result {
 	r := &run{pattern: p, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), open: make(map[*call]bool), known: make(map[string]bool)}
-	r.choosers = newChoosers(policy, gateways, figures.Replicas, r.clock, r.rnd)
+	r.choosers = newChoosers(policy, gateways, figures, r.clock, r.rnd)
 	for range figures.Replicas {
 		r.engines = append(r.engines, newEngine(figures))
 	}
@@ -134,7 +134,7 @@
 func (r *run) arrive(c *call) {
 	c.gateway = r.choosers[r.rnd.IntN(len(r.choosers))]
 	for range len(r.engines) {
-		c.index, c.choice = c.gateway.choose(c.request, true, r.clock())
+		c.index, c.choice = c.gateway.choose(c.request, r.clock())
 		if c.choice.Refused {
 			r.refuse(c)
 			return
--- a/loadreplay/policy.go
+++ b/loadreplay/policy.go
@@ -71,15 +71,15 @@
 }
 
 // newChoosers returns the policy at each gateway.
-func newChoosers(p Policy, gateways, replicas int, now func() time.Time, rnd *rand.Rand) []*chooser {
-	list := make([]replica.Replica, replicas)
+func newChoosers(p Policy, gateways int, figures Engine, now func() time.Time, rnd *rand.Rand) []*chooser {
+	list := make([]replica.Replica, figures.Replicas)
 	for i := range list {
-		list[i] = replica.Replica{ID: fmt.Sprintf("r%d", i), Service: "engine", Slots: DefaultEngine().Slots,
+		list[i] = replica.Replica{ID: fmt.Sprintf("r%d", i), Service: "engine", Slots: figures.Slots,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}
 	}
 	choosers := make([]*chooser, gateways)
 	for i := range choosers {
-		c := &chooser{policy: p, replicas: list, load: make([]int, replicas), rnd: rnd}
+		c := &chooser{policy: p, replicas: list, load: make([]int, len(list)), rnd: rnd}
 		if p, ok := p.(Placer); ok {
 			c.placer = placement.New(p.Settings, func(placed placement.Placed) {
 				for _, other := range choosers {
@@ -96,14 +96,11 @@
 }
 
 // choose returns the replica's index and, for the product, its choice.
-func (c *chooser) choose(r Request, first bool, now time.Time) (int, placement.Choice) {
+func (c *chooser) choose(r Request, now time.Time) (int, placement.Choice) {
 	best := 0
 	switch c.policy.(type) {
 	case Placer:
-		need := placement.Need{Shared: placement.Parts([]string{r.Subject}, []int{r.Shared}), Tail: r.Tail, Urgency: r.Urgency}
-		if first {
-			need.Target = r.Target
-		}
+		need := placement.Need{Shared: placement.Parts([]string{r.Subject}, []int{r.Shared}), Tail: r.Tail, Urgency: r.Urgency, Target: r.Target}
 		choice, _ := c.placer.Choose(need, c.replicas, now, c.rnd)
 		for i := range c.replicas {
 			if c.replicas[i].ID == choice.Replica.ID {
