--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -113,7 +113,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := c.write(r)
-	res, err := c.read(r.Method, accept) //nolint:bodyclose // closed by the caller of Do
+	res, err := c.read(r.Method, accept)
 	if err != nil {
 		stop()
 		_ = c.Close()
