--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -375,6 +375,7 @@
 	err := d.callers.Close(drainCtx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
+	d.mesh.Repay(closeCtx)
 	d.quotaSyncers.Close(closeCtx)
 	d.configWatcher.Close(closeCtx)
 	d.replicaWatcher.Close(closeCtx)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,7 +1,7 @@
-// Package mesh connects the gateways of a fleet over QUIC. They lend each other
-// granted quota when the shared store is unavailable or has nothing left to
-// grant, and broadcast on which replicas they have placed long prompts. Serving
-// a request never depends on a peer.
+// Package mesh connects the gateways of a fleet over QUIC. The homes of a
+// workspace lend its granted quota to the other gateways, and all broadcast on
+// which replicas they have placed long prompts. A gateway whose peers do not
+// respond draws quota from the shared store instead.
 //
 // A process publishes its address and the fingerprint of its certificate in its
 // quota row, and trusts the peers whose fingerprints are in the store. The
@@ -31,6 +31,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/singleflight"
 
 	"briarreach/placement"
 	"briarreach/quota"
@@ -40,23 +41,38 @@
 type loanRequest struct {
 	Workspace    string `cbor:"workspace"`
 	NeededTokens int64  `cbor:"need"`
-	WantedTokens int64  `cbor:"wanted"` // preferred amount; the lender caps it at half of what it has left
+	WantedTokens int64  `cbor:"wanted"`           // preferred amount, lent while plenty is left
+	RepaidTokens int64  `cbor:"repaid,omitempty"` // borrowed earlier and not spent
 }
 
 // loanResponse holds the tokens that were lent and those the lender has left.
 type loanResponse struct {
-	LentTokens      int64 `cbor:"lent"`
-	RemainingTokens int64 `cbor:"left"`
+	LentTokens    int64  `cbor:"lent"`
+	UnspentTokens *int64 `cbor:"unspent,omitempty"` // granted to the lender and not spent; nil from earlier versions
+}
+
+// unspent returns the tokens that the lender has left, as AddLoan takes them.
+func (r loanResponse) unspent() int64 {
+	if r.UnspentTokens == nil {
+		return quota.UnknownUnspent
+	}
+	return max(*r.UnspentTokens, 0)
 }
 
 const (
 	protocol = "briarreach-mesh/1"
 	// callTimeout bounds one request to a peer, including the handshake.
 	callTimeout = 120 * time.Millisecond
+	// dialTimeout bounds a handshake, which serves later requests if the one that
+	// needed it first has timed out.
+	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 20 * time.Second
 	// peerBackoff is how long a peer is skipped after it failed to respond.
 	peerBackoff     = 2 * time.Second
 	maxPeersPerLoan = 5
+	// repayInterval is the time between repayments of tokens that requests
+	// reserved and did not spend.
+	repayInterval   = time.Second
 	maxMessageBytes = 4 << 10
 	// certificateValidity outlasts any process; each process creates a new
 	// certificate.
@@ -70,6 +86,8 @@
 	ForWorkspace(workspace string) *quota.Allocator
 	// KnowsPeer reports whether a gateway has published the fingerprint.
 	KnowsPeer(fingerprint string) bool
+	// TakeRepayments returns borrowed tokens by workspace that are not needed.
+	TakeRepayments(now time.Time) map[string]int64
 	// Peers returns the other live gateways.
 	Peers() []quota.Peer
 	// SetOwnPeer sets the address and the fingerprint that this process publishes.
@@ -88,6 +106,7 @@
 	goroutines     sync.WaitGroup
 	closeOnce      sync.Once
 	closeErr       error
+	dials          singleflight.Group // by fingerprint
 	borrowedTokens *metrics.Counter
 	lentTokens     *metrics.Counter
 	loanFailures   *metrics.Counter
@@ -144,6 +163,8 @@
 	m.cancel = cancel
 	m.goroutines.Go(func() { m.broadcastLoop(ctx) })
 	m.goroutines.Go(func() { m.accept(ctx) })
+	m.goroutines.Go(func() { m.connectLoop(ctx) })
+	m.goroutines.Go(func() { m.repayLoop(ctx) })
 	return m, nil
 }
 
@@ -158,7 +179,7 @@
 }
 
 func quicConfig() *quic.Config {
-	return &quic.Config{HandshakeIdleTimeout: callTimeout, MaxIdleTimeout: idleTimeout, MaxIncomingStreams: 64,
+	return &quic.Config{HandshakeIdleTimeout: dialTimeout, MaxIdleTimeout: idleTimeout, MaxIncomingStreams: 64,
 		MaxIncomingUniStreams: -1, EnableDatagrams: true, InitialStreamReceiveWindow: maxMessageBytes, MaxStreamReceiveWindow: maxMessageBytes,
 		InitialConnectionReceiveWindow: 64 << 10, MaxConnectionReceiveWindow: 64 << 10, DisablePathMTUDiscovery: true}
 }
@@ -242,27 +263,29 @@
 	if err := cbor.NewDecoder(io.LimitReader(stream, maxMessageBytes)).Decode(&r); err != nil {
 		return fmt.Errorf("mesh.handleLoan: %w", err)
 	}
-	lent, remaining := m.allocators.ForWorkspace(r.Workspace).Lend(r.Workspace, r.NeededTokens, r.WantedTokens, m.clock.Now())
+	allocator := m.allocators.ForWorkspace(r.Workspace)
+	allocator.Repay(r.Workspace, r.RepaidTokens)
+	lent, unspent := allocator.Lend(r.Workspace, r.NeededTokens, r.WantedTokens, m.clock.Now())
 	m.lentTokens.AddInt64(lent)
-	if err := cbor.NewEncoder(stream).Encode(loanResponse{LentTokens: lent, RemainingTokens: remaining}); err != nil {
+	if err := cbor.NewEncoder(stream).Encode(loanResponse{LentTokens: lent, UnspentTokens: &unspent}); err != nil {
 		return fmt.Errorf("mesh.handleLoan: %w", err)
 	}
 	return stream.Close()
 }
 
-// Borrow requests tokens from up to maxPeersPerLoan peers, in a random order
-// weighted by what they have left of the workspace's quota. It returns when the
-// requests are done or when ctx ends. A call during another one for the same
-// workspace only waits for that one's requests, whatever its own tokens: the
-// caller must check what is available then.
-func (m *Mesh) Borrow(ctx context.Context, workspace string, tokens int64) {
+// Borrow requests the tokens that waiting requests lack from up to
+// maxPeersPerLoan peers, in a random order weighted by what they have left of the
+// workspace's quota. It returns when the requests are done or when ctx ends. A
+// call during another one for the same workspace only waits for that one's
+// requests: the caller must check what is available then.
+func (m *Mesh) Borrow(ctx context.Context, workspace string) {
 	m.mu.Lock()
 	done, running := m.borrowing[workspace]
 	if !running {
 		done = make(chan struct{})
 		m.borrowing[workspace] = done
 		m.goroutines.Go(func() {
-			m.borrowFromPeers(workspace, tokens)
+			m.borrowFromPeers(workspace)
 			m.mu.Lock()
 			delete(m.borrowing, workspace)
 			m.mu.Unlock()
@@ -276,7 +299,7 @@
 	}
 }
 
-func (m *Mesh) borrowFromPeers(workspace string, tokens int64) {
+func (m *Mesh) borrowFromPeers(workspace string) {
 	asked := 0
 	allocator := m.allocators.ForWorkspace(workspace)
 	for _, peer := range allocator.Lenders(workspace, mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0))) {
@@ -284,11 +307,12 @@
 		if m.inBackoff(peer.Fingerprint, now) {
 			continue
 		}
-		if asked++; asked > maxPeersPerLoan {
+		missing := allocator.Missing(workspace, now)
+		if asked++; asked > maxPeersPerLoan || missing == 0 {
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		a, err := m.requestLoan(ctx, peer, loanRequest{Workspace: workspace, NeededTokens: tokens, WantedTokens: allocator.PreferredLoan(workspace, now)})
+		a, err := m.requestLoan(ctx, peer, loanRequest{Workspace: workspace, NeededTokens: missing, WantedTokens: allocator.PreferredLoan(workspace, now)})
 		cancel()
 		if err != nil {
 			m.loanFailures.Inc()
@@ -296,15 +320,62 @@
 			m.log.WithField("peer", peer.Holder).WithField("workspace", workspace).WithError(err).Info("loan not answered")
 			continue
 		}
-		allocator.AddLoan(workspace, a.LentTokens, peer.Holder, a.RemainingTokens)
+		allocator.AddLoan(workspace, a.LentTokens, peer.Holder, a.unspent())
 		m.borrowedTokens.AddInt64(a.LentTokens)
-		m.log.WithFields(log.Fields{"peer": peer.Holder, "workspace": workspace, "need": tokens, "lent": a.LentTokens, "left": a.RemainingTokens}).Info("quota borrowed")
-		if tokens -= a.LentTokens; tokens <= 0 {
+		if a.LentTokens < missing {
+			m.log.WithFields(log.Fields{"peer": peer.Holder, "workspace": workspace, "need": missing, "lent": a.LentTokens, "left": a.unspent()}).Info("less quota borrowed than needed")
+		}
+	}
+}
+
+// repayLoop gives back what requests borrowed and did not spend.
+func (m *Mesh) repayLoop(ctx context.Context) {
+	for {
+		select {
+		case <-m.clock.After(repayInterval):
+			m.Repay(ctx)
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// Repay gives borrowed tokens that this process does not need soon back to a
+// home of their workspace. Tokens whose message is lost can't be spent anymore.
+func (m *Mesh) Repay(ctx context.Context) {
+	for workspace, tokens := range m.allocators.TakeRepayments(m.clock.Now()) {
+		if peer, ok := m.firstLender(workspace); ok {
+			m.repay(ctx, peer, workspace, tokens)
+		} else {
+			m.allocators.ForWorkspace(workspace).Repay(workspace, tokens)
+		}
+	}
+}
+
+// firstLender returns a peer that probably responds.
+func (m *Mesh) firstLender(workspace string) (quota.Peer, bool) {
+	now := m.clock.Now()
+	for _, peer := range m.allocators.ForWorkspace(workspace).Lenders(workspace, mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0))) {
+		if !m.inBackoff(peer.Fingerprint, now) {
+			return peer, true
+		}
+	}
+	return quota.Peer{}, false
+}
+
+func (m *Mesh) repay(ctx context.Context, peer quota.Peer, workspace string, tokens int64) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := m.requestLoan(callCtx, peer, loanRequest{Workspace: workspace, RepaidTokens: tokens})
+	if err != nil {
+		m.loanFailures.Inc()
+		m.backOff(peer.Fingerprint, m.clock.Now())
+		m.log.WithFields(log.Fields{"peer": peer.Holder, "workspace": workspace, "tokens": tokens}).WithError(err).Warn("borrowed quota lost: repayment not answered")
+		return
+	}
+	m.allocators.ForWorkspace(workspace).AddLoan(workspace, a.LentTokens, peer.Holder, a.unspent())
+}
+
 func (m *Mesh) inBackoff(peer string, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -368,12 +439,25 @@
 	if conn := m.existingConn(peer.Fingerprint); conn != nil {
 		return conn, nil
 	}
-	conn, err := m.transport.Dial(ctx, udpAddr(peer.Address), m.tlsConfig(peer.Fingerprint), quicConfig())
-	if err != nil {
-		return nil, err
+	dialed := m.dials.DoChan(peer.Fingerprint, func() (any, error) {
+		dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
+		defer cancel()
+		conn, err := m.transport.Dial(dialCtx, udpAddr(peer.Address), m.tlsConfig(peer.Fingerprint), quicConfig())
+		if err != nil {
+			return nil, err
+		}
+		m.mu.Lock()
+		m.conns[peer.Fingerprint] = conn
+		m.mu.Unlock()
+		return conn, nil
+	})
+	select {
+	case result := <-dialed:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.(*quic.Conn), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	m.mu.Lock()
-	m.conns[peer.Fingerprint] = conn
-	m.mu.Unlock()
-	return conn, nil
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -46,7 +46,10 @@
 }
 
 var _ = Describe("loans between gateways", func() {
-	ctx := context.Background()
+	borrow := func(h holder) {
+		defer h.allocators[0].Wait("w", 500)()
+		h.mesh.Borrow(context.Background(), "w")
+	}
 
 	// Guards against refusals at a gateway that is out of quota while another
 	// has enough and the store is unavailable.
@@ -60,7 +63,7 @@
 		for b.allocators[0].Reserve("w", 500, time.Now()) == quota.Reserved {
 			continue
 		}
-		b.mesh.Borrow(ctx, "w", 500)
+		borrow(b)
 		Expect(b.allocators[0].Reserve("w", 500, time.Now())).To(Equal(quota.Reserved))
 	})
 
@@ -69,7 +72,7 @@
 		a, unknown := start("a"), start("unknown")
 		rows := grant(a, 1, nil)
 		Expect(unknown.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
-		unknown.mesh.Borrow(ctx, "w", 500)
+		borrow(unknown)
 		Expect(unknown.allocators[0].Reserve("w", 500, time.Now())).NotTo(Equal(quota.Reserved))
 	})
 
@@ -81,7 +84,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			b.mesh.Borrow(ctx, "w", 500)
+			borrow(b)
 		}()
 		Eventually(done, "1s").Should(BeClosed())
 	})
--- a/mesh/placements.go
+++ b/mesh/placements.go
@@ -12,10 +12,13 @@
 const (
 	maxQueuedPlacements = 256
 	// maxPeersToConnect bounds the peers to which connections are opened for
-	// broadcasts. Connections opened for loans also carry broadcasts.
-	maxPeersToConnect = 48
-	// connectInterval is the least time between attempts to connect to peers.
-	connectInterval = 500 * time.Millisecond
+	// broadcasts and loans. Connections opened for loans also carry broadcasts.
+	maxPeersToConnect = 96
+	// connectInterval is the time between attempts to connect to peers.
+	connectInterval = 250 * time.Millisecond
+	// maxConcurrentDials bounds the handshakes that start at a time, which take
+	// most of the processor of a small VM.
+	maxConcurrentDials = 4
 )
 
 // OnPlacement sets the handler of placements that other gateways broadcast.
@@ -34,11 +37,8 @@
 	}
 }
 
-// broadcastLoop sends placements as datagrams over the dialed connections. After
-// a placement it also opens missing connections, at most once per
-// connectInterval.
+// broadcastLoop sends placements as datagrams over the dialed connections.
 func (m *Mesh) broadcastLoop(ctx context.Context) {
-	var lastConnect time.Time
 	for {
 		select {
 		case p := <-m.placements:
@@ -48,10 +48,6 @@
 				continue
 			}
 			m.sendToPeers(data)
-			if now := m.clock.Now(); now.Sub(lastConnect) >= connectInterval {
-				lastConnect = now
-				m.connectPeers(ctx)
-			}
 		case <-ctx.Done():
 			return
 		}
@@ -67,19 +63,34 @@
 	}
 }
 
-// connectPeers opens the missing connections to the first maxPeersToConnect
-// peers, without waiting for them.
+// connectLoop opens missing connections, so that a request that needs a loan
+// does not wait for a handshake.
+func (m *Mesh) connectLoop(ctx context.Context) {
+	for {
+		select {
+		case <-m.clock.After(connectInterval):
+			m.connectPeers(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// connectPeers starts to open up to maxConcurrentDials of the missing connections
+// to the first maxPeersToConnect peers.
 func (m *Mesh) connectPeers(ctx context.Context) {
 	now := m.clock.Now()
+	dials := 0
 	for i, peer := range m.allocators.Peers() {
-		if i >= maxPeersToConnect {
+		if i >= maxPeersToConnect || dials >= maxConcurrentDials {
 			return
 		}
 		if m.existingConn(peer.Fingerprint) != nil || m.inBackoff(peer.Fingerprint, now) {
 			continue
 		}
+		dials++
 		m.goroutines.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
 			if _, err := m.connect(ctx, peer); err != nil {
 				m.backOff(peer.Fingerprint, now)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -74,6 +75,7 @@
 	configVersion int64
 	epoch         time.Time
 	rowsRead      int
+	loans         int
 }
 
 func newFleet(n int, limit int64) *fleet {
@@ -156,6 +158,16 @@
 	}
 }
 
+// readEachOther lets the holders start and read each other's rows.
+func (f *fleet) readEachOther() {
+	for range 4 {
+		for _, h := range f.holders {
+			f.sync(h, arrived)
+		}
+		f.advance(8 * time.Second)
+	}
+}
+
 // read loads the rows of a scope into a holder.
 func (f *fleet) read(h *holder, scope quota.Scope) {
 	if scope == quota.ScopeNone {
@@ -179,7 +191,10 @@
 func (f *fleet) reserve(h *holder, tokens int64, connected bool) quota.Decision {
 	d := h.allocator.Reserve(workspace, tokens, f.clock(h))
 	if d == quota.Insufficient && connected {
+		done := h.allocator.Wait(workspace, tokens)
+		h.allocator.RequestGrant(workspace)
 		f.sync(h, arrived)
+		done()
 		d = h.allocator.Reserve(workspace, tokens, f.clock(h))
 	}
 	if d == quota.Reserved {
@@ -188,6 +203,41 @@
 	return d
 }
 
+// reserveOrBorrow is reserve with loans: like a process, it asks for them again for
+// 200 ms while lenders sync.
+func (f *fleet) reserveOrBorrow(h *holder, tokens int64) quota.Decision {
+	d := f.reserve(h, tokens, true)
+	for range 8 {
+		if d != quota.Insufficient {
+			return d
+		}
+		done := h.allocator.Wait(workspace, tokens)
+		f.borrow(h)
+		done()
+		f.advance(25 * time.Millisecond)
+		for _, other := range f.holders {
+			f.tick(other)
+		}
+		d = f.reserve(h, tokens, true)
+	}
+	return d
+}
+
+// borrow asks the lenders of a holder, in their order, for what its waiting
+// requests lack.
+func (f *fleet) borrow(h *holder) {
+	for _, peer := range h.allocator.Lenders(workspace, rand.New(rand.NewPCG(1, 1))) {
+		missing := h.allocator.Missing(workspace, f.clock(h))
+		if missing == 0 {
+			return
+		}
+		i := slices.IndexFunc(f.holders, func(other *holder) bool { return other.name == peer.Holder })
+		lent, unspent := f.holders[i].allocator.Lend(workspace, missing, 0, f.clock(f.holders[i]))
+		f.loans++
+		h.allocator.AddLoan(workspace, lent, peer.Holder, unspent)
+	}
+}
+
 // finish settles a holder's oldest reservation.
 func (f *fleet) finish(h *holder, consumed int64) {
 	reserved := h.reservations[0]
@@ -205,6 +255,16 @@
 	}
 }
 
+// repay moves the borrowed tokens that a holder does not need to another one; if
+// the message is lost, so are they.
+func (f *fleet) repay(from, to *holder, lost bool) {
+	for name, tokens := range from.allocator.TakeRepayments(f.clock(from)) {
+		if !lost {
+			to.allocator.Repay(name, tokens)
+		}
+	}
+}
+
 // totalSpent returns the tokens consumed or reserved by all holders.
 func (f *fleet) totalSpent() int64 {
 	sum := f.consumed
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -51,39 +51,47 @@
 	return peers
 }
 
-// Lenders returns the live holders that may have tokens of a workspace left, in
-// a random order weighted by how many.
+// Lenders returns the live holders that are homes of a workspace or may have
+// tokens of it left, in a random order weighted by how many.
 func (al *Allocator) Lenders(workspace string, rnd *rand.Rand) []Peer {
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	type lender struct {
-		peer      Peer
-		remaining int64
-		rank      float64
+		peer   Peer
+		weight uint64 // of its rendezvous hash
+		left   int64
+		rank   float64
 	}
 	var lenders []lender
 	for name, h := range al.otherHolders() {
-		if left := al.remainingAt(name, h, workspace); left > 0 && h.Fingerprint != "" {
-			lenders = append(lenders, lender{peer: h.peer(name), remaining: left})
+		if h.Fingerprint != "" {
+			lenders = append(lenders, lender{peer: h.peer(name), weight: homeWeight(workspace, name), left: al.unspentAt(name, h, workspace)})
+		}
+	}
+	slices.SortFunc(lenders, func(x, y lender) int { return cmp.Compare(y.weight, x.weight) })
+	candidates := lenders[:0]
+	for i, l := range lenders {
+		if l.left > 0 || i < al.settings.HomesPerWorkspace {
+			candidates = append(candidates, l)
 		}
 	}
 	// The weighted random order spreads borrowers over the lenders.
-	for i := range lenders {
-		lenders[i].rank = math.Pow(rnd.Float64(), 1/float64(lenders[i].remaining))
+	for i, l := range candidates {
+		candidates[i].rank = math.Pow(rnd.Float64(), 1/float64(max(l.left, 1)))
 	}
-	slices.SortFunc(lenders, func(x, y lender) int { return cmp.Compare(y.rank, x.rank) })
-	peers := make([]Peer, 0, len(lenders))
-	for _, l := range lenders {
+	slices.SortFunc(candidates, func(x, y lender) int { return cmp.Compare(y.rank, x.rank) })
+	peers := make([]Peer, 0, len(candidates))
+	for _, l := range candidates {
 		peers = append(peers, l.peer)
 	}
 	return peers
 }
 
-// remainingAt returns the tokens that a holder had left, by its last loan or its
-// row, whichever is newer.
-func (al *Allocator) remainingAt(name string, h holderRow, workspace string) int64 {
+// unspentAt returns the unspent grants of a holder, by its last loan or its row,
+// whichever is newer.
+func (al *Allocator) unspentAt(name string, h holderRow, workspace string) int64 {
 	if balance, ok := al.lenderBalances[name]; ok && balance.sequence == h.Sequence {
-		if left, ok := balance.remaining[workspace]; ok {
+		if left, ok := balance.unspent[workspace]; ok {
 			return left
 		}
 	}
@@ -94,11 +102,11 @@
 	return Peer{Holder: name, Address: h.Address, Fingerprint: h.Fingerprint}
 }
 
-// lenderBalance is what a lender reported as remaining by workspace, after its
-// row of that sequence.
+// lenderBalance is what a lender reported as unspent by workspace, after its row
+// of that sequence.
 type lenderBalance struct {
-	sequence  int64
-	remaining map[string]int64
+	sequence int64
+	unspent  map[string]int64
 }
 
 // loanHorizon is the time whose demand a preferred loan covers.
@@ -112,11 +120,15 @@
 	return int64(al.localUsage(workspace).currentDemand(now, al.settings.DemandTimeConstant) * loanHorizon.Seconds())
 }
 
-// Lend takes tokens from this holder for another: the required tokens if
-// available, and the preferred ones up to half of what is available. If it lends
-// too little because of the window, the next sync returns unspent grants to the
-// store. It returns the tokens lent and those that remain.
-func (al *Allocator) Lend(workspace string, required, preferred int64, now time.Time) (lent, remaining int64) {
+// loanShareDivisor, times the number of holders, divides what a lender has left
+// into the parts that it lends beyond what a request requires.
+const loanShareDivisor = 4
+
+// Lend takes tokens from this holder for another: the required tokens as far as
+// available, and more, up to the preferred ones, while plenty is left. If the
+// window limits the loan, the next sync widens it. It returns the tokens lent and
+// what remains granted and unspent.
+func (al *Allocator) Lend(workspace string, required, preferred int64, now time.Time) (lent, unspent int64) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	if _, ok := al.limits[workspace]; !ok || required < 0 || preferred < 0 {
@@ -124,25 +136,67 @@
 	}
 	l := al.localUsage(workspace)
 	available := max(al.allowance(workspace, now)-l.spent(), 0)
-	lent = min(available, max(required, min(preferred, available/2)))
+	spare := available / int64(loanShareDivisor*al.holderCountLocked())
+	lent = min(available, max(required, min(preferred, spare)))
 	l.consumed += lent
-	if lent < required && al.possibleStates[0].row.Accounts[workspace].Granted > l.spent() {
-		l.returnExcess, al.syncUrgent = true, true
+	if lent > 0 {
+		l.recordDemand(lent, now, al.settings.DemandTimeConstant)
+	}
+	unspent = max(al.possibleStates[0].row.Accounts[workspace].Granted-l.spent(), 0)
+	if lent < required && unspent > 0 {
+		l.requested = max(l.requested, required-lent)
+		al.syncUrgent = true
 	}
-	return lent, available - lent
+	return lent, unspent
 }
 
+// UnknownUnspent is passed to AddLoan if the lender did not report what it has
+// left.
+const UnknownUnspent = -1
+
 // AddLoan adds tokens that a lender has counted as consumed, and notes what
-// remains there.
-func (al *Allocator) AddLoan(workspace string, tokens int64, lender string, remaining int64) {
+// remains unspent there.
+func (al *Allocator) AddLoan(workspace string, tokens int64, lender string, unspent int64) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	al.localUsage(workspace).consumed -= tokens
+	if unspent == UnknownUnspent {
+		return
+	}
 	h := al.holderRows[lender]
 	balance, ok := al.lenderBalances[lender]
 	if !ok || balance.sequence != h.Sequence {
-		balance = lenderBalance{sequence: h.Sequence, remaining: make(map[string]int64)}
+		balance = lenderBalance{sequence: h.Sequence, unspent: make(map[string]int64)}
 		al.lenderBalances[lender] = balance
 	}
-	balance.remaining[workspace] = remaining
+	balance.unspent[workspace] = unspent
+}
+
+// minRepayment is the least number of borrowed tokens that is worth a message to
+// a home.
+const minRepayment = 500
+
+// TakeRepayments returns borrowed tokens by workspace that this holder does not
+// need soon, for a home to take back. They are no longer available here.
+func (al *Allocator) TakeRepayments(now time.Time) map[string]int64 {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	repayments := make(map[string]int64)
+	for name, l := range al.usage {
+		left := al.allowance(name, now) - l.spent() - int64(l.currentDemand(now, al.settings.DemandTimeConstant)*loanHorizon.Seconds())
+		if left >= minRepayment && al.possibleStates[0].row.Accounts[name].Granted == 0 && !al.isHome(name) {
+			l.consumed += left
+			repayments[name] = left
+		}
+	}
+	return repayments
+}
+
+// Repay takes back tokens that another holder borrowed and did not spend.
+func (al *Allocator) Repay(workspace string, tokens int64) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	if tokens > 0 {
+		al.localUsage(workspace).consumed -= tokens
+	}
 }
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -18,6 +18,7 @@
 	Adopted       map[string]int64 // unspent tokens taken over from the grants of this VM's earlier process; nil if there was none
 	Lost          map[string]int64 // of these grants, what that process may have consumed since its last record
 	state         possibleState
+	requested     map[string]int64 // by workspace, the tokens that the plan makes available as far as they exist
 	workspaceRows map[string]workspaceRow
 }
 
@@ -40,15 +41,16 @@
 }
 
 // urgentInterval is the time between syncs while requests wait. It divides the
-// transaction rate of the table's part among all holders.
+// transaction rate of the table's part among the holders that write.
 func (al *Allocator) urgentInterval() time.Duration {
-	return max(al.settings.UrgentEvery, time.Duration(al.holderCountLocked())*al.settings.TxInterval)
+	return max(al.settings.UrgentEvery, time.Duration(al.writerCount())*al.settings.TxInterval)
 }
 
-// hasUnrecorded reports whether consumption is not yet recorded in the store.
+// hasUnrecorded reports whether consumption of grants is not yet recorded in the
+// store. Borrowed tokens are not recorded: their lender counts them as consumed.
 func (al *Allocator) hasUnrecorded() bool {
 	for name, l := range al.usage {
-		if a := al.possibleStates[0].row.Accounts[name]; l.spent() != a.Spent {
+		if a := al.possibleStates[0].row.Accounts[name]; a.Granted != 0 && l.spent() != a.Spent {
 			return true
 		}
 	}
@@ -56,9 +58,9 @@
 }
 
 // syncInterval is the time between syncs that record consumption. It divides a
-// part of the transaction rate of the table's part among all holders.
+// part of the transaction rate of the table's part among the holders that write.
 func (al *Allocator) syncInterval() time.Duration {
-	return max(al.settings.SyncEvery, time.Duration(al.holderCountLocked())*regularSyncDivisor*al.settings.TxInterval)
+	return max(al.settings.SyncEvery, time.Duration(al.writerCount())*regularSyncDivisor*al.settings.TxInterval)
 }
 
 // regularSyncDivisor divides the transaction rate of the table's part: regular
@@ -105,7 +107,7 @@
 	defer al.mu.Unlock()
 	al.syncUrgent = false
 	al.sequence++
-	p := SyncPlan{Drawn: map[string]int64{}, Returned: map[string]int64{}, Ungranted: map[string]int64{}, OthersUnspent: map[string]int64{}, workspaceRows: map[string]workspaceRow{}}
+	p := SyncPlan{Drawn: map[string]int64{}, Returned: map[string]int64{}, Ungranted: map[string]int64{}, OthersUnspent: map[string]int64{}, workspaceRows: map[string]workspaceRow{}, requested: map[string]int64{}}
 	elapsed := now.Sub(al.storeTimeReadAt)
 	p.state = possibleState{preparedAt: now, row: holderRow{Incarnation: al.incarnation, Sequence: al.sequence,
 		RecordedAtMS: (al.storeTime + elapsed).Milliseconds(), Address: al.ownPeer.Address, Fingerprint: al.ownPeer.Fingerprint, Accounts: map[string]account{}}}
@@ -167,28 +169,33 @@
 	limit := al.limit(name)
 	free := limit - w.Granted
 	balance := granted - l.spent()
+	home := al.isHome(name)
 	demand, othersDemand := l.currentDemand(now, al.settings.DemandTimeConstant), al.othersDemand(name)
-	holders := float64(al.holderCountLocked())
+	homes := float64(al.homeCount())
 	left := max(free+max(balance, 0)+al.othersUnspent(name), 0)
-	maxBalance := int64(al.settings.GrantedShare * float64(left) * fairShare(demand, othersDemand, holders))
-	minBalance := min(al.settings.MinBalance, int64(al.settings.MinBalanceShare*float64(left)/holders))
-	wanted := min(max(int64(demand*al.settings.Horizon.Seconds()), minBalance), maxBalance)
-	if l.returnExcess {
-		wanted = min(wanted, int64(demand*al.settings.Horizon.Seconds()))
-	}
-	switch {
-	case closing:
-		wanted = 0
-	case l.largestWaiting > 0:
-		wanted = max(wanted, l.largestWaiting)
+	wanted := int64(0)
+	if home && !closing {
+		maxBalance := int64(al.settings.GrantedShare * float64(left) * fairShare(demand, othersDemand, homes))
+		minBalance := min(al.settings.MinBalance, int64(al.settings.MinBalanceShare*float64(left)/homes))
+		wanted = max(min(max(int64(demand*al.settings.Horizon.Seconds()), minBalance), maxBalance), l.requested)
 	}
 	change := int64(0)
 	switch {
 	case p.Adopted != nil:
-	case float64(balance) < al.settings.RefillBelow*float64(wanted) || l.largestWaiting > balance:
+	case closing || !home && l.requested == 0:
+		// Borrowed tokens, which the balance includes, stay out of the rows.
+		change = -max(min(balance, granted), 0)
+	case free < 0:
+		// Nobody may consume until the grants fit into the lowered quota again.
+		change = -max(min(balance, granted, -free), 0)
+	case !home:
+		if missing := l.requested - balance; missing <= free {
+			change = max(missing, 0)
+		}
+	case float64(balance) < al.settings.RefillBelow*float64(wanted) || l.requested > balance:
 		change = max(min(wanted-balance, free), 0)
-	case l.returnExcess && balance > wanted || float64(balance) > al.settings.ReturnAbove*float64(wanted) || closing && balance > 0:
-		change = wanted - balance
+	case float64(balance) > al.settings.ReturnAbove*float64(wanted):
+		change = -max(min(balance-wanted, granted), 0)
 	}
 	if change != 0 {
 		granted += change
@@ -207,29 +214,29 @@
 		w.Limit, w.ConfigVersion = al.limits[name], al.configVersion
 		p.workspaceRows[name] = w
 	}
-	if granted == 0 && l.consumed == 0 && l.reserved == 0 {
+	p.requested[name] = l.requested
+	if granted == 0 && l.spent() <= 0 {
 		return
 	}
 	balance = max(granted-l.spent(), 0)
 	extraInterval := al.syncInterval() - al.settings.SyncEvery // by which many holders lengthen the interval
-	window := max(int64(demand*(al.settings.WindowTime+extraInterval).Seconds()), l.largestWaiting,
-		int64(al.settings.MinWindowShare*float64(left)/holders))
+	window := max(int64(demand*(al.settings.WindowTime+extraInterval).Seconds()), l.requested,
+		int64(al.settings.MinWindowShare*float64(left)/homes))
 	if float64(left) > (demand+othersDemand)*al.settings.AmpleTime.Seconds() {
-		window = max(window, l.largestRequest, int64(al.settings.MinAmpleWindowShare*float64(left)/holders))
+		window = max(window, l.largestRequest, int64(al.settings.MinAmpleWindowShare*float64(left)/homes))
 	}
 	p.state.row.Accounts[name] = account{Granted: granted, Spent: l.spent(),
 		Window:         min(window, balance),
 		ReleaseDelayMS: (al.settings.ReleaseDelay + extraInterval).Milliseconds(), ReleaseRate: int64(float64(balance) / al.settings.ReleaseTime.Seconds()),
 		Demand: int64(demand)}
-	l.largestWaiting, l.returnExcess = 0, false
 }
 
-// minShare is the least that a holder gets, as a fraction of an equal share.
+// minShare is the least that a home gets, as a fraction of an equal share.
 const minShare = 0.25
 
-// fairShare returns this holder's share of what may be granted to all holders.
-func fairShare(own, others, holders float64) float64 {
-	equal := 1 / holders
+// fairShare returns this home's share of what may be granted to all homes.
+func fairShare(own, others, homes float64) float64 {
+	equal := 1 / homes
 	if own+others <= 0 {
 		return equal
 	}
@@ -274,6 +281,11 @@
 			delete(al.lowered, name)
 		}
 	}
+	for name, tokens := range p.requested {
+		if l := al.usage[name]; l != nil && l.requested <= tokens {
+			l.requested = 0
+		}
+	}
 	al.holderRows[al.holder] = p.state.row
 	al.storeTime, al.storeTimeReadAt = c.Time, now
 	al.possibleStates = []possibleState{p.state}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -3,7 +3,12 @@
 // process (a holder) consumes only from amounts that were granted to it in the
 // shared store.
 //
+// A few holders, the homes of a workspace, keep its granted tokens; the others
+// borrow from them for each request, or draw from the store what no home lends.
+//
 // Load patterns and failures:
+//   - Hundreds of holders share a quota of a few prompts each: what is left can
+//     be spent at any of them.
 //   - Processes are cut off from the store for seconds: grants cover the demand
 //     of that time, and become small as the quota runs out.
 //   - All processes are killed at once: the rest of their grants must neither be
@@ -14,8 +19,8 @@
 //   - Responses of the store are lost, or transactions are applied late: of all
 //     states that the store may hold, the strictest is in force.
 //
-// The tests "partition", "kill of all processes" and "lost answers" cover
-// them.
+// The tests "hundreds of holders", "partition", "kill of all processes" and
+// "lost answers" cover them.
 package quota
 
 import (
@@ -76,9 +81,10 @@
 	reserved        int64
 	demand          float64 // tokens per second, exponentially weighted, at demandUpdatedAt
 	demandUpdatedAt time.Time
-	largestRequest  int64 // tokens of the largest recent request
-	largestWaiting  int64 // tokens of the largest request that waits for a grant
-	returnExcess    bool  // whether the next sync returns what exceeds the demand, as less could be lent than another holder needs
+	demandSince     time.Time // of the first recorded demand
+	largestRequest  int64     // tokens of the largest recent request
+	waiting         int64     // tokens of the requests that wait for a loan or a grant
+	requested       int64     // tokens that the next sync should make available, for requests that wait here or at borrowers
 }
 
 func (l *localUsage) spent() int64 { return l.consumed + l.reserved }
@@ -124,8 +130,7 @@
 // Decision is the outcome of Reserve.
 type Decision int
 
-// Reserve reserves tokens for a request. If the outcome is Insufficient, the
-// next sync takes the request into account.
+// Reserve reserves tokens for a request.
 func (al *Allocator) Reserve(workspace string, tokens int64, now time.Time) Decision {
 	al.mu.Lock()
 	defer al.mu.Unlock()
@@ -141,15 +146,43 @@
 	if al.isExhausted(workspace, tokens, now) {
 		return Exhausted
 	}
-	if tokens > l.largestWaiting {
-		l.largestWaiting = tokens
+	return Insufficient
+}
+
+// Wait counts a request as waiting for a loan or a grant, until done is called.
+func (al *Allocator) Wait(workspace string, tokens int64) (done func()) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	l := al.localUsage(workspace)
+	l.waiting += tokens
+	return func() {
+		al.mu.Lock()
+		defer al.mu.Unlock()
+		l.waiting -= tokens
 	}
+}
+
+// RequestGrant makes the next sync take the requests into account that wait.
+func (al *Allocator) RequestGrant(workspace string) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	l := al.localUsage(workspace)
+	l.requested = max(l.requested, l.waiting)
 	al.syncUrgent, al.insufficient = true, true
-	return Insufficient
+}
+
+// Missing returns how many tokens this holder lacks for the requests that wait.
+func (al *Allocator) Missing(workspace string, now time.Time) int64 {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	l := al.localUsage(workspace)
+	return max(l.spent()+l.waiting-al.allowance(workspace, now), 0)
 }
 
 func (l *localUsage) recordDemand(tokens int64, now time.Time, constant time.Duration) {
-	if !l.demandUpdatedAt.IsZero() {
+	if l.demandSince.IsZero() {
+		l.demandSince = now
+	} else {
 		l.demand *= math.Exp(-now.Sub(l.demandUpdatedAt).Seconds() / constant.Seconds())
 	}
 	l.demandUpdatedAt = now
@@ -157,11 +190,18 @@
 	l.largestRequest = max(tokens, l.largestRequest-l.largestRequest/16)
 }
 
+// minDemandTime is the least time over which demand is averaged.
+const minDemandTime = time.Second
+
+// currentDemand returns the demand in tokens per second. A process that started
+// less than the time constant ago averages over its own time, since its demand
+// would else count as a small part of the true one.
 func (l *localUsage) currentDemand(now time.Time, constant time.Duration) float64 {
-	if l.demandUpdatedAt.IsZero() {
+	if l.demandSince.IsZero() {
 		return 0
 	}
-	return l.demand * math.Exp(-now.Sub(l.demandUpdatedAt).Seconds()/constant.Seconds())
+	observed := max(now.Sub(l.demandSince), minDemandTime).Seconds() / constant.Seconds()
+	return l.demand * math.Exp(-now.Sub(l.demandUpdatedAt).Seconds()/constant.Seconds()) / (1 - math.Exp(-observed))
 }
 
 // Settle replaces a reservation by what was consumed.
@@ -223,11 +263,11 @@
 }
 
 // othersUnspent returns the unspent grants of the other live holders, by their
-// rows.
+// rows and later loans.
 func (al *Allocator) othersUnspent(workspace string) int64 {
 	var sum int64
-	for _, h := range al.otherHolders() {
-		sum += max(h.Accounts[workspace].unspent(), 0)
+	for name, h := range al.otherHolders() {
+		sum += max(al.unspentAt(name, h, workspace), 0)
 	}
 	return sum
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -15,10 +15,10 @@
 	// processes, lost or late responses, disconnections and loans.
 	It("is never exceeded", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			f := newFleet(rapid.IntRange(1, 4).Draw(t, "holders"), int64(rapid.IntRange(1_000, 400_000).Draw(t, "limit")))
+			f := newFleet(rapid.IntRange(1, 7).Draw(t, "holders"), int64(rapid.IntRange(1_000, 400_000).Draw(t, "limit")))
 			pick := func() *holder { return rapid.SampledFrom(f.holders).Draw(t, "holder") }
 			for range rapid.IntRange(20, 120).Draw(t, "steps") {
-				switch rapid.IntRange(0, 9).Draw(t, "step") {
+				switch rapid.IntRange(0, 10).Draw(t, "step") {
 				case 0, 1, 2, 3:
 					f.reserve(pick(), int64(rapid.IntRange(1, 30_000).Draw(t, "tokens")), rapid.Bool().Draw(t, "connected"))
 				case 4:
@@ -42,6 +42,10 @@
 					if from, to := pick(), pick(); from != to {
 						f.lend(from, to, int64(rapid.IntRange(1, 20_000).Draw(t, "loan")), rapid.Bool().Draw(t, "lost"))
 					}
+				case 10:
+					if from, to := pick(), pick(); from != to {
+						f.repay(from, to, rapid.Bool().Draw(t, "lost"))
+					}
 				}
 				if got := f.totalSpent(); got > f.limit {
 					t.Fatalf("%d tokens reserved or consumed of %d", got, f.limit)
@@ -75,6 +79,94 @@
 		Expect(float64(refused)).To(BeNumerically("<=", 0.05*float64(fit)), "refused of those that fit")
 	})
 
+	Context("hundreds of holders", func() {
+		// Guards against a quota that is divided into parts smaller than a prompt:
+		// 68 gateways and a workspace whose quota covers 50 prompts.
+		It("serve nearly all that a single counter would serve, with few loans a request", func() {
+			f := newFleet(68, 500_000)
+			f.readEachOther()
+			counter, refused, fit, sent := int64(0), 0, 0, 0
+			for i := range 60 {
+				h := f.holders[i*31%len(f.holders)]
+				tokens := int64(5_000 + i*7919%9_000)
+				fits := counter+tokens <= f.limit*97/100
+				d := f.reserveOrBorrow(h, tokens)
+				sent++
+				if fits {
+					fit++
+				}
+				if d == quota.Reserved {
+					counter += tokens
+					f.finish(h, tokens)
+				} else if fits {
+					refused++
+				}
+				for _, h := range f.holders {
+					f.tick(h)
+				}
+				f.advance(50 * time.Millisecond)
+			}
+			Expect(f.totalSpent()).To(BeNumerically("<=", f.limit))
+			Expect(float64(refused)).To(BeNumerically("<=", 0.02*float64(fit)), "refused of those that fit")
+			Expect(float64(f.loans)).To(BeNumerically("<=", 3*float64(sent)), "loans")
+		})
+
+		// Guards against borrowed tokens that requests did not spend and that stay
+		// where the next request may never come.
+		It("give back what they borrowed and do not need", func() {
+			f := newFleet(20, 400_000)
+			f.readEachOther()
+			var borrower, home *holder
+			for _, h := range f.holders {
+				if h.allocator.IsHome(workspace) {
+					home = h
+				} else {
+					borrower = h
+				}
+			}
+			before, _, _ := home.allocator.Balance(workspace, f.clock(home))
+			f.lend(home, borrower, 2_000, false)
+			lent, _, _ := home.allocator.Balance(workspace, f.clock(home))
+			Expect(lent).To(Equal(before - 2_000))
+			f.repay(borrower, home, false)
+			after, _, _ := home.allocator.Balance(workspace, f.clock(home))
+			Expect(after).To(Equal(before))
+			Expect(f.reserve(borrower, 1, false)).To(Equal(quota.Insufficient))
+		})
+	})
+
+	Context("a process that has just started", func() {
+		// Guards against a window that is too small because the average of the
+		// demand has not reached it yet: the store is cut off 2 s after the start.
+		It("serves its demand of the next second without the store", func() {
+			f := newFleet(3, 30_000_000)
+			step := func(connected bool) (refused int) {
+				for _, h := range f.holders {
+					for range 10 {
+						if f.reserve(h, 9_000, connected) != quota.Reserved {
+							refused++
+							continue
+						}
+						f.finish(h, 9_000)
+					}
+					if connected {
+						f.tick(h)
+					}
+				}
+				f.advance(100 * time.Millisecond)
+				return refused
+			}
+			for range 20 {
+				step(true)
+			}
+			refused := 0
+			for range 10 {
+				refused += step(false)
+			}
+			Expect(refused).To(BeZero())
+		})
+	})
+
 	Context("one busy process", func() {
 		// Guards against quota that stays with idle processes when all callers of
 		// a workspace are connected to one process.
@@ -253,7 +345,7 @@
 		It("is enforced by all holders that know it", func() {
 			f := newFleet(3, 300_000)
 			for _, h := range f.holders {
-				Expect(f.reserve(h, 20_000, true)).To(Equal(quota.Reserved))
+				Expect(f.reserveOrBorrow(h, 20_000)).To(Equal(quota.Reserved))
 				f.finish(h, 20_000)
 				f.sync(h, arrived)
 			}
--- a/quota/settings.go
+++ b/quota/settings.go
@@ -14,12 +14,13 @@
 	MinAmpleWindowShare   float64       // as MinWindowShare, while the quota is ample
 	ReleaseDelay          time.Duration // a holder cut off from the store for longer may consume beyond its window
 	ReleaseTime           time.Duration // after the delay, until the whole balance may be consumed
-	MinWindowShare        float64       // share of the remaining quota that the windows of all holders span at least, within their balances
-	MinBalanceShare       float64       // share of the remaining quota that the minimum balances of all holders may span
-	GrantedShare          float64       // share of the remaining quota that may be granted to all holders together
+	MinWindowShare        float64       // share of the remaining quota that the windows of all homes span at least, within their balances
+	MinBalanceShare       float64       // share of the remaining quota that the minimum balances of all homes may span
+	GrantedShare          float64       // share of the remaining quota that may be granted to all homes together
+	HomesPerWorkspace     int           // holders that keep a workspace's granted tokens; the same in all processes
 	RefillBelow           float64       // share of the wanted balance below which the grant is raised to it
 	ReturnAbove           float64       // multiple of the wanted balance above which the excess is returned
-	MinBalance            int64         // tokens that a holder keeps granted and unspent; bounded by MinBalanceShare and GrantedShare
+	MinBalance            int64         // tokens that a home keeps granted and unspent; bounded by MinBalanceShare and GrantedShare
 	LiveFor               time.Duration // a holder whose row is older does not count as live
 	FreshFor              time.Duration // with rows older than this, no quota counts as exhausted; lengthened by many holders, as ListEvery
 	SyncEvery             time.Duration // interval between syncs while tokens are consumed
@@ -34,9 +35,9 @@
 
 // Defaults returns the default settings.
 func Defaults() Settings {
-	return Settings{Parts: 4, Horizon: 15 * time.Second, DemandTimeConstant: 6 * time.Second, WindowTime: 1500 * time.Millisecond, AmpleTime: time.Minute, MinAmpleWindowShare: 0.08, MinWindowShare: 0.05, MinBalanceShare: 0.2,
+	return Settings{Parts: 4, Horizon: 15 * time.Second, DemandTimeConstant: 6 * time.Second, WindowTime: 1500 * time.Millisecond, AmpleTime: time.Minute, MinAmpleWindowShare: 0.08, MinWindowShare: 0.05, MinBalanceShare: 0.5, HomesPerWorkspace: 3,
 		ReleaseDelay: 2 * time.Second, ReleaseTime: 6 * time.Second, GrantedShare: 0.75, RefillBelow: 0.8, ReturnAbove: 1.5,
-		MinBalance: 30_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 700 * time.Millisecond, IdleEvery: 4 * time.Second,
+		MinBalance: 100_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, SyncEvery: 700 * time.Millisecond, IdleEvery: 4 * time.Second,
 		UrgentEvery: 30 * time.Millisecond, TxInterval: 3 * time.Millisecond, ListEvery: 2 * time.Second, HoldersPerListFactor: 20, InsufficientListEvery: 200 * time.Millisecond, RetryAfter: 500 * time.Millisecond}
 }
 
@@ -46,6 +47,9 @@
 	if s.Parts < 1 {
 		return &SettingError{Name: "parts"}
 	}
+	if s.HomesPerWorkspace < 1 {
+		return &SettingError{Name: "homes_per_workspace"}
+	}
 	for _, d := range []struct {
 		name  string
 		value time.Duration
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -26,7 +26,7 @@
 	log              log.Interface
 	retryAfter       time.Duration
 	stepHook         func()
-	borrow           func(ctx context.Context, workspace string, need int64)
+	borrow           func(ctx context.Context, workspace string)
 	cancel           context.CancelFunc
 	done             chan struct{}
 	wake             chan struct{}
@@ -63,13 +63,13 @@
 
 // WithBorrowing sets the function that borrows quota from other holders when the
 // store does not grant it at once.
-func WithBorrowing(borrow func(ctx context.Context, workspace string, need int64)) Option {
+func WithBorrowing(borrow func(ctx context.Context, workspace string)) Option {
 	return func(s *Syncer) { s.borrow = borrow }
 }
 
 const (
 	// borrowDelay is how long a request waits for the store before it borrows from
-	// other holders, and at most between its further attempts.
+	// other holders again; doubled after each attempt.
 	borrowDelay = 25 * time.Millisecond
 	// pollInterval is the time between steps if Wake is not called.
 	pollInterval = 50 * time.Millisecond
@@ -255,7 +255,10 @@
 
 // Reserve implements gateway.Quota.
 func (s *Syncer) Reserve(ctx context.Context, workspace string, tokens int64) (gateway.Reservation, error) {
-	started := s.clock.Now()
+	borrowAt, delay, waiting := s.clock.Now(), borrowDelay, false
+	if s.borrow == nil || s.allocator.IsHome(workspace) {
+		borrowAt = borrowAt.Add(delay)
+	}
 	for {
 		s.mu.Lock()
 		stepDone := s.stepDone
@@ -268,10 +271,19 @@
 		case quota.Exhausted:
 			return nil, s.quotaError(workspace, true)
 		}
-		s.Wake()
-		if s.borrow != nil && s.clock.Since(started) >= borrowDelay {
-			s.borrow(ctx, workspace, tokens)
+		if !waiting {
+			waiting = true
+			defer s.allocator.Wait(workspace, tokens)()
 		}
+		if s.borrow != nil && !s.clock.Now().Before(borrowAt) {
+			s.borrow(ctx, workspace)
+			borrowAt, delay = s.clock.Now().Add(delay), 2*delay
+			if s.allocator.Missing(workspace, s.clock.Now()) == 0 {
+				continue
+			}
+		}
+		s.allocator.RequestGrant(workspace)
+		s.Wake()
 		select {
 		case <-stepDone:
 		case <-s.clock.After(borrowDelay):
--- a/quotastore/syncers.go
+++ b/quotastore/syncers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -66,6 +68,15 @@
 	return false
 }
 
+// TakeRepayments returns borrowed tokens by workspace that are not needed soon.
+func (a Allocators) TakeRepayments(now time.Time) map[string]int64 {
+	repayments := make(map[string]int64)
+	for _, allocator := range a {
+		maps.Copy(repayments, allocator.TakeRepayments(now))
+	}
+	return repayments
+}
+
 // Peers returns the other live holders that have published a fingerprint.
 func (a Allocators) Peers() []quota.Peer { return a[0].Peers() }
 
