--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -98,8 +98,11 @@
 func (s *Sink) DroppedSinceReport() int64 { return s.droppedSinceReport.Load() }
 
 func (s *Sink) write(line []byte) {
-	if n := s.droppedSinceReport.Swap(0); n > 0 {
-		_, _ = fmt.Fprintf(s.out, `{"fields":{"lines":%d},"level":"warn","message":"log lines dropped"}`+"\n", n)
+	if n := s.droppedSinceReport.Load(); n > 0 {
+		// The lines count as reported once the reader has taken the report.
+		if _, err := fmt.Fprintf(s.out, `{"fields":{"lines":%d},"level":"warn","message":"log lines dropped"}`+"\n", n); err == nil {
+			s.droppedSinceReport.Add(-n)
+		}
 	}
 	// A failure of the log itself can't be reported anywhere.
 	_, _ = s.out.Write(line)
