--- a/peer/stream.go
+++ b/peer/stream.go
@@ -192,6 +192,10 @@
 		if s.receivedMessage {
 			code = codeAborted
 		}
+		// Released first: the other process may send its next message as soon as it
+		// sees the refusal.
+		s.pending = nil
+		s.replaceBuffer(nil)
 		return s.failReceive(code, &BufferLimitError{Requested: additional, Limit: s.endpoint.receiveBufferLimit})
 	}
 	s.bufferedBytes.Add(additional)
