--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -29,6 +29,7 @@
 	reservation     Reservation
 	quotaErr        *QuotaError // why no quota was reserved
 	sends           []sendRecord
+	currentSend     *activeSend   // the last one that was started
 	eventsReceived  int           // complete events received from replicas
 	timeToFirstByte time.Duration // until the first event of a stream, or until a buffered response was complete
 	streaming       bool
@@ -36,6 +37,7 @@
 }
 
 func (e *exchange) serve(ctx context.Context) Answer {
+	defer e.endAfterPanic()
 	if refusal := e.admit(ctx); refusal != nil {
 		return e.refuse(refusal)
 	}
@@ -54,6 +56,18 @@
 	return answer
 }
 
+// endAfterPanic releases what a request holds when its handling panics. The caller
+// of Serve handles the panic.
+func (e *exchange) endAfterPanic() {
+	if v := recover(); v != nil {
+		if e.currentSend != nil {
+			e.currentSend.end(placement.Canceled, string(InternalError))
+		}
+		e.end(outcomeBroken, string(InternalError))
+		panic(v)
+	}
+}
+
 // closeHook runs a function after the body is closed.
 type closeHook struct {
 	io.ReadCloser
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -104,6 +104,7 @@
 	g := e.gateway
 	a := &activeSend{exchange: e, choice: choice, started: g.clock.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	e.currentSend = a
 	remaining := e.deadline.Sub(a.started)
 	if remaining < g.settings.MinRemainingTime {
 		a.end(placement.Canceled, sendCanceled)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,9 +5,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"runtime/debug"
 	"time"
 
+	"github.com/apex/log"
+
 	"briarreach/placement"
 	"briarreach/upstream"
 )
@@ -38,6 +42,11 @@
 
 func (e *EventTooLargeError) Error() string { return "event of a stream is too large" }
 
+// PanicError reports a panic while a stream was relayed.
+type PanicError struct{ Value any }
+
+func (e *PanicError) Error() string { return fmt.Sprintf("unexpected error: %v", e.Value) }
+
 // relayStream waits for the first event: a stream that breaks before it can
 // still be refused or retried.
 func (e *exchange) relayStream(ctx context.Context, a *activeSend, res *Response, exclude map[string]bool, possibleExecutions int) (*RelayedResponse, *failure) {
@@ -98,8 +107,19 @@
 	return nil
 }
 
-// Read implements io.Reader.
-func (s *eventStream) Read(p []byte) (int, error) {
+// Read implements io.Reader. A panic ends the stream as broken, as nobody above
+// handles one while the response is written.
+func (s *eventStream) Read(p []byte) (n int, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.exchange.gateway.log.WithFields(log.Fields{"request": s.exchange.request.ID, "panic": fmt.Sprint(v), "stack": string(debug.Stack())}).
+				Error("request failed unexpectedly")
+			s.currentSend.end(placement.Canceled, string(InternalError))
+			s.exchange.end(outcomeBroken, string(InternalError))
+			s.err = &PanicError{Value: v}
+			n, err = 0, s.err
+		}
+	}()
 	for len(s.unread) == 0 {
 		if s.err != nil {
 			return 0, s.err
@@ -108,7 +128,7 @@
 			s.fail(err)
 		}
 	}
-	n := copy(p, s.unread)
+	n = copy(p, s.unread)
 	s.unread = s.unread[n:]
 	return n, nil
 }
