--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,13 +74,14 @@
 	SilenceTimeout       time.Duration // after which a retryable request is retried if the replica sent nothing
 	StaleAfter           time.Duration // age at which an unconfirmed configuration counts as outdated
 	MaxBufferedBodyBytes int           // a larger response that is not a stream fails
+	MaxEventBytes        int           // a stream with a larger event is broken off
 	MinRemainingTime     time.Duration // before its deadline; a request with less is not sent
 }
 
 // Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{SilenceTimeout: 1500 * time.Millisecond, StaleAfter: 2500 * time.Millisecond,
-		MaxBufferedBodyBytes: 256 << 10, MinRemainingTime: 5 * time.Millisecond}
+		MaxBufferedBodyBytes: 256 << 10, MaxEventBytes: 64 << 10, MinRemainingTime: 5 * time.Millisecond}
 }
 
 // Gateway serves requests.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,10 +32,7 @@
 	receivedEvent      bool // whether the current replica has sent an event
 }
 
-const (
-	streamBufferBytes = 4 << 10
-	maxEventBytes     = 1 << 20
-)
+const streamBufferBytes = 4 << 10
 
 // EventTooLargeError reports an event of more than Limit bytes.
 type EventTooLargeError struct{ Limit int }
@@ -68,20 +65,24 @@
 // next reads one event into unread.
 func (s *eventStream) next() error {
 	var event []byte
-	id := ""
+	id, lineStart, limit := "", 0, s.exchange.gateway.settings.MaxEventBytes
 	for {
-		line, err := s.reader.ReadBytes('\n')
-		event = append(event, line...)
+		fragment, err := s.reader.ReadSlice('\n')
+		event = append(event, fragment...)
+		if len(event) > limit {
+			return &EventTooLargeError{Limit: limit}
+		}
 		switch {
 		case err == nil:
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0:
 			return io.ErrUnexpectedEOF
 		default:
 			return err
 		}
-		if len(event) > maxEventBytes {
-			return &EventTooLargeError{Limit: maxEventBytes}
-		}
+		line := event[lineStart:]
+		lineStart = len(event)
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -38,6 +38,36 @@
 
 func (*sender) CloseIdleConnections(replica.Replica) {}
 
+// newGateway returns a gateway with two replicas of one service, whose streams may
+// be resumed, and the replicas.
+func newGateway(s gateway.Sender, clock clockwork.Clock, placer *placement.Placer) (*gateway.Gateway, *replica.Set) {
+	g := gateway.New(s, placer, retrybudget.New(retrybudget.Limit{RetriesPerRequest: 1, ExtraRetries: 100, Window: 10 * time.Second}, 1),
+		gateway.WithClock(clock), gateway.WithLog(&log.Logger{Handler: discard.Default}))
+	var events []replica.Event
+	for i, id := range []string{"r0", "r1"} {
+		events = append(events, replica.Registered{Replica: replica.Replica{ID: id, Service: "engine", Slots: 8,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}})
+	}
+	directory := replica.New(0)
+	directory.Replace(events, 1, clock.Now())
+	set := directory.Snapshot(clock.Now())
+	placer.SetReplicas(set.All())
+	g.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot {
+		snapshot.Replicas = set
+		snapshot.RouteTable = route.New(route.Config{Version: 1, Services: []route.Service{{Name: "engine"}},
+			Routes: []route.Route{{Host: "h.example", PathPrefix: "/", Kind: route.Streaming{Resumable: true}, Timeout: time.Minute,
+				TargetLatency: 500 * time.Millisecond, MaxRuns: 2, TrafficSplit: []route.Share{{Service: "engine", Weight: 1}}}}})
+		return snapshot
+	})
+	return g, set
+}
+
+// serveStream sends a model request and returns its response.
+func serveStream(g *gateway.Gateway) gateway.Answer {
+	return g.Serve(context.Background(), &gateway.Request{ID: "1", Host: "h.example", Path: "/", Prompt: &gateway.Prompt{Tokens: 100, MaxOutputTokens: 10,
+		Parts: []gateway.PromptPart{{ID: "a", Tokens: 100}}}})
+}
+
 var _ = Describe("a stream that is resumed at another replica", func() {
 	// Guards against a replica that counts as overdue, and gets no more
 	// requests, for as long as a resumed stream lasts.
@@ -46,26 +76,8 @@
 		placer := placement.New(placement.Defaults(), nil)
 		resumed, write := io.Pipe()
 		s := &sender{bodies: []io.ReadCloser{io.NopCloser(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda")), resumed}}
-		g := gateway.New(s, placer, retrybudget.New(retrybudget.Limit{RetriesPerRequest: 1, ExtraRetries: 100, Window: 10 * time.Second}, 1),
-			gateway.WithClock(clock), gateway.WithLog(&log.Logger{Handler: discard.Default}))
-		var events []replica.Event
-		for i, id := range []string{"r0", "r1"} {
-			events = append(events, replica.Registered{Replica: replica.Replica{ID: id, Service: "engine", Slots: 8,
-				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}})
-		}
-		directory := replica.New(0)
-		directory.Replace(events, 1, clock.Now())
-		set := directory.Snapshot(clock.Now())
-		placer.SetReplicas(set.All())
-		g.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot {
-			snapshot.Replicas = set
-			snapshot.RouteTable = route.New(route.Config{Version: 1, Services: []route.Service{{Name: "engine"}},
-				Routes: []route.Route{{Host: "h.example", PathPrefix: "/", Kind: route.Streaming{Resumable: true}, Timeout: time.Minute,
-					TargetLatency: 500 * time.Millisecond, MaxRuns: 2, TrafficSplit: []route.Share{{Service: "engine", Weight: 1}}}}})
-			return snapshot
-		})
-		answer := g.Serve(context.Background(), &gateway.Request{ID: "1", Host: "h.example", Path: "/", Prompt: &gateway.Prompt{Tokens: 100, MaxOutputTokens: 10,
-			Parts: []gateway.PromptPart{{ID: "a", Tokens: 100}}}})
+		g, set := newGateway(s, clock, placer)
+		answer := serveStream(g)
 		relay, ok := answer.(*gateway.RelayedResponse)
 		Expect(ok).To(BeTrue())
 		go func() { _, _ = io.WriteString(write, "id: 2\ndata: b\n\n") }()
@@ -78,3 +90,50 @@
 		Expect(relay.Body.Close()).To(Succeed())
 	})
 })
+
+// endlessBody sends a prefix and then one byte without end.
+type endlessBody struct {
+	prefix string
+	read   int
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	n := copy(p, b.prefix)
+	b.prefix = b.prefix[n:]
+	for i := n; i < len(p); i++ {
+		p[i] = 'x'
+	}
+	b.read += len(p)
+	return len(p), nil
+}
+
+func (*endlessBody) Close() error { return nil }
+
+var _ = Describe("a replica whose event never ends", func() {
+	const limit = 64 << 10
+
+	// Guards against memory that grows with a line or an event without end.
+	It("is given up, before the first event with an error response", func() {
+		bodies := []*endlessBody{{}, {}}
+		g, _ := newGateway(&sender{bodies: []io.ReadCloser{bodies[0], bodies[1]}}, clockwork.NewFakeClock(), placement.New(placement.Defaults(), nil))
+		refusal, ok := serveStream(g).(*gateway.Refusal)
+		Expect(ok).To(BeTrue())
+		Expect(refusal.Execution).To(Equal(gateway.ExecutionUnknown))
+		for _, b := range bodies {
+			Expect(b.read).To(BeNumerically("<=", 2*limit), "also at the second replica")
+		}
+	})
+
+	It("is given up, after the first event by breaking off the stream", func() {
+		first := "id: 1\ndata: a\n\n"
+		bodies := []*endlessBody{{prefix: first + "data: "}, {}}
+		g, _ := newGateway(&sender{bodies: []io.ReadCloser{bodies[0], bodies[1]}}, clockwork.NewFakeClock(), placement.New(placement.Defaults(), nil))
+		relay, ok := serveStream(g).(*gateway.RelayedResponse)
+		Expect(ok).To(BeTrue())
+		data, err := io.ReadAll(relay.Body)
+		Expect(err).To(HaveOccurred())
+		Expect(string(data)).To(Equal(first))
+		Expect(bodies[0].read).To(BeNumerically("<=", 2*limit))
+		Expect(relay.Body.Close()).To(Succeed())
+	})
+})
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -34,6 +34,7 @@
 	Gateway struct {
 		SilenceTimeout *settings.Duration `toml:"silence_timeout"`
 		StaleAfter     *settings.Duration `toml:"stale_after"`
+		MaxEventBytes  *int               `toml:"max_event_bytes"`
 	} `toml:"gateway"`
 	Placement struct {
 		LoadFactor      *float64           `toml:"load_factor"`
@@ -80,6 +81,7 @@
 	c := rangeChecker{file: path}
 	c.duration("gateway.silence_timeout", f.Gateway.SilenceTimeout, &t.Gateway.SilenceTimeout)
 	c.duration("gateway.stale_after", f.Gateway.StaleAfter, &t.Gateway.StaleAfter)
+	c.integer("gateway.max_event_bytes", f.Gateway.MaxEventBytes, &t.Gateway.MaxEventBytes, 1<<10, 1<<20)
 	c.number("placement.load_factor", f.Placement.LoadFactor, &t.Placement.LoadFactor, 1, 100)
 	c.duration("placement.eject_for", f.Placement.EjectFor, &t.Placement.EjectFor)
 	c.duration("placement.eject_limit", f.Placement.EjectLimit, &t.Placement.EjectLimit)
@@ -127,6 +129,17 @@
 	*to = *from
 }
 
+func (c *rangeChecker) integer(key string, from *int, to *int, lowest, highest int) {
+	if from == nil {
+		return
+	}
+	if *from < lowest || *from > highest {
+		c.fail(key, fmt.Sprintf("a whole number from %d to %d", lowest, highest))
+		return
+	}
+	*to = *from
+}
+
 func (c *rangeChecker) fail(key, accepted string) {
 	if c.err == nil {
 		c.err = &TuningError{File: c.file, Key: key, Accepted: accepted}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -149,7 +149,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBufferBytes), idleLimit: idleTimeout}, nil
+	limited := &limitedReader{reader: nc}
+	return &conn{Conn: nc, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), idleLimit: idleTimeout}, nil
 }
 
 func (p *Pool) popIdle(address netip.AddrPort) *conn {
@@ -191,7 +192,8 @@
 type conn struct {
 	net.Conn
 	address   netip.AddrPort
-	reader    *bufio.Reader
+	limited   *limitedReader
+	reader    *bufio.Reader // reads from limited
 	idleSince time.Time
 	idleLimit time.Duration
 }
@@ -224,13 +226,55 @@
 // awaitWrite waits for a write to end and returns its result.
 func awaitWrite(written <-chan error) error { return <-written }
 
-// maxResponses bounds the responses read for one request, including the skipped
-// informational responses and responses to earlier requests.
-const maxResponses = 4
+const (
+	// maxResponses bounds the responses read for one request, including the skipped
+	// informational responses and responses to earlier requests.
+	maxResponses = 4
+	// maxResponseHeaderBytes bounds the header of a response: a faulty replica may
+	// send bytes without end.
+	maxResponseHeaderBytes = 32 << 10
+	// maxSkippedBodyBytes bounds the body of a response to an earlier request.
+	maxSkippedBodyBytes = 256 << 10
+)
+
+// ResponseTooLargeError reports a response header, or a response to an earlier
+// request, of more than Limit bytes.
+type ResponseTooLargeError struct {
+	Part  string
+	Limit int
+}
+
+func (e *ResponseTooLargeError) Error() string {
+	return fmt.Sprintf("%s exceeds %d bytes", e.Part, e.Limit)
+}
+
+// limitedReader fails after a number of bytes while limited is set. The bytes
+// that the buffer above it reads ahead count as well.
+type limitedReader struct {
+	reader    io.Reader
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.limited && l.remaining <= 0 {
+		return 0, &ResponseTooLargeError{Part: "response header", Limit: maxResponseHeaderBytes}
+	}
+	n, err := l.reader.Read(p)
+	l.remaining -= n
+	return n, err
+}
+
+func (c *conn) readHeader(method string) (*http.Response, error) {
+	c.limited.limited, c.limited.remaining = true, maxResponseHeaderBytes
+	defer func() { c.limited.limited = false }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
 
 func (c *conn) read(method string, accept func(*http.Response) bool) (*http.Response, error) {
 	for range maxResponses {
-		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		res, err := c.readHeader(method)
 		if err != nil {
 			return nil, err
 		}
@@ -240,9 +284,13 @@
 		if accept(res) {
 			return res, nil
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBodyBytes+1))
+		if err != nil {
 			return nil, fmt.Errorf("upstream.read: %w", err)
 		}
+		if n > maxSkippedBodyBytes {
+			return nil, &ResponseTooLargeError{Part: "response to an earlier request", Limit: maxSkippedBodyBytes}
+		}
 		if res.Close {
 			return nil, errors.New("connection closed after the response to an earlier request")
 		}
