--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -317,6 +317,7 @@
 func (m *Mesh) borrowFromPeers(workspace string) {
 	asked := 0
 	allocator := m.allocators.ForWorkspace(workspace)
+	defer func() { allocator.NoteAsked(workspace, m.clock.Now()) }()
 	for _, peer := range allocator.Lenders(workspace, mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0))) {
 		now := m.clock.Now()
 		if m.inBackoff(peer.Fingerprint, now) {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -234,6 +234,7 @@
 		i := slices.IndexFunc(f.holders, func(other *holder) bool { return other.name == peer.Holder })
 		lent, unspent := f.holders[i].allocator.Lend(workspace, missing, 0, f.clock(f.holders[i]))
 		f.loans++
+		h.allocator.NoteAsked(workspace, f.clock(h))
 		h.allocator.AddLoan(workspace, lent, peer.Holder, unspent)
 	}
 }
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -148,6 +148,15 @@
 // left.
 const UnknownUnspent = -1
 
+// NoteAsked notes that the lenders have been asked for tokens of a workspace, as
+// far as they respond.
+func (al *Allocator) NoteAsked(workspace string, now time.Time) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	l := al.localUsage(workspace)
+	l.askedAt, l.askedVersion = now, al.rows[workspacePrefix+workspace].Version
+}
+
 // AddLoan adds tokens that a lender has counted as consumed, and notes what
 // remains unspent there.
 func (al *Allocator) AddLoan(workspace string, tokens int64, lender string, unspent int64) {
@@ -166,9 +175,13 @@
 	balance.unspent[workspace] = unspent
 }
 
-// minRepayment is the least number of borrowed tokens that is worth a message to
-// a home.
-const minRepayment = 500
+const (
+	// minRepayment is the least number of borrowed tokens that is worth a message
+	// to a home.
+	minRepayment = 100
+	// repaymentHorizon is the time whose demand a borrower keeps.
+	repaymentHorizon = 250 * time.Millisecond
+)
 
 // TakeRepayments returns borrowed tokens by workspace that this holder does not
 // need soon, for a home to take back. They are no longer available here.
@@ -177,8 +190,8 @@
 	defer al.mu.Unlock()
 	repayments := make(map[string]int64)
 	for name, l := range al.usage {
-		left := al.allowance(name, now) - l.spent() - int64(l.currentDemand(now, al.settings.DemandTimeConstant)*loanHorizon.Seconds())
-		if left >= minRepayment && al.possibleStates[0].row.Accounts[name].Granted == 0 && !al.isHome(name) {
+		left := al.allowance(name, now) - l.spent() - int64(l.currentDemand(now, al.settings.DemandTimeConstant)*repaymentHorizon.Seconds())
+		if left >= minRepayment && l.waiting == 0 && al.possibleStates[0].row.Accounts[name].Granted == 0 && !al.isHome(name) {
 			l.consumed += left
 			repayments[name] = left
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -67,6 +67,7 @@
 	directory        *Directory
 	unknownPeer      bool // whether a peer with an unknown certificate was met since the rows were read
 	unknownPeerReads int  // consecutive reads of all rows because of such peers
+	storeAway        bool // whether the last call to the store failed
 	insufficient     bool // whether a request found too little granted since the rows were read
 	ownPeer          Peer
 	lenderBalances   map[string]lenderBalance
@@ -84,6 +85,8 @@
 	demand          float64 // tokens per second, exponentially weighted, at demandUpdatedAt
 	demandUpdatedAt time.Time
 	demandSince     time.Time // of the first recorded demand
+	askedAt         time.Time // when lenders last reported what they have left
+	askedVersion    uint64    // of the workspace's row as known then
 	largestRequest  int64     // tokens of the largest recent request
 	waiting         int64     // tokens of the requests that wait for a loan or a grant
 	requested       int64     // tokens that the next sync should make available, for requests that wait here or at borrowers
@@ -312,17 +315,40 @@
 	return al.storeTime-time.Duration(h.RecordedAtMS)*time.Millisecond < al.settings.LiveFor
 }
 
+// SetStoreAway notes whether the store responds. While it does not, a quota counts
+// as exhausted by older rows.
+func (al *Allocator) SetStoreAway(away bool) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	al.storeAway = away
+}
+
 // isExhausted reports whether a request exceeds all that is left of the quota,
-// with all holders together. It is false while the rows are too old to decide.
+// with all holders together. It is false while what is known of the others is too
+// old to decide.
 func (al *Allocator) isExhausted(workspace string, tokens int64, now time.Time) bool {
 	free, ok := al.ungranted(workspace)
 	if !ok || now.Sub(al.allReadAt) > al.settings.FreshFor*time.Duration(al.listIntervalFactor()) {
 		return false
 	}
+	if tokens <= al.limit(workspace) && al.holderCountLocked() > 1 && !al.isAccounted(workspace, now) {
+		return false
+	}
 	own := max(al.possibleStates[0].row.Accounts[workspace].Granted-al.localUsage(workspace).spent(), 0)
 	return tokens > max(free, 0)+own+al.othersUnspent(workspace)
 }
 
+// isAccounted reports whether what the others have left is known: they were asked
+// recently, and the workspace's row has not changed from before until after that.
+// Tokens that move between the store and a home meanwhile would count nowhere.
+func (al *Allocator) isAccounted(workspace string, now time.Time) bool {
+	l := al.localUsage(workspace)
+	if now.Sub(l.askedAt) > al.settings.ExhaustedFreshFor {
+		return false
+	}
+	return al.storeAway || !al.workspacesReadAt.Before(l.askedAt) && al.rows[workspacePrefix+workspace].Version == l.askedVersion
+}
+
 // HolderCount returns the number of live holders, this one included.
 func (al *Allocator) HolderCount() int {
 	al.mu.Lock()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -135,6 +135,54 @@
 		})
 	})
 
+	Context("a home that draws tokens", func() {
+		// Guards against final refusals of requests that fit: a borrower that has
+		// read the smaller rest at the store, but not the row of the home that drew
+		// it, would count the tokens nowhere.
+		It("does not look empty to others that have not read its row", func() {
+			f := newFleet(8, 1_000_000)
+			f.readEachOther()
+			var borrower *holder
+			for _, h := range f.holders {
+				if !h.allocator.IsHome(workspace) {
+					borrower = h
+				}
+			}
+			f.read(borrower, quota.ScopeAll)
+			for _, h := range f.holders {
+				if h.allocator.IsHome(workspace) {
+					Expect(f.reserve(h, 60_000, true)).To(Equal(quota.Reserved))
+					f.finish(h, 1_000)
+					f.sync(h, arrived)
+				}
+			}
+			f.read(borrower, quota.ScopeWorkspaces)
+			Expect(f.reserve(borrower, 700_000, false)).To(Equal(quota.Insufficient))
+		})
+
+		It("is known to be empty once it was asked", func() {
+			f := newFleet(8, 100_000)
+			f.readEachOther()
+			var borrower *holder
+			for _, h := range f.holders {
+				if !h.allocator.IsHome(workspace) {
+					borrower = h
+				}
+			}
+			d := quota.Insufficient
+			for range 100 {
+				if d = f.reserveOrBorrow(borrower, 5_000); d == quota.Exhausted {
+					break
+				}
+				if d == quota.Reserved {
+					f.finish(borrower, 5_000)
+				}
+			}
+			Expect(d).To(Equal(quota.Exhausted))
+			Expect(f.totalSpent()).To(BeNumerically(">=", 90_000))
+		})
+	})
+
 	Context("a fleet that has restarted", func() {
 		// Guards against loans that are refused for seconds after all processes have
 		// restarted with new certificates, as rows are read seldom in a large fleet.
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -242,6 +242,7 @@
 		return
 	}
 	s.unavailable, s.unavailableSince = true, s.clock.Now()
+	s.allocator.SetStoreAway(true)
 	s.log.WithField("call", call).WithError(err).Warn("quota store lost")
 }
 
@@ -250,6 +251,7 @@
 		return
 	}
 	s.unavailable = false
+	s.allocator.SetStoreAway(false)
 	s.log.WithField("away_ms", s.clock.Since(s.unavailableSince).Milliseconds()).Info("quota store regained")
 }
 
