--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -318,7 +318,7 @@
 	asked := 0
 	allocator := m.allocators.ForWorkspace(workspace)
 	defer func() { allocator.NoteAsked(workspace, m.clock.Now()) }()
-	for _, peer := range allocator.Lenders(workspace, mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0))) {
+	for _, peer := range m.lenders(allocator, workspace) {
 		now := m.clock.Now()
 		if m.inBackoff(peer.Fingerprint, now) {
 			continue
@@ -372,7 +372,7 @@
 // firstLender returns a peer that probably responds.
 func (m *Mesh) firstLender(workspace string) (quota.Peer, bool) {
 	now := m.clock.Now()
-	for _, peer := range m.allocators.ForWorkspace(workspace).Lenders(workspace, mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0))) {
+	for _, peer := range m.lenders(m.allocators.ForWorkspace(workspace), workspace) {
 		if !m.inBackoff(peer.Fingerprint, now) {
 			return peer, true
 		}
@@ -393,6 +393,21 @@
 	m.allocators.ForWorkspace(workspace).AddLoan(workspace, a.LentTokens, peer.Holder, a.unspent())
 }
 
+// lenders returns the peers to ask, those with an open connection first: after a
+// restart of the fleet a handshake can take as long as a request may wait.
+func (m *Mesh) lenders(allocator *quota.Allocator, workspace string) []quota.Peer {
+	peers := allocator.Lenders(workspace, mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0)))
+	var connected, others []quota.Peer
+	for _, p := range peers {
+		if m.existingConn(p.Fingerprint) != nil {
+			connected = append(connected, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	return append(connected, others...)
+}
+
 func (m *Mesh) inBackoff(peer string, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -71,6 +71,9 @@
 	// borrowDelay is how long a request waits for the store before it borrows from
 	// other holders again; doubled after each attempt.
 	borrowDelay = 25 * time.Millisecond
+	// maxBorrowWait is how long a request waits for loans before it also asks the
+	// store.
+	maxBorrowWait = 30 * time.Millisecond
 	// pollInterval is the time between steps if Wake is not called.
 	pollInterval = 50 * time.Millisecond
 	// maxCommitAttempts is for one step.
@@ -278,7 +281,7 @@
 			defer s.allocator.Wait(workspace, tokens)()
 		}
 		if s.borrow != nil && !s.clock.Now().Before(borrowAt) {
-			s.borrow(ctx, workspace)
+			s.borrowBriefly(ctx, workspace)
 			borrowAt, delay = s.clock.Now().Add(delay), 2*delay
 			if s.allocator.Missing(workspace, s.clock.Now()) == 0 {
 				continue
@@ -296,6 +299,14 @@
 	}
 }
 
+// borrowBriefly borrows for a request, but leaves it time to draw from the store if
+// lenders do not respond. The loans go on and serve later attempts.
+func (s *Syncer) borrowBriefly(ctx context.Context, workspace string) {
+	ctx, cancel := context.WithTimeout(ctx, maxBorrowWait)
+	defer cancel()
+	s.borrow(ctx, workspace)
+}
+
 func (s *Syncer) quotaError(workspace string, exhausted bool) *gateway.QuotaError {
 	e := &gateway.QuotaError{Exhausted: exhausted}
 	if !exhausted {
--- a/quotastore/quotastore_test.go
+++ b/quotastore/quotastore_test.go
@@ -15,13 +15,13 @@
 	"briarreach/quotastore"
 )
 
-func newSyncers(store *standin.Store, holder, incarnation string, tokens int64) *quotastore.Syncers {
+func newSyncers(store *standin.Store, holder, incarnation string, tokens int64, opts ...quotastore.Option) *quotastore.Syncers {
 	GinkgoHelper()
 	s := quota.Defaults()
 	allocators := quotastore.NewAllocators(2, holder, incarnation, s)
 	allocators.SetLimits(1, []quota.Limit{{Workspace: "w", Tokens: tokens}})
 	return quotastore.NewSyncers(allocators, platform.NewStore(platform.StoreSettings{Address: store.Address()},
-		platform.WithStoreTimeout(150*time.Millisecond)), s)
+		platform.WithStoreTimeout(150*time.Millisecond)), s, opts...)
 }
 
 func reserve(s *quotastore.Syncers, tokens int64) error {
@@ -75,6 +75,24 @@
 		Expect(reserve(s, 4_000)).NotTo(Succeed())
 	})
 
+	// Guards against requests that are refused after a restart of the fleet, because
+	// all of their time passes while lenders do not respond.
+	It("draws from the store while lenders do not respond", func() {
+		silent := quotastore.WithBorrowing(func(ctx context.Context, _ string) { <-ctx.Done() })
+		var holders []*quotastore.Syncers
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			s := newSyncers(store, name, "1", 100_000_000, silent)
+			defer s.Close(context.Background())
+			holders = append(holders, s)
+		}
+		time.Sleep(2500 * time.Millisecond) // until all have read the rows of all
+		for _, s := range holders {
+			started := time.Now()
+			Expect(reserve(s, 1_000)).To(Succeed())
+			Expect(time.Since(started)).To(BeNumerically("<", 250*time.Millisecond), "half of the least target latency")
+		}
+	})
+
 	It("returns unspent grants on close, for others to use", func() {
 		s := newSyncers(store, "h", "1", 5_000)
 		Expect(reserve(s, 1_000)).To(Succeed())
