--- a/quota/peer.go
+++ b/quota/peer.go
@@ -153,8 +153,7 @@
 func (al *Allocator) NoteAsked(workspace string, now time.Time) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	l := al.localUsage(workspace)
-	l.askedAt, l.askedVersion = now, al.rows[workspacePrefix+workspace].Version
+	al.localUsage(workspace).askedAt = now
 }
 
 // AddLoan adds tokens that a lender has counted as consumed, and notes what
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -86,7 +86,8 @@
 	demandUpdatedAt time.Time
 	demandSince     time.Time // of the first recorded demand
 	askedAt         time.Time // when lenders last reported what they have left
-	askedVersion    uint64    // of the workspace's row as known then
+	accountedAt     time.Time // when the workspace's row was read after such a report
+	othersGranted   int64     // to the other holders, at accountedAt
 	largestRequest  int64     // tokens of the largest recent request
 	waiting         int64     // tokens of the requests that wait for a loan or a grant
 	requested       int64     // tokens that the next sync should make available, for requests that wait here or at borrowers
@@ -331,22 +332,35 @@
 	if !ok || now.Sub(al.allReadAt) > al.settings.FreshFor*time.Duration(al.listIntervalFactor()) {
 		return false
 	}
-	if tokens <= al.limit(workspace) && al.holderCountLocked() > 1 && !al.isAccounted(workspace, now) {
+	if tokens > al.limit(workspace) {
+		return true
+	}
+	alone := al.holderCountLocked() == 1
+	if !alone && !al.isAccounted(workspace, now) {
 		return false
 	}
-	own := max(al.possibleStates[0].row.Accounts[workspace].Granted-al.localUsage(workspace).spent(), 0)
-	return tokens > max(free, 0)+own+al.othersUnspent(workspace)
+	l := al.localUsage(workspace)
+	left := max(free, 0) + max(al.possibleStates[0].row.Accounts[workspace].Granted-l.spent(), 0) + al.othersUnspent(workspace)
+	if !alone {
+		// What has moved between the store and the homes since they were accounted may
+		// be counted nowhere.
+		moved := al.othersGranted(workspace) - l.othersGranted
+		left += max(moved, -moved)
+	}
+	return tokens > left
+}
+
+// othersGranted returns what is granted to the other holders, by the workspace's
+// row.
+func (al *Allocator) othersGranted(workspace string) int64 {
+	return al.workspaceRows[workspace].Granted - al.possibleStates[0].row.Accounts[workspace].Granted
 }
 
 // isAccounted reports whether what the others have left is known: they were asked
-// recently, and the workspace's row has not changed from before until after that.
-// Tokens that move between the store and a home meanwhile would count nowhere.
+// recently, and the workspace's row was read after that or can't be read.
 func (al *Allocator) isAccounted(workspace string, now time.Time) bool {
 	l := al.localUsage(workspace)
-	if now.Sub(l.askedAt) > al.settings.ExhaustedFreshFor {
-		return false
-	}
-	return al.storeAway || !al.workspacesReadAt.Before(l.askedAt) && al.rows[workspacePrefix+workspace].Version == l.askedVersion
+	return now.Sub(l.accountedAt) <= al.settings.ExhaustedFreshFor || al.storeAway && now.Sub(l.askedAt) <= al.settings.ExhaustedFreshFor
 }
 
 // HolderCount returns the number of live holders, this one included.
--- a/quota/rows.go
+++ b/quota/rows.go
@@ -113,6 +113,11 @@
 	al.storeTime, al.storeTimeReadAt = storeTime, now
 	if scope >= ScopeWorkspaces {
 		al.workspacesReadAt = now
+		for name, l := range al.usage {
+			if now.Sub(l.askedAt) <= al.settings.ExhaustedFreshFor {
+				l.accountedAt, l.othersGranted = now, al.othersGranted(name)
+			}
+		}
 	}
 	if scope >= ScopeAll {
 		if al.unknownPeer {
