--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -49,6 +49,7 @@
 		Horizon      *settings.Duration `toml:"horizon"`
 		GrantedShare *float64           `toml:"granted_part"`
 		SyncEvery    *settings.Duration `toml:"sync_every"`
+		Homes        *int               `toml:"homes_per_workspace"`
 	} `toml:"quota"`
 }
 
@@ -92,6 +93,7 @@
 	c.duration("quota.horizon", f.Quota.Horizon, &t.Quota.Horizon)
 	c.number("quota.granted_part", f.Quota.GrantedShare, &t.Quota.GrantedShare, 0.01, 1)
 	c.duration("quota.sync_every", f.Quota.SyncEvery, &t.Quota.SyncEvery)
+	c.integer("quota.homes_per_workspace", f.Quota.Homes, &t.Quota.HomesPerWorkspace, 1, 64)
 	return t, c.err
 }
 
--- a/gatewaydaemon/tuning_test.go
+++ b/gatewaydaemon/tuning_test.go
@@ -46,6 +46,7 @@
 		Entry("not a duration", "[placement]\neject_for = \"soon\"\n", "placement.eject_for: accepted is a duration from 1ms to 1h"),
 		Entry("negative factor", "[placement]\noverload_late_factor = -1\n", "placement.overload_late_factor: accepted is a number from 0 to 100"),
 		Entry("too many bytes", "[gateway]\nmax_event_bytes = 2000000\n", "gateway.max_event_bytes: accepted is a whole number from 1024 to 1048576"),
+		Entry("no homes", "[quota]\nhomes_per_workspace = 0\n", "quota.homes_per_workspace: accepted is a whole number from 1 to 64"),
 		Entry("out of range", "[quota]\ngranted_part = 1.5\n", "quota.granted_part: accepted is a number from 0.01 to 1"),
 		Entry("not TOML", "[placement", "gateway.toml"),
 	)
