Log the shared prompt parts of requests, and whether a replica ended

A request's line now has prompt_parts. After a broken connection of a model request, the package crash connects to the replica once: a line says whether the replica ended, with the parts of the request, and briarreach_replica_ends_total counts it. Nothing is decided by it yet.

--- /dev/null
+++ b/crash/crash_test.go
@@ -0,0 +1,58 @@
+package crash_test
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/crash"
+	"briarreach/replica"
+	"briarreach/upstream"
+)
+
+var _ = Describe("a detector of ended replicas", func() {
+	listen := func() (net.Listener, replica.Replica) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = l.Close() })
+		return l, replica.Replica{ID: "r", Service: "s", Address: netip.MustParseAddrPort(l.Addr().String())}
+	}
+	start := func() (*crash.Detector, chan crash.End) {
+		ends := make(chan crash.End, 10)
+		pool := upstream.New()
+		DeferCleanup(pool.Close)
+		d := crash.New(pool, crash.WithEndHandler(func(e crash.End) { ends <- e }))
+		DeferCleanup(d.Close)
+		return d, ends
+	}
+
+	// Guards against a crash that is reported with the parts of one request only:
+	// each request that it broke is a suspect.
+	It("reports every broken send of a replica that refuses connections", func() {
+		d, ends := start()
+		l, r := listen()
+		Expect(l.Close()).To(Succeed())
+		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}})
+		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"b"}, AnswerTime: time.Second})
+		for _, part := range []string{"a", "b"} {
+			var e crash.End
+			Eventually(ends, "1s").Should(Receive(&e))
+			Expect(e.SharedParts).To(Equal([]string{part}))
+		}
+	})
+
+	// Guards against blaming a request for a connection that a live replica or the
+	// network broke.
+	It("reports nothing while the replica accepts connections, and does after its end", func() {
+		d, ends := start()
+		l, r := listen()
+		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}})
+		Consistently(ends, "100ms").ShouldNot(Receive())
+		Expect(l.Close()).To(Succeed())
+		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}})
+		Eventually(ends, "1s").Should(Receive())
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"briarreach/crash"
 	"briarreach/placement"
 	"briarreach/replica"
 	"briarreach/retrybudget"
@@ -96,6 +97,7 @@
 	metrics           *gatewayMetrics
 	snapshot          atomic.Pointer[Snapshot]
 	configConfirmedAt func() time.Time // when the configuration was last confirmed
+	onBrokenSend      func(crash.BrokenSend)
 	openStreams       atomic.Int64
 	refuseStreams     atomic.Bool
 }
@@ -124,10 +126,16 @@
 	return func(g *Gateway) { g.configConfirmedAt = confirmedAt }
 }
 
+// WithBrokenSendHandler calls f, which must not block, for each model request
+// whose connection to a replica broke.
+func WithBrokenSendHandler(f func(crash.BrokenSend)) Option {
+	return func(g *Gateway) { g.onBrokenSend = f }
+}
+
 // New returns a gateway.
 func New(sender Sender, placer *placement.Placer, retries *retrybudget.Budget, opts ...Option) *Gateway {
 	g := &Gateway{clock: clockwork.NewRealClock(), log: log.Log, sender: sender, quota: noQuota{}, placer: placer,
-		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet())}
+		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {}}
 	g.configConfirmedAt = g.clock.Now
 	for _, opt := range opts {
 		opt(g)
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -69,7 +69,7 @@
 		fields["quota_balance"], fields["quota_allowed"], fields["quota_rows_age_ms"] = q.Balance, q.Spendable, q.GrantDataAge.Milliseconds()
 	}
 	if p := e.request.Prompt; p != nil {
-		fields["prompt_tokens"], fields["events"] = p.Tokens, e.eventsReceived
+		fields["prompt_tokens"], fields["events"], fields["prompt_parts"] = p.Tokens, e.eventsReceived, p.SharedPartIDs()
 	}
 	e.gateway.log.WithFields(fields).Info("request")
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,6 +33,16 @@
 	Parts           []PromptPart // in order; all but the last are shared with other requests
 }
 
+// SharedPartIDs returns the IDs of all parts but the last, which belongs to the
+// request or its session alone.
+func (p *Prompt) SharedPartIDs() []string {
+	var ids []string
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // PromptPart is a section of a prompt that requests can share.
 type PromptPart struct {
 	ID     string
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"briarreach/crash"
 	"briarreach/placement"
 	"briarreach/route"
 	"briarreach/upstream"
@@ -59,9 +60,18 @@
 	silenceTimer   clockwork.Timer // nil if the send has no silence timeout
 	silenceTimeout time.Duration
 	body           io.Closer
+	firstEventAt   time.Time // zero before the first event
 	ended          bool
 }
 
+// answerTime returns for how long the replica has been sending events.
+func (a *activeSend) answerTime() time.Duration {
+	if a.firstEventAt.IsZero() {
+		return 0
+	}
+	return a.exchange.gateway.clock.Since(a.firstEventAt)
+}
+
 // received records that the replica sent data, and restarts the silence timer.
 func (a *activeSend) received() {
 	a.exchange.gateway.placer.RecordActivity(a.choice, a.exchange.gateway.clock.Now())
@@ -195,6 +205,9 @@
 		a.end(placement.ReplicaTimedOut, sendSilent)
 	default:
 		a.end(placement.ConnectionBroken, sendBroken)
+		if p := e.request.Prompt; p != nil {
+			e.gateway.onBrokenSend(crash.BrokenSend{Replica: a.choice.Replica, SharedParts: p.SharedPartIDs(), AnswerTime: a.answerTime()})
+		}
 	}
 	return &failure{refusal: refusal, possiblyExecuted: true}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -101,7 +101,7 @@
 	s.lastEventAt = now
 	s.exchange.eventsReceived++
 	if !s.receivedEvent {
-		s.receivedEvent = true
+		s.receivedEvent, s.currentSend.firstEventAt = true, now
 		s.exchange.gateway.placer.RecordFirstEvent(s.currentSend.choice)
 	}
 	s.currentSend.received()
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -21,6 +21,7 @@
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/dig"
 
+	"briarreach/crash"
 	"briarreach/feed"
 	"briarreach/gateway"
 	"briarreach/mesh"
@@ -84,7 +85,9 @@
 		newQuotaSyncers,
 		newPlacer,
 		newRetryBudget,
+		newReplicaPool,
 		newSender,
+		newCrashDetector,
 		newDaemon,
 	}
 	for _, constructor := range constructors {
@@ -160,9 +163,14 @@
 		assumedGateways)
 }
 
-func newSender(clock clockwork.Clock, set *metrics.Set) gateway.Sender {
-	return platform.NewReplicaSender(upstream.New(upstream.WithClock(clock),
-		upstream.WithDialHook(set.NewCounter("briarreach_replica_connections_total").Inc)))
+func newReplicaPool(clock clockwork.Clock, set *metrics.Set) *upstream.Pool {
+	return upstream.New(upstream.WithClock(clock), upstream.WithDialHook(set.NewCounter("briarreach_replica_connections_total").Inc))
+}
+
+func newSender(pool *upstream.Pool) gateway.Sender { return platform.NewReplicaSender(pool) }
+
+func newCrashDetector(pool *upstream.Pool, clock clockwork.Clock, l log.Interface, set *metrics.Set) *crash.Detector {
+	return crash.New(pool, crash.WithClock(clock), crash.WithLog(l), crash.WithMetrics(set))
 }
 
 // registryGrace is how long live replicas may take to register again after an
@@ -183,6 +191,7 @@
 	quotaAllocators quotastore.Allocators
 	quotaSyncers    *quotastore.Syncers
 	mesh            *mesh.Mesh
+	crashes         *crash.Detector
 	stopping        atomic.Bool
 
 	mu        sync.Mutex
@@ -190,10 +199,11 @@
 }
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
-	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers}
+	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
+	crashes *crash.Detector) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
+		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
@@ -375,6 +385,7 @@
 	err := d.callers.Close(drainCtx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
+	d.crashes.Close()
 	d.mesh.Repay(closeCtx)
 	d.quotaSyncers.Close(closeCtx)
 	d.configWatcher.Close(closeCtx)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -140,6 +140,21 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, address)
+}
+
+// AcceptsConnections reports whether a connection to an address can be opened. It
+// keeps the connection for later requests.
+func (p *Pool) AcceptsConnections(ctx context.Context, address netip.AddrPort) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.putIdle(c)
+	return true
+}
+
+func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
