Quarantine prompt parts that crash replicas

Cause: a shared part of a prompt crashed each replica that began to answer it. Placement ejects the replica, but no gateway kept anything about the request, so the next request with that part, at any gateway, was sent to the next replica.

Change: the package quarantine counts the crashes in which each part was in flight without an answer in between, and blocks the part that explains several crashes. Gateways exchange crashes and answers over the mesh; a row in the store tells gateways that start later, and an operator releases a part by deleting it. Requests with the part are refused at once as not run.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -24,6 +24,7 @@
 	// SharedParts are the IDs of the parts of the request's prompt, without the
 	// last.
 	SharedParts []string
+	At          time.Time // when the connection broke
 	// AnswerTime is for how long the replica had been sending events; 0 if it had
 	// sent none.
 	AnswerTime time.Duration
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -28,6 +28,7 @@
 	deadline        time.Time
 	reservation     Reservation
 	quotaErr        *QuotaError // why no quota was reserved
+	quarantinedPart string      // ID of the part of the prompt because of which it is not sent
 	sends           []sendRecord
 	currentSend     *activeSend   // the last one that was started
 	eventsReceived  int           // complete events received from replicas
@@ -123,6 +124,9 @@
 	}
 	e.service = service
 	e.gateway.retries.RecordRequest(service, e.started)
+	if refusal := e.quarantined(); refusal != nil {
+		return refusal
+	}
 	if e.request.Prompt == nil || e.workspace == "" {
 		return nil
 	}
@@ -149,6 +153,19 @@
 	return nil
 }
 
+// quarantined refuses a request with a part of the prompt that crashes replicas.
+func (e *exchange) quarantined() *Refusal {
+	if e.request.Prompt == nil {
+		return nil
+	}
+	part, remaining, blocked := e.gateway.quarantine.Blocks(e.service, e.request.Prompt.SharedPartIDs())
+	if !blocked {
+		return nil
+	}
+	e.quarantinedPart = part
+	return &Refusal{Execution: NotExecuted, Reason: Quarantined, RetryAfter: remaining}
+}
+
 const (
 	// workspacePriorityWeight ranks the workspace's priority above the route's.
 	workspacePriorityWeight = 3
@@ -180,6 +197,9 @@
 		if n == 0 && e.streaming {
 			req.TargetLatency = e.route.TargetLatency
 		}
+		if n > 0 && e.quarantined() != nil {
+			break
+		}
 		choice, ok := e.gateway.placer.Choose(req, e.gateway.Snapshot().candidates(e.service), now, e.rand)
 		if !ok {
 			if last == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,18 @@
 	return "not enough of the token quota is granted to this process"
 }
 
+// Quarantine knows the shared parts of prompts that crash replicas.
+type Quarantine interface {
+	// Blocks reports whether a request with one of the parts must not be sent to a
+	// service, because of which part and for how long.
+	Blocks(service string, partIDs []string) (partID string, remaining time.Duration, blocked bool)
+	// ProvesSound reports whether a stream that lasts for some time after its first
+	// event shows that its prompt does not crash replicas.
+	ProvesSound(answerTime time.Duration) bool
+	// RecordAnswer notes that a request with the parts was answered.
+	RecordAnswer(service string, partIDs []string)
+}
+
 // Settings holds the gateway's settings that an operator can change.
 type Settings struct {
 	SilenceTimeout       time.Duration // after which a retryable request is retried if the replica sent nothing
@@ -91,6 +103,7 @@
 	log               log.Interface
 	sender            Sender
 	quota             Quota
+	quarantine        Quarantine
 	placer            *placement.Placer
 	retries           *retrybudget.Budget
 	settings          Settings
@@ -117,6 +130,10 @@
 // WithQuota sets what admits model requests; without it all are admitted.
 func WithQuota(q Quota) Option { return func(g *Gateway) { g.quota = q } }
 
+// WithQuarantine sets what blocks prompts that crash replicas; without it none
+// are.
+func WithQuarantine(q Quarantine) Option { return func(g *Gateway) { g.quarantine = q } }
+
 // WithMetrics adds the gateway's metrics to a set.
 func WithMetrics(s *metrics.Set) Option { return func(g *Gateway) { g.metrics = newMetrics(s) } }
 
@@ -134,7 +151,7 @@
 
 // New returns a gateway.
 func New(sender Sender, placer *placement.Placer, retries *retrybudget.Budget, opts ...Option) *Gateway {
-	g := &Gateway{clock: clockwork.NewRealClock(), log: log.Log, sender: sender, quota: noQuota{}, placer: placer,
+	g := &Gateway{clock: clockwork.NewRealClock(), log: log.Log, sender: sender, quota: noQuota{}, quarantine: noQuarantine{}, placer: placer,
 		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {}}
 	g.configConfirmedAt = g.clock.Now
 	for _, opt := range opts {
@@ -151,6 +168,15 @@
 
 func (noQuota) Settle(int64) {}
 
+// noQuarantine blocks nothing.
+type noQuarantine struct{}
+
+func (noQuarantine) Blocks(string, []string) (string, time.Duration, bool) { return "", 0, false }
+
+func (noQuarantine) ProvesSound(time.Duration) bool { return false }
+
+func (noQuarantine) RecordAnswer(string, []string) {}
+
 // UpdateSnapshot replaces the snapshot by a changed copy. Calls must not be
 // concurrent.
 func (g *Gateway) UpdateSnapshot(change func(Snapshot) Snapshot) {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -68,6 +68,9 @@
 	if q := e.quotaErr; q != nil {
 		fields["quota_balance"], fields["quota_allowed"], fields["quota_rows_age_ms"] = q.Balance, q.Spendable, q.GrantDataAge.Milliseconds()
 	}
+	if e.quarantinedPart != "" {
+		fields["quarantined_part"] = e.quarantinedPart
+	}
 	if p := e.request.Prompt; p != nil {
 		fields["prompt_tokens"], fields["events"], fields["prompt_parts"] = p.Tokens, e.eventsReceived, p.SharedPartIDs()
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -75,6 +75,7 @@
 	NoConfiguration    Reason = "no_configuration"
 	StaleConfig        Reason = "stale_configuration"
 	NoReplica          Reason = "no_replica"
+	Quarantined        Reason = "quarantined" // a part of the prompt crashes replicas
 	Overloaded         Reason = "overloaded"
 	ReplicaFull        Reason = "replica_full"
 	ReplicaFailed      Reason = "replica_failed"
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -175,6 +175,9 @@
 		return nil, &failure{response: relay, possiblyExecuted: true, refusal: &Refusal{Execution: Executed, Reason: ReplicaFailed}}
 	}
 	a.end(placement.Served, sendServed)
+	if e.request.Prompt != nil && res.Status < 300 {
+		e.gateway.quarantine.RecordAnswer(e.service, e.request.Prompt.SharedPartIDs())
+	}
 	e.timeToFirstByte = e.gateway.clock.Since(e.started)
 	return relay, nil
 }
@@ -206,7 +209,7 @@
 	default:
 		a.end(placement.ConnectionBroken, sendBroken)
 		if p := e.request.Prompt; p != nil {
-			e.gateway.onBrokenSend(crash.BrokenSend{Replica: a.choice.Replica, SharedParts: p.SharedPartIDs(), AnswerTime: a.answerTime()})
+			e.gateway.onBrokenSend(crash.BrokenSend{Replica: a.choice.Replica, SharedParts: p.SharedPartIDs(), At: e.gateway.clock.Now(), AnswerTime: a.answerTime()})
 		}
 	}
 	return &failure{refusal: refusal, possiblyExecuted: true}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,6 +30,7 @@
 	err                error
 	lastEventAt        time.Time
 	receivedEvent      bool // whether the current replica has sent an event
+	provedSound        bool // whether the stream has shown that the parts of its prompt are sound
 }
 
 const streamBufferBytes = 4 << 10
@@ -105,9 +106,20 @@
 		s.exchange.gateway.placer.RecordFirstEvent(s.currentSend.choice)
 	}
 	s.currentSend.received()
+	if s.exchange.gateway.quarantine.ProvesSound(s.currentSend.answerTime()) {
+		s.recordSound()
+	}
 	return nil
 }
 
+// recordSound notes, once, that the stream's prompt does not crash replicas.
+func (s *eventStream) recordSound() {
+	if p := s.exchange.request.Prompt; p != nil && !s.provedSound {
+		s.provedSound = true
+		s.exchange.gateway.quarantine.RecordAnswer(s.exchange.service, p.SharedPartIDs())
+	}
+}
+
 // Read implements io.Reader. A panic ends the stream as broken, as nobody above
 // handles one while the response is written.
 func (s *eventStream) Read(p []byte) (n int, err error) {
@@ -138,6 +150,7 @@
 func (s *eventStream) fail(err error) {
 	if errors.Is(err, io.EOF) {
 		s.currentSend.end(placement.Served, sendServed)
+		s.recordSound()
 		s.exchange.end(outcomeServed, "")
 		s.err = io.EOF
 		return
@@ -170,6 +183,9 @@
 // another one.
 func (s *eventStream) resume() (resumed, retry bool) {
 	e := s.exchange
+	if e.quarantined() != nil {
+		return false, false
+	}
 	now := e.gateway.clock.Now()
 	choice, ok := e.gateway.placer.Choose(e.placementRequest(s.exclude), e.gateway.Snapshot().candidates(e.service), now, e.rand)
 	if !ok {
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -27,6 +27,8 @@
 	"briarreach/mesh"
 	"briarreach/placement"
 	"briarreach/platform"
+	"briarreach/quarantine"
+	"briarreach/quarantinestore"
 	"briarreach/quota"
 	"briarreach/quotastore"
 	"briarreach/replica"
@@ -87,6 +89,7 @@
 		newRetryBudget,
 		newReplicaPool,
 		newSender,
+		newQuarantine,
 		newCrashDetector,
 		newDaemon,
 	}
@@ -169,8 +172,15 @@
 
 func newSender(pool *upstream.Pool) gateway.Sender { return platform.NewReplicaSender(pool) }
 
-func newCrashDetector(pool *upstream.Pool, clock clockwork.Clock, l log.Interface, set *metrics.Set) *crash.Detector {
-	return crash.New(pool, crash.WithClock(clock), crash.WithLog(l), crash.WithMetrics(set))
+func newQuarantine(store rowstore.Store, peers *mesh.Mesh, clock clockwork.Clock, l log.Interface, set *metrics.Set, t Tuning) *quarantinestore.Keeper {
+	k := quarantinestore.New(quarantine.New(t.Quarantine), store, quarantinestore.WithClock(clock), quarantinestore.WithLog(l),
+		quarantinestore.WithMetrics(set), quarantinestore.WithBroadcast(peers.BroadcastEvidence))
+	peers.OnEvidence(k.HandleEvidence)
+	return k
+}
+
+func newCrashDetector(pool *upstream.Pool, keeper *quarantinestore.Keeper, clock clockwork.Clock, l log.Interface, set *metrics.Set) *crash.Detector {
+	return crash.New(pool, crash.WithClock(clock), crash.WithLog(l), crash.WithMetrics(set), crash.WithEndHandler(keeper.HandleEnd))
 }
 
 // registryGrace is how long live replicas may take to register again after an
@@ -192,6 +202,7 @@
 	quotaSyncers    *quotastore.Syncers
 	mesh            *mesh.Mesh
 	crashes         *crash.Detector
+	quarantine      *quarantinestore.Keeper
 	stopping        atomic.Bool
 
 	mu        sync.Mutex
@@ -200,10 +211,10 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes}
+	crashes *crash.Detector, keeper *quarantinestore.Keeper) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
+		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
@@ -388,6 +399,7 @@
 	d.crashes.Close()
 	d.mesh.Repay(closeCtx)
 	d.quotaSyncers.Close(closeCtx)
+	d.quarantine.Close(closeCtx)
 	d.configWatcher.Close(closeCtx)
 	d.replicaWatcher.Close(closeCtx)
 	err = errors.Join(err, d.mesh.Close(), d.readiness.Close(closeCtx))
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -11,6 +11,7 @@
 
 	"briarreach/gateway"
 	"briarreach/placement"
+	"briarreach/quarantine"
 	"briarreach/quota"
 	"briarreach/settings"
 )
@@ -18,14 +19,15 @@
 // Tuning holds the settings that an operator can change in the tuning file. The
 // platform's settings (platform.Settings) are in another file.
 type Tuning struct {
-	Gateway   gateway.Settings
-	Placement placement.Settings
-	Quota     quota.Settings
+	Gateway    gateway.Settings
+	Placement  placement.Settings
+	Quota      quota.Settings
+	Quarantine quarantine.Settings
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults()}
+	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults()}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -51,6 +53,11 @@
 		SyncEvery    *settings.Duration `toml:"sync_every"`
 		Homes        *int               `toml:"homes_per_workspace"`
 	} `toml:"quota"`
+	Quarantine struct {
+		Crashes    *int               `toml:"crashes"`
+		SoundAfter *settings.Duration `toml:"sound_after"`
+		Duration   *settings.Duration `toml:"duration"`
+	} `toml:"quarantine"`
 }
 
 // TuningError reports a key of the tuning file whose value is out of range.
@@ -94,6 +101,9 @@
 	c.number("quota.granted_part", f.Quota.GrantedShare, &t.Quota.GrantedShare, 0.01, 1)
 	c.duration("quota.sync_every", f.Quota.SyncEvery, &t.Quota.SyncEvery)
 	c.integer("quota.homes_per_workspace", f.Quota.Homes, &t.Quota.HomesPerWorkspace, 1, 64)
+	c.integer("quarantine.crashes", f.Quarantine.Crashes, &t.Quarantine.Crashes, 2, t.Quarantine.ManyCrashes)
+	c.duration("quarantine.sound_after", f.Quarantine.SoundAfter, &t.Quarantine.SoundAfter)
+	c.duration("quarantine.duration", f.Quarantine.Duration, &t.Quarantine.Duration)
 	return t, c.err
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,6 +1,7 @@
 // Package mesh connects the gateways of a fleet over QUIC. The homes of a
 // workspace lend its granted quota to the other gateways, and all broadcast on
-// which replicas they have placed long prompts. A gateway whose peers do not
+// which replicas they have placed long prompts, and which prompt parts may have
+// crashed a replica. A gateway whose peers do not
 // respond draws quota from the shared store instead.
 //
 // A process publishes its address and the fingerprint of its certificate in its
@@ -35,6 +36,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"briarreach/placement"
+	"briarreach/quarantine"
 	"briarreach/quota"
 )
 
@@ -122,7 +124,8 @@
 	backoffs    map[string]peerBackoff   // by fingerprint
 	borrowing   map[string]chan struct{} // by workspace; closed when its loan requests are done
 	onPlacement func(placement.Announcement)
-	placements  chan placement.Announcement
+	onEvidence  func(quarantine.Evidence)
+	datagrams   chan datagram
 }
 
 // peerBackoff says until when a peer is skipped, and after how many failures in a
@@ -153,7 +156,7 @@
 // New listens for peers and publishes the address through allocators.
 func New(listen netip.AddrPort, allocators QuotaAllocators, opts ...Option) (*Mesh, error) {
 	m := &Mesh{allocators: allocators, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
-		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, placements: make(chan placement.Announcement, maxQueuedPlacements)}
+		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
 	WithMetrics(metrics.NewSet())(m)
 	for _, opt := range opts {
 		opt(m)
@@ -254,10 +257,10 @@
 	}
 }
 
-// servePeer handles a peer's placements and serves its loan requests, one at a
+// servePeer handles a peer's datagrams and serves its loan requests, one at a
 // time.
 func (m *Mesh) servePeer(ctx context.Context, conn *quic.Conn) {
-	m.goroutines.Go(func() { m.receivePlacements(ctx, conn) })
+	m.goroutines.Go(func() { m.receiveDatagrams(ctx, conn) })
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"net/netip"
+	"reflect"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"briarreach/mesh"
+	"briarreach/quarantine"
 	"briarreach/quota"
 	"briarreach/quotastore"
+	"briarreach/replica"
 	"briarreach/rowstore"
 )
 
@@ -89,3 +92,32 @@
 		Eventually(done, "1s").Should(BeClosed())
 	})
 })
+
+// Guards against crashes that each gateway counts for itself: at hundreds of
+// gateways none would see a prompt part crash several replicas.
+var _ = Describe("evidence about prompt parts", func() {
+	It("reaches the other gateways as it was sent", func() {
+		a, b := start("a"), start("b")
+		rows := grant(a, 1, nil)
+		Expect(b.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		rows = grant(b, 2, rows)
+		Expect(a.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		received := make(chan quarantine.Evidence, 100)
+		b.mesh.OnEvidence(func(e quarantine.Evidence) { received <- e })
+		for _, sent := range []quarantine.Evidence{
+			quarantine.Crash{Service: "s", Replica: replica.Incarnation{ID: "r", Address: netip.MustParseAddrPort("10.0.0.1:80"), Started: 5}, PartIDs: []string{"a", "b"}, Age: time.Millisecond},
+			quarantine.Answer{Part: quarantine.Part{Service: "s", ID: "a"}},
+		} {
+			// Datagrams are sent to peers with an open connection only.
+			Eventually(func() bool {
+				a.mesh.BroadcastEvidence(sent)
+				select {
+				case got := <-received:
+					return reflect.DeepEqual(got, sent)
+				case <-time.After(20 * time.Millisecond):
+					return false
+				}
+			}, "3s").Should(BeTrue())
+		}
+	})
+})
--- a/mesh/placements.go
+++ b/mesh/placements.go
@@ -7,10 +7,11 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"briarreach/placement"
+	"briarreach/quarantine"
 )
 
 const (
-	maxQueuedPlacements = 256
+	maxQueuedDatagrams = 256
 	// maxPeersToConnect bounds the peers to which connections are opened for
 	// broadcasts and loans. Connections opened for loans also carry broadcasts.
 	maxPeersToConnect = 96
@@ -21,6 +22,26 @@
 	maxConcurrentDials = 4
 )
 
+// datagram is a message to all peers: a placement, or evidence about prompt parts
+// that crash replicas. Earlier versions know the fields of a placement only.
+type datagram struct {
+	placement.Announcement
+	Crash  *quarantine.Crash  `cbor:"4,keyasint,omitempty"`
+	Answer *quarantine.Answer `cbor:"5,keyasint,omitempty"`
+}
+
+// evidence returns the evidence in a datagram, or nil for a placement.
+func (d datagram) evidence() quarantine.Evidence {
+	switch {
+	case d.Crash != nil:
+		return *d.Crash
+	case d.Answer != nil:
+		return *d.Answer
+	default:
+		return nil
+	}
+}
+
 // OnPlacement sets the handler of placements that other gateways broadcast.
 func (m *Mesh) OnPlacement(f func(placement.Announcement)) {
 	m.mu.Lock()
@@ -28,23 +49,45 @@
 	m.onPlacement = f
 }
 
+// OnEvidence sets the handler of evidence that other gateways broadcast.
+func (m *Mesh) OnEvidence(f func(quarantine.Evidence)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onEvidence = f
+}
+
 // BroadcastPlacement sends a placement to the other gateways. It never blocks:
 // if the queue is full, the placement is dropped.
 func (m *Mesh) BroadcastPlacement(p placement.Announcement) {
+	m.broadcast(datagram{Announcement: p})
+}
+
+// BroadcastEvidence sends evidence to the other gateways. It never blocks: if the
+// queue is full, the evidence is dropped.
+func (m *Mesh) BroadcastEvidence(e quarantine.Evidence) {
+	switch e := e.(type) {
+	case quarantine.Crash:
+		m.broadcast(datagram{Crash: &e})
+	case quarantine.Answer:
+		m.broadcast(datagram{Answer: &e})
+	}
+}
+
+func (m *Mesh) broadcast(d datagram) {
 	select {
-	case m.placements <- p:
+	case m.datagrams <- d:
 	default:
 	}
 }
 
-// broadcastLoop sends placements as datagrams over the dialed connections.
+// broadcastLoop sends datagrams over the dialed connections.
 func (m *Mesh) broadcastLoop(ctx context.Context) {
 	for {
 		select {
-		case p := <-m.placements:
-			data, err := cbor.Marshal(p)
+		case d := <-m.datagrams:
+			data, err := cbor.Marshal(d)
 			if err != nil {
-				m.log.WithError(err).Error("failed to encode a placement")
+				m.log.WithError(err).Error("failed to encode a datagram")
 				continue
 			}
 			m.sendToPeers(data)
@@ -58,7 +101,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, conn := range m.conns {
-		// A lost datagram only makes a peer's load estimate less exact.
+		// A lost placement only makes a peer's load estimate less exact, and lost
+		// evidence lets it count fewer crashes.
 		_ = conn.SendDatagram(data)
 	}
 }
@@ -99,22 +143,26 @@
 	}
 }
 
-// receivePlacements handles a peer's placements until its connection ends.
-func (m *Mesh) receivePlacements(ctx context.Context, conn datagramReceiver) {
+// receiveDatagrams handles a peer's datagrams until its connection ends.
+func (m *Mesh) receiveDatagrams(ctx context.Context, conn datagramReceiver) {
 	for {
 		data, err := conn.ReceiveDatagram(ctx)
 		if err != nil {
 			return
 		}
-		var p placement.Announcement
-		if err := cbor.Unmarshal(data, &p); err != nil {
-			m.log.WithError(err).Warn("undecodable placement from a peer ignored")
+		var d datagram
+		if err := cbor.Unmarshal(data, &d); err != nil {
+			m.log.WithError(err).Warn("undecodable datagram from a peer ignored")
 			continue
 		}
 		m.mu.Lock()
-		handle := m.onPlacement
+		onPlacement, onEvidence := m.onPlacement, m.onEvidence
 		m.mu.Unlock()
-		handle(p)
+		if e := d.evidence(); e != nil {
+			onEvidence(e)
+		} else {
+			onPlacement(d.Announcement)
+		}
 	}
 }
 
--- /dev/null
+++ b/quarantinestore/quarantinestore_test.go
@@ -0,0 +1,107 @@
+package quarantinestore_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/crash"
+	"briarreach/platform"
+	"briarreach/platform/standin"
+	"briarreach/quarantine"
+	"briarreach/quarantinestore"
+	"briarreach/replica"
+)
+
+func TestQuarantineStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quarantinestore")
+}
+
+var _ = Describe("a keeper of the quarantine", func() {
+	var store *standin.Store
+
+	BeforeEach(func() {
+		var err error
+		store, err = standin.NewStore()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(store.Close)
+	})
+
+	start := func() *quarantinestore.Keeper {
+		k := quarantinestore.New(quarantine.New(quarantine.Defaults()),
+			platform.NewStore(platform.StoreSettings{Address: store.Address()}, platform.WithStoreTimeout(100*time.Millisecond)))
+		DeferCleanup(func() {
+			// A call that waits for changes does not end early.
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			k.Close(ctx)
+		})
+		return k
+	}
+	// crashReplicas reports crashes of n replicas with a part in common.
+	crashReplicas := func(k *quarantinestore.Keeper, n int, part string) {
+		for i := range n {
+			k.HandleEnd(crash.End{BrokenSend: crash.BrokenSend{Replica: replica.Replica{ID: fmt.Sprint("r", i), Service: "s"}, SharedParts: []string{part, fmt.Sprint("other", i)},
+				At: time.Now().Add(time.Duration(i-n) * 200 * time.Millisecond)}})
+		}
+	}
+	blocks := func(k *quarantinestore.Keeper, part string) func() bool {
+		return func() bool {
+			_, _, is := k.Blocks("s", []string{"system", part})
+			return is
+		}
+	}
+
+	It("tells the others through the store, and writes one row", func() {
+		a, b := start(), start()
+		crashReplicas(a, 3, "bad")
+		Eventually(blocks(a, "bad"), "1s", "5ms").Should(BeTrue())
+		Eventually(blocks(b, "bad"), "2s", "5ms").Should(BeTrue())
+		Consistently(func() int { return len(store.Names(quarantinestore.Table, "")) }, "400ms").Should(Equal(1))
+		Expect(blocks(b, "other0")()).To(BeFalse())
+	})
+
+	// Guards against a quarantine that is forgotten because the store was away when it
+	// was decided.
+	It("writes the row when the store is back", func() {
+		a := start()
+		store.SetFault(standin.Refusing{Status: 503})
+		crashReplicas(a, 3, "bad")
+		Eventually(blocks(a, "bad"), "1s", "5ms").Should(BeTrue())
+		Consistently(func() []string { return store.Names(quarantinestore.Table, "") }, "400ms").Should(BeEmpty())
+		store.SetFault(nil)
+		Eventually(func() []string { return store.Names(quarantinestore.Table, "") }, "2s", "10ms").Should(HaveLen(1))
+	})
+
+	// Guards against a sound part that stays in quarantine for half an hour.
+	It("deletes the row of a part that is answered after all", func() {
+		a, b := start(), start()
+		crashReplicas(a, 3, "slow")
+		Eventually(blocks(b, "slow"), "2s", "5ms").Should(BeTrue())
+		b.RecordAnswer("s", []string{"slow"})
+		Expect(blocks(b, "slow")()).To(BeFalse())
+		Eventually(blocks(a, "slow"), "2s", "5ms").Should(BeFalse())
+		Eventually(func() []string { return store.Names(quarantinestore.Table, "") }, "2s", "10ms").Should(BeEmpty())
+	})
+
+	It("ignores rows that it can't read", func() {
+		store.Put(quarantinestore.Table, "", "x", []byte("{"))
+		store.Put(quarantinestore.Table, "", "y", []byte(`{"service":5}`))
+		a := start()
+		store.Put(quarantinestore.Table, "", "z", []byte(`{"service":"s","part":"bad"}`))
+		Eventually(blocks(a, "bad"), "2s", "5ms").Should(BeTrue())
+	})
+
+	It("handles IDs that are too long for a message", func() {
+		a, long := start(), strings.Repeat("x", 5000)
+		crashReplicas(a, 3, long)
+		Eventually(blocks(a, long), "1s", "5ms").Should(BeTrue())
+		Expect(blocks(a, long+"y")()).To(BeFalse())
+	})
+})
