Treat a stream without a length that ends before its first event as broken off

What callers saw: the end of a replica whose stream has neither a length nor chunks could reach them as a complete, empty answer.

Cause: the end of the connection ends such a stream, and a replica that crashes closes its connections too. The gateway took any end outside of an event for the end of the stream.

Change: an end before the first event of a replica is an incomplete response, so the request is retried, resumed or refused as unknown.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -123,7 +123,10 @@
 	NotExecuted   bool // whether the replica states that it did not execute the request
 	WrongReplica  bool // whether the address now belongs to another replica
 	ContentLength int64
-	Body          io.ReadCloser
+	// CloseDelimited says that the end of the connection ends the body. A connection
+	// that ends early can look the same.
+	CloseDelimited bool
+	Body           io.ReadCloser
 }
 
 // Sender sends requests to replicas. It never retries a request. Its errors
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,6 +30,7 @@
 	err                error
 	lastEventAt        time.Time
 	receivedEvent      bool // whether the current replica has sent an event
+	closeDelimited     bool // whether the end of the connection ends the current replica's stream
 	provedSound        bool // whether the stream has shown that the parts of its prompt are sound
 }
 
@@ -59,7 +60,7 @@
 
 func (s *eventStream) open(a *activeSend, res *Response) {
 	a.body = res.Body
-	s.currentSend, s.receivedEvent = a, false
+	s.currentSend, s.receivedEvent, s.closeDelimited = a, false, res.CloseDelimited
 	s.reader = bufio.NewReaderSize(res.Body, streamBufferBytes)
 }
 
@@ -79,6 +80,9 @@
 			continue
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0:
 			return io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF) && s.closeDelimited && !s.receivedEvent:
+			// A replica that crashes before its first event closes the connection too.
+			return io.ErrUnexpectedEOF
 		default:
 			return err
 		}
