Check for a crash when an answer without a length ends

Change: the end of such an answer counts as one only if the replica still accepts connections; the connection of the check serves the next request. A check that began before the break is not used for it.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -18,7 +18,8 @@
 	"briarreach/replica"
 )
 
-// BrokenSend is a model request whose connection to a replica broke.
+// BrokenSend is a model request whose connection to a replica broke, or ended with
+// the answer.
 type BrokenSend struct {
 	Replica replica.Replica
 	// SharedParts are the IDs of the parts of the request's prompt, without the
@@ -28,6 +29,9 @@
 	// AnswerTime is for how long the replica had been sending events; 0 if it had
 	// sent none.
 	AnswerTime time.Duration
+	// PossiblyComplete says that the end of the connection ended the answer, as it
+	// does when a replica crashes.
+	PossiblyComplete bool
 }
 
 // End is a broken send whose replica has ended.
@@ -46,9 +50,6 @@
 	// checkTimeout is the time after which a replica counts as ended if the
 	// connection is neither accepted nor refused.
 	checkTimeout = 300 * time.Millisecond
-	// aliveTTL is how long no further connection to a replica is tried after one
-	// was accepted.
-	aliveTTL = 50 * time.Millisecond
 	// resultTTL is how long the result of a check is kept.
 	resultTTL = 10 * time.Second
 )
@@ -59,6 +60,7 @@
 	clock      clockwork.Clock
 	log        log.Interface
 	onEnd      func(End)
+	onComplete func(BrokenSend)
 	ends       *metrics.Counter
 	dropped    *metrics.Counter
 	queue      chan BrokenSend
@@ -67,6 +69,7 @@
 	goroutines sync.WaitGroup
 }
 
+// result is the result of a check that started at a time.
 type result struct {
 	ended bool
 	at    time.Time
@@ -93,10 +96,14 @@
 // has ended.
 func WithEndHandler(f func(End)) Option { return func(d *Detector) { d.onEnd = f } }
 
+// WithCompleteHandler calls f, from the same goroutine, for each send that is
+// complete after all: its replica has not ended.
+func WithCompleteHandler(f func(BrokenSend)) Option { return func(d *Detector) { d.onComplete = f } }
+
 // New starts a detector.
 func New(dialer Dialer, opts ...Option) *Detector {
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Detector{dialer: dialer, clock: clockwork.NewRealClock(), log: log.Log, onEnd: func(End) {},
+	d := &Detector{dialer: dialer, clock: clockwork.NewRealClock(), log: log.Log, onEnd: func(End) {}, onComplete: func(BrokenSend) {},
 		queue: make(chan BrokenSend, maxQueuedSends), results: make(map[replica.Incarnation]result), cancel: cancel}
 	WithMetrics(metrics.NewSet())(d)
 	for _, opt := range opts {
@@ -134,8 +141,8 @@
 func (d *Detector) check(ctx context.Context, b BrokenSend) {
 	k := b.Replica.Incarnation()
 	known, checked := d.results[k]
-	if !checked || !known.ended && d.clock.Since(known.at) >= aliveTTL {
-		known = d.dial(ctx, b.Replica)
+	if !checked || !known.ended && b.At.After(known.at) {
+		known = d.dial(ctx, b)
 		if ctx.Err() != nil {
 			return
 		}
@@ -150,7 +157,11 @@
 		d.results[k] = known
 	}
 	fields := log.Fields{"replica": b.Replica.ID, "service": b.Replica.Service, "prompt_parts": b.SharedParts, "answering_ms": b.AnswerTime.Milliseconds()}
-	if !known.ended {
+	switch {
+	case !known.ended && b.PossiblyComplete:
+		d.onComplete(b)
+		return
+	case !known.ended:
 		d.log.WithFields(fields).Info("replica broke a connection and still accepts others")
 		return
 	}
@@ -158,12 +169,13 @@
 	d.onEnd(End{BrokenSend: b})
 }
 
-func (d *Detector) dial(ctx context.Context, r replica.Replica) result {
+func (d *Detector) dial(ctx context.Context, b BrokenSend) result {
 	select {
-	case <-d.clock.After(checkDelay):
+	case <-d.clock.After(checkDelay - d.clock.Since(b.At)):
 	case <-ctx.Done():
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	return result{ended: !d.dialer.AcceptsConnections(ctx, r.Address), at: d.clock.Now()}
+	started := d.clock.Now()
+	return result{ended: !d.dialer.AcceptsConnections(ctx, b.Replica.Address), at: started}
 }
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -35,8 +35,8 @@
 		d, ends := start()
 		l, r := listen()
 		Expect(l.Close()).To(Succeed())
-		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}})
-		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"b"}, AnswerTime: time.Second})
+		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}, At: time.Now()})
+		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"b"}, At: time.Now(), AnswerTime: time.Second})
 		for _, part := range []string{"a", "b"} {
 			var e crash.End
 			Eventually(ends, "1s").Should(Receive(&e))
@@ -49,10 +49,31 @@
 	It("reports nothing while the replica accepts connections, and does after its end", func() {
 		d, ends := start()
 		l, r := listen()
-		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}})
+		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}, At: time.Now()})
 		Consistently(ends, "100ms").ShouldNot(Receive())
 		Expect(l.Close()).To(Succeed())
-		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}})
+		d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}, At: time.Now()})
 		Eventually(ends, "1s").Should(Receive())
 	})
+
+	// Guards against a crash that passes for the end of an answer without a length,
+	// and so shows that the request is harmless.
+	It("takes an answer for complete only if its replica accepts connections", func() {
+		complete := make(chan crash.BrokenSend, 10)
+		ends := make(chan crash.End, 10)
+		pool := upstream.New()
+		DeferCleanup(pool.Close)
+		d := crash.New(pool, crash.WithEndHandler(func(e crash.End) { ends <- e }), crash.WithCompleteHandler(func(b crash.BrokenSend) { complete <- b }))
+		DeferCleanup(d.Close)
+		l, r := listen()
+		report := func() {
+			d.Report(crash.BrokenSend{Replica: r, SharedParts: []string{"a"}, At: time.Now(), PossiblyComplete: true})
+		}
+		report()
+		Eventually(complete, "1s").Should(Receive())
+		Expect(l.Close()).To(Succeed())
+		report()
+		Eventually(ends, "1s").Should(Receive())
+		Expect(complete).To(BeEmpty())
+	})
 })
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -175,7 +175,9 @@
 		return nil, &failure{response: relay, possiblyExecuted: true, refusal: &Refusal{Execution: Executed, Reason: ReplicaFailed}}
 	}
 	a.end(placement.Served, sendServed)
-	if e.request.Prompt != nil && res.Status < 300 {
+	if res.CloseDelimited {
+		e.reportBroken(a, true)
+	} else if e.request.Prompt != nil && res.Status < 300 {
 		e.gateway.quarantine.RecordAnswer(e.service, e.request.Prompt.SharedPartIDs())
 	}
 	e.timeToFirstByte = e.gateway.clock.Since(e.started)
@@ -208,13 +210,20 @@
 		a.end(placement.ReplicaTimedOut, sendSilent)
 	default:
 		a.end(placement.ConnectionBroken, sendBroken)
-		if p := e.request.Prompt; p != nil {
-			e.gateway.onBrokenSend(crash.BrokenSend{Replica: a.choice.Replica, SharedParts: p.SharedPartIDs(), At: e.gateway.clock.Now(), AnswerTime: a.answerTime()})
-		}
+		e.reportBroken(a, false)
 	}
 	return &failure{refusal: refusal, possiblyExecuted: true}
 }
 
+// reportBroken reports a model request whose connection broke, or ended with the
+// answer.
+func (e *exchange) reportBroken(a *activeSend, possiblyComplete bool) {
+	if p := e.request.Prompt; p != nil {
+		e.gateway.onBrokenSend(crash.BrokenSend{Replica: a.choice.Replica, SharedParts: p.SharedPartIDs(), At: e.gateway.clock.Now(), AnswerTime: a.answerTime(),
+			PossiblyComplete: possiblyComplete})
+	}
+}
+
 // ResponseTooLargeError reports a response that exceeds the buffer in which it
 // is held until it is complete.
 type ResponseTooLargeError struct{ Limit int }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -154,7 +154,11 @@
 func (s *eventStream) fail(err error) {
 	if errors.Is(err, io.EOF) {
 		s.currentSend.end(placement.Served, sendServed)
-		s.recordSound()
+		if s.closeDelimited {
+			s.exchange.reportBroken(s.currentSend, true)
+		} else {
+			s.recordSound()
+		}
 		s.exchange.end(outcomeServed, "")
 		s.err = io.EOF
 		return
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -180,7 +180,7 @@
 }
 
 func newCrashDetector(pool *upstream.Pool, keeper *quarantinestore.Keeper, clock clockwork.Clock, l log.Interface, set *metrics.Set) *crash.Detector {
-	return crash.New(pool, crash.WithClock(clock), crash.WithLog(l), crash.WithMetrics(set), crash.WithEndHandler(keeper.HandleEnd))
+	return crash.New(pool, crash.WithClock(clock), crash.WithLog(l), crash.WithMetrics(set), crash.WithEndHandler(keeper.HandleEnd), crash.WithCompleteHandler(keeper.HandleComplete))
 }
 
 // registryGrace is how long live replicas may take to register again after an
--- a/quarantinestore/quarantinestore.go
+++ b/quarantinestore/quarantinestore.go
@@ -188,6 +188,11 @@
 	}
 }
 
+// HandleComplete notes that a request was answered.
+func (k *Keeper) HandleComplete(b crash.BrokenSend) {
+	k.RecordAnswer(b.Replica.Service, b.SharedParts)
+}
+
 // HandleEvidence takes evidence of another process.
 func (k *Keeper) HandleEvidence(e quarantine.Evidence) {
 	k.do(k.list.HandleEvidence(e, k.clock.Now()))
