--- a/gateway/request.go
+++ b/gateway/request.go
@@ -126,9 +126,17 @@
 	// CloseDelimited says that the end of the connection ends the body. A connection
 	// that ends early can look the same.
 	CloseDelimited bool
+	StatedLimit    StatedLimit
 	Body           io.ReadCloser
 }
 
+// StatedLimit is the number of requests per second that a replica takes from all
+// gateways together, if it states one. It is NaN if it could not be decoded.
+type StatedLimit struct {
+	Stated    bool
+	PerSecond float64
+}
+
 // Sender sends requests to replicas. It never retries a request. Its errors
 // are *upstream.NotSentError and *upstream.IncompleteResponseError.
 type Sender interface {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -25,6 +26,7 @@
 	CachedTokens    int    `json:"cached,omitempty"`
 	Outcome         string `json:"outcome"`
 	DurationMS      int64  `json:"ms"`
+	StatedLimit     string `json:"limit,omitempty"` // requests per second that the replica takes, as it stated
 }
 
 // Outcomes of a send, as logged.
@@ -61,6 +63,7 @@
 	silenceTimeout time.Duration
 	body           io.Closer
 	firstEventAt   time.Time // zero before the first event
+	statedLimit    StatedLimit
 	ended          bool
 }
 
@@ -97,6 +100,9 @@
 	now := a.exchange.gateway.clock.Now()
 	a.exchange.gateway.placer.Done(a.choice, o, now)
 	a.exchange.recordSend(a.choice, outcome, now.Sub(a.started))
+	if a.statedLimit.Stated {
+		a.exchange.sends[len(a.exchange.sends)-1].StatedLimit = strconv.FormatFloat(a.statedLimit.PerSecond, 'g', -1, 64)
+	}
 }
 
 // recordSend adds a send to the log line of the request.
@@ -135,6 +141,7 @@
 		a.end(placement.ConnectionBroken, sendWrongReplica)
 		return nil, nil, &failure{refusal: &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: noReplicaRetryAfter}}
 	}
+	a.statedLimit = res.StatedLimit
 	a.received()
 	if res.NotExecuted {
 		a.end(placement.ReplicaRefused, sendRefused)
