Keep the limits that replicas state, over all gateways together

Cause: no gateway read the limit. Had each of them kept it, a fleet of five would have sent five times as much.

Change: the package replicalimit paces the requests to a replica that states a limit. A few gateways, chosen by rendezvous hashing and no more than the limit allows, share it; placement gives the others, and what exceeds it, to other replicas. If no replica takes a request, it is refused at once as not run, with the time until one does. Gateways tell each other of limits and of their end.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -207,14 +207,21 @@
 			}
 			break
 		}
+		if n > 0 && choice.Refused {
+			break
+		}
 		if n > 0 && !e.gateway.retries.AllowRetry(e.service, now) {
 			e.gateway.placer.Done(choice, placement.Canceled, now)
 			e.gateway.metrics.retryBudgetExhausted.Inc()
 			break
 		}
 		if choice.Refused {
-			e.recordSend(choice, sendOverloaded, choice.ExpectedWait)
-			return nil, &Refusal{Execution: NotExecuted, Reason: Overloaded, RetryAfter: choice.RetryAfter}
+			outcome, reason := sendOverloaded, Overloaded
+			if choice.Reason == placement.LimitedReason {
+				outcome, reason = sendLimited, Limited
+			}
+			e.recordSend(choice, outcome, choice.ExpectedWait)
+			return nil, &Refusal{Execution: NotExecuted, Reason: reason, RetryAfter: choice.RetryAfter}
 		}
 		exclude[choice.Replica.ID] = true
 		relay, failed := e.send(ctx, choice, exclude, possibleExecutions)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"briarreach/crash"
 	"briarreach/placement"
 	"briarreach/replica"
+	"briarreach/replicalimit"
 	"briarreach/retrybudget"
 	"briarreach/route"
 )
@@ -111,6 +112,7 @@
 	snapshot          atomic.Pointer[Snapshot]
 	configConfirmedAt func() time.Time // when the configuration was last confirmed
 	onBrokenSend      func(crash.BrokenSend)
+	onLimit           func(r replica.Replica, stated replicalimit.Limit, sentAt time.Time)
 	openStreams       atomic.Int64
 	refuseStreams     atomic.Bool
 }
@@ -149,10 +151,17 @@
 	return func(g *Gateway) { g.onBrokenSend = f }
 }
 
+// WithLimitHandler calls f with the limit, or the lack of one, in each response of
+// a replica, and the time at which its request was sent.
+func WithLimitHandler(f func(r replica.Replica, stated replicalimit.Limit, sentAt time.Time)) Option {
+	return func(g *Gateway) { g.onLimit = f }
+}
+
 // New returns a gateway.
 func New(sender Sender, placer *placement.Placer, retries *retrybudget.Budget, opts ...Option) *Gateway {
 	g := &Gateway{clock: clockwork.NewRealClock(), log: log.Log, sender: sender, quota: noQuota{}, quarantine: noQuarantine{}, placer: placer,
-		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {}}
+		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {},
+		onLimit: func(replica.Replica, replicalimit.Limit, time.Time) {}}
 	g.configConfirmedAt = g.clock.Now
 	for _, opt := range opts {
 		opt(g)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"briarreach/replica"
+	"briarreach/replicalimit"
 	"briarreach/upstream"
 )
 
@@ -77,6 +78,7 @@
 	NoReplica          Reason = "no_replica"
 	Quarantined        Reason = "quarantined" // a part of the prompt crashes replicas
 	Overloaded         Reason = "overloaded"
+	Limited            Reason = "limited" // the replicas take no more requests per second
 	ReplicaFull        Reason = "replica_full"
 	ReplicaFailed      Reason = "replica_failed"
 	TimedOut           Reason = "timed_out" // the request's deadline passed, or was too close to send it
@@ -126,17 +128,10 @@
 	// CloseDelimited says that the end of the connection ends the body. A connection
 	// that ends early can look the same.
 	CloseDelimited bool
-	StatedLimit    StatedLimit
+	Limit          replicalimit.Limit // as the replica states it
 	Body           io.ReadCloser
 }
 
-// StatedLimit is the number of requests per second that a replica takes from all
-// gateways together, if it states one. It is NaN if it could not be decoded.
-type StatedLimit struct {
-	Stated    bool
-	PerSecond float64
-}
-
 // Sender sends requests to replicas. It never retries a request. Its errors
 // are *upstream.NotSentError and *upstream.IncompleteResponseError.
 type Sender interface {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -12,6 +12,7 @@
 
 	"briarreach/crash"
 	"briarreach/placement"
+	"briarreach/replicalimit"
 	"briarreach/route"
 	"briarreach/upstream"
 )
@@ -36,6 +37,7 @@
 	sendWrongReplica = "other_replica" // the address now belongs to another replica
 	sendNotSent      = "not_sent"      // no byte left this process
 	sendOverloaded   = "overloaded"    // not sent, because the expected wait, logged as ms, was too long
+	sendLimited      = "limited"       // not sent, because no replica takes one before the wait logged as ms
 	sendCanceled     = "canceled"      // the caller disconnected, or the deadline passed, before it was sent
 	sendSilent       = "silent"
 	sendBroken       = "broken"
@@ -45,7 +47,7 @@
 // possiblyExecuted reports whether the replica may have executed the request.
 func (s sendRecord) possiblyExecuted() bool {
 	switch s.Outcome {
-	case sendRefused, sendWrongReplica, sendNotSent, sendCanceled, sendOverloaded:
+	case sendRefused, sendWrongReplica, sendNotSent, sendCanceled, sendOverloaded, sendLimited:
 		return false
 	default:
 		return true
@@ -62,8 +64,8 @@
 	silenceTimer   clockwork.Timer // nil if the send has no silence timeout
 	silenceTimeout time.Duration
 	body           io.Closer
-	firstEventAt   time.Time // zero before the first event
-	statedLimit    StatedLimit
+	firstEventAt   time.Time          // zero before the first event
+	limit          replicalimit.Limit // stated in the response
 	ended          bool
 }
 
@@ -100,8 +102,8 @@
 	now := a.exchange.gateway.clock.Now()
 	a.exchange.gateway.placer.Done(a.choice, o, now)
 	a.exchange.recordSend(a.choice, outcome, now.Sub(a.started))
-	if a.statedLimit.Stated {
-		a.exchange.sends[len(a.exchange.sends)-1].StatedLimit = strconv.FormatFloat(a.statedLimit.PerSecond, 'g', -1, 64)
+	if a.limit.Stated {
+		a.exchange.sends[len(a.exchange.sends)-1].StatedLimit = strconv.FormatFloat(a.limit.PerSecond, 'g', -1, 64)
 	}
 }
 
@@ -141,7 +143,8 @@
 		a.end(placement.ConnectionBroken, sendWrongReplica)
 		return nil, nil, &failure{refusal: &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: noReplicaRetryAfter}}
 	}
-	a.statedLimit = res.StatedLimit
+	a.limit = res.Limit
+	g.onLimit(choice.Replica, res.Limit, a.started)
 	a.received()
 	if res.NotExecuted {
 		a.end(placement.ReplicaRefused, sendRefused)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -196,7 +196,7 @@
 	}
 	now := e.gateway.clock.Now()
 	choice, ok := e.gateway.placer.Choose(e.placementRequest(s.exclude), e.gateway.Snapshot().candidates(e.service), now, e.rand)
-	if !ok {
+	if !ok || choice.Refused {
 		return false, false
 	}
 	if !e.gateway.retries.AllowRetry(e.service, now) {
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -32,6 +32,7 @@
 	"briarreach/quota"
 	"briarreach/quotastore"
 	"briarreach/replica"
+	"briarreach/replicalimit"
 	"briarreach/retrybudget"
 	"briarreach/route"
 	"briarreach/rowstore"
@@ -85,6 +86,8 @@
 		newQuotaAllocators,
 		newMesh,
 		newQuotaSyncers,
+		newLimits,
+		newLimitExchange,
 		newPlacer,
 		newRetryBudget,
 		newReplicaPool,
@@ -128,7 +131,7 @@
 }
 
 func newQuotaAllocators(s *platform.Settings, t Tuning) quotastore.Allocators {
-	return quotastore.NewAllocators(t.Quota.Parts, s.ProcessName+"@"+s.IPAddress.String(), ulid.Make().String(), t.Quota)
+	return quotastore.NewAllocators(t.Quota.Parts, holderName(s), ulid.Make().String(), t.Quota)
 }
 
 func newMesh(s *platform.Settings, allocators quotastore.Allocators, clock clockwork.Clock, l log.Interface, set *metrics.Set) (*mesh.Mesh, error) {
@@ -146,13 +149,17 @@
 }
 
 func newQuotaSyncers(allocators quotastore.Allocators, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
-	retries *retrybudget.Budget, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
+	retries *retrybudget.Budget, limits *replicalimit.Limits, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
 	return quotastore.NewSyncers(allocators, store, t.Quota, quotastore.WithClock(clock), quotastore.WithLog(l),
-		quotastore.WithMetrics(set), quotastore.WithBorrowing(peers.Borrow), quotastore.WithStepHook(func() { retries.SetProcessCount(allocators.HolderCount()) }))
+		quotastore.WithMetrics(set), quotastore.WithBorrowing(peers.Borrow), quotastore.WithStepHook(func() {
+			others := allocators.OtherHolders()
+			retries.SetProcessCount(len(others) + 1)
+			limits.SetProcesses(others, clock.Now())
+		}))
 }
 
-func newPlacer(t Tuning, peers *mesh.Mesh, clock clockwork.Clock) *placement.Placer {
-	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) })
+func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, clock clockwork.Clock) *placement.Placer {
+	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, placement.WithLimiter(limits))
 	peers.OnPlacement(func(p placement.Announcement) { placer.HandleAnnouncement(p, clock.Now()) })
 	return placer
 }
@@ -203,6 +210,7 @@
 	mesh            *mesh.Mesh
 	crashes         *crash.Detector
 	quarantine      *quarantinestore.Keeper
+	limits          *replicalimit.Limits
 	stopping        atomic.Bool
 
 	mu        sync.Mutex
@@ -211,10 +219,10 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper}
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, limitsOfReplicas *limitExchange) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
+		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(limitsOfReplicas.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
@@ -326,6 +334,7 @@
 	all := set.All()
 	d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot { snapshot.Replicas = set; return snapshot })
 	d.placer.SetReplicas(all)
+	d.limits.DropOld(now)
 	d.log.WithField("registry_version", set.Version).WithField("replicas", len(all)).
 		WithField("missing", d.directory.MissingCount()).Info("replicas changed")
 }
--- a/gatewaydaemon/gauges.go
+++ b/gatewaydaemon/gauges.go
@@ -35,6 +35,15 @@
 		defer d.mu.Unlock()
 		return float64(d.directory.MissingCount())
 	})
+	set.NewGauge(`briarreach_replicas{state="limited"}`, func() float64 {
+		n := 0
+		for _, r := range d.gateway.Snapshot().Replicas.All() {
+			if d.limits.IsLimited(r.Incarnation()) {
+				n++
+			}
+		}
+		return float64(n)
+	})
 	usage := func(part func(retrybudget.Usage) float64) func() float64 {
 		return func() float64 {
 			sum := 0.0
--- /dev/null
+++ b/gatewaydaemon/limits.go
@@ -0,0 +1,72 @@
+package gatewaydaemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"briarreach/mesh"
+	"briarreach/platform"
+	"briarreach/replica"
+	"briarreach/replicalimit"
+)
+
+// holderName is the name of this VM's gateway among the holders of quota and the
+// processes that share limits. Its successor has the same.
+func holderName(s *platform.Settings) string { return s.ProcessName + "@" + s.IPAddress.String() }
+
+func newLimits(s *platform.Settings) *replicalimit.Limits {
+	return replicalimit.New(holderName(s), assumedGateways, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// limitExchange records the limits that replicas state and exchanges them with the
+// other gateways.
+type limitExchange struct {
+	limits *replicalimit.Limits
+	peers  *mesh.Mesh
+	clock  clockwork.Clock
+	log    log.Interface
+}
+
+func newLimitExchange(limits *replicalimit.Limits, peers *mesh.Mesh, clock clockwork.Clock, l log.Interface) *limitExchange {
+	x := &limitExchange{limits: limits, peers: peers, clock: clock, log: l}
+	peers.OnLimit(x.handleNotice)
+	return x
+}
+
+// record takes the limit in a response.
+func (x *limitExchange) record(r replica.Replica, stated replicalimit.Limit, sentAt time.Time) {
+	if !stated.Valid() {
+		x.log.WithField("replica", r.ID).Warn("limit of a replica ignored: not a number of requests per second")
+		return
+	}
+	notice, changed := x.limits.Record(r.Incarnation(), stated, sentAt, x.clock.Now())
+	if notice != nil {
+		x.peers.BroadcastLimit(*notice)
+	}
+	if changed {
+		x.logChange(r.ID, stated.Stated, stated.PerSecond, "response")
+	}
+}
+
+func (x *limitExchange) handleNotice(n replicalimit.Notice) {
+	if !x.limits.HandleNotice(n, x.clock.Now()) {
+		return
+	}
+	x.logChange(n.Replica.ID, n.Stated, n.PerSecond, "peer")
+	if !n.Stated {
+		x.peers.BroadcastLimit(n)
+	}
+}
+
+func (x *limitExchange) logChange(replicaID string, stated bool, perSecond float64, source string) {
+	fields := log.Fields{"replica": replicaID, "source": source}
+	if !stated {
+		x.log.WithFields(fields).Info("replica no longer states a limit")
+		return
+	}
+	fields["per_second"] = perSecond
+	x.log.WithFields(fields).Info("replica states a limit")
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -38,6 +38,7 @@
 	"briarreach/placement"
 	"briarreach/quarantine"
 	"briarreach/quota"
+	"briarreach/replicalimit"
 )
 
 // loanRequest asks a peer to lend tokens of a workspace's quota.
@@ -125,6 +126,7 @@
 	borrowing   map[string]chan struct{} // by workspace; closed when its loan requests are done
 	onPlacement func(placement.Announcement)
 	onEvidence  func(quarantine.Evidence)
+	onLimit     func(replicalimit.Notice)
 	datagrams   chan datagram
 }
 
@@ -156,7 +158,7 @@
 // New listens for peers and publishes the address through allocators.
 func New(listen netip.AddrPort, allocators QuotaAllocators, opts ...Option) (*Mesh, error) {
 	m := &Mesh{allocators: allocators, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
-		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
+		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, onLimit: func(replicalimit.Notice) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
 	WithMetrics(metrics.NewSet())(m)
 	for _, opt := range opts {
 		opt(m)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"briarreach/quota"
 	"briarreach/quotastore"
 	"briarreach/replica"
+	"briarreach/replicalimit"
 	"briarreach/rowstore"
 )
 
@@ -121,3 +122,28 @@
 		}
 	})
 })
+
+// Guards against gateways that send nothing to a replica for minutes because they
+// have not learned that it states no limit anymore.
+var _ = Describe("the limits of replicas", func() {
+	It("reach the other gateways as they were sent", func() {
+		a, b := start("a"), start("b")
+		rows := grant(a, 1, nil)
+		Expect(b.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		rows = grant(b, 2, rows)
+		Expect(a.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		received := make(chan replicalimit.Notice, 100)
+		b.mesh.OnLimit(func(n replicalimit.Notice) { received <- n })
+		for _, sent := range []replicalimit.Notice{{Replica: replica.Incarnation{ID: "r", Started: 5}, Stated: true, PerSecond: 2.3}, {Replica: replica.Incarnation{ID: "r", Started: 5}}} {
+			Eventually(func() replicalimit.Notice {
+				a.mesh.BroadcastLimit(sent)
+				select {
+				case got := <-received:
+					return got
+				case <-time.After(20 * time.Millisecond):
+					return replicalimit.Notice{}
+				}
+			}, "3s").Should(Equal(sent))
+		}
+	})
+})
--- a/mesh/placements.go
+++ b/mesh/placements.go
@@ -8,6 +8,7 @@
 
 	"briarreach/placement"
 	"briarreach/quarantine"
+	"briarreach/replicalimit"
 )
 
 const (
@@ -22,15 +23,16 @@
 	maxConcurrentDials = 4
 )
 
-// datagram is a message to all peers: a placement, or evidence about prompt parts
-// that crash replicas. Earlier versions know the fields of a placement only.
+// datagram is a message to all peers: a placement, evidence about prompt parts that
+// crash replicas, or the limit of a replica. Earlier versions know the fields of a placement only.
 type datagram struct {
 	placement.Announcement
-	Crash  *quarantine.Crash  `cbor:"4,keyasint,omitempty"`
-	Answer *quarantine.Answer `cbor:"5,keyasint,omitempty"`
+	Crash  *quarantine.Crash    `cbor:"4,keyasint,omitempty"`
+	Answer *quarantine.Answer   `cbor:"5,keyasint,omitempty"`
+	Limit  *replicalimit.Notice `cbor:"6,keyasint,omitempty"`
 }
 
-// evidence returns the evidence in a datagram, or nil for a placement.
+// evidence returns the evidence in a datagram, or nil for another message.
 func (d datagram) evidence() quarantine.Evidence {
 	switch {
 	case d.Crash != nil:
@@ -56,6 +58,17 @@
 	m.onEvidence = f
 }
 
+// OnLimit sets the handler of limits that other gateways broadcast.
+func (m *Mesh) OnLimit(f func(replicalimit.Notice)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onLimit = f
+}
+
+// BroadcastLimit sends a replica's limit to the other gateways. It never blocks: if
+// the queue is full, the limit is dropped.
+func (m *Mesh) BroadcastLimit(n replicalimit.Notice) { m.broadcast(datagram{Limit: &n}) }
+
 // BroadcastPlacement sends a placement to the other gateways. It never blocks:
 // if the queue is full, the placement is dropped.
 func (m *Mesh) BroadcastPlacement(p placement.Announcement) {
@@ -156,10 +169,12 @@
 			continue
 		}
 		m.mu.Lock()
-		onPlacement, onEvidence := m.onPlacement, m.onEvidence
+		onPlacement, onEvidence, onLimit := m.onPlacement, m.onEvidence, m.onLimit
 		m.mu.Unlock()
 		if e := d.evidence(); e != nil {
 			onEvidence(e)
+		} else if d.Limit != nil {
+			onLimit(*d.Limit)
 		} else {
 			onPlacement(d.Announcement)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -91,6 +91,7 @@
 //   - cached: a replica that has all shared parts cached has the least cost
 //   - least_waiting: another replica has the least cost
 //   - all_over_bound: no load is within the bound; the least loaded replica
+//   - limited: none, as the replicas take no more requests per second for now
 //   - soonest: the replica with the least cost would be too late; this one is
 //     expected to finish the prefill first
 //
@@ -103,12 +104,16 @@
 	CachedTokens    int           // prompt tokens that the replica is assumed to have cached
 	ExpectedWait    time.Duration // until the replica starts the prefill
 	ExpectedPrefill time.Duration // duration of the prefill
-	Refused         bool          // by this process, because of overload; the request is not counted as in flight
+	Refused         bool          // by this process, because of overload or limits; the request is not counted as in flight
 	RetryAfter      time.Duration // of a refused request
 	stats           *replicaStats
 	waiter          *waiter
 }
 
+// LimitedReason is the reason of a choice that is refused because of the limits
+// that replicas state.
+const LimitedReason = "limited"
+
 // Outcome is the result of sending a request to a replica.
 type Outcome int
 
@@ -130,8 +135,31 @@
 	byIncarnation atomic.Pointer[map[replica.Incarnation]*replicaStats]
 	cache         prefixCache
 	announce      func(Announcement)
+	limiter       Limiter
+}
+
+// Limiter bounds the requests per second that this process sends to a replica.
+type Limiter interface {
+	// Allows reports whether a request may be sent to a replica, and if not, after
+	// which time.
+	Allows(r replica.Incarnation, now time.Time) (wait time.Duration, allowed bool)
+	// Take counts a request that is sent. It returns false if none may be sent.
+	Take(r replica.Incarnation, now time.Time) bool
 }
 
+// noLimiter allows all requests.
+type noLimiter struct{}
+
+func (noLimiter) Allows(replica.Incarnation, time.Time) (time.Duration, bool) { return 0, true }
+
+func (noLimiter) Take(replica.Incarnation, time.Time) bool { return true }
+
+// Option changes a default of New.
+type Option func(*Placer)
+
+// WithLimiter sets what bounds the requests to a replica; without it nothing does.
+func WithLimiter(l Limiter) Option { return func(p *Placer) { p.limiter = l } }
+
 // replicaStats is what this process knows about one incarnation of a replica.
 type replicaStats struct {
 	inFlight     atomic.Int64
@@ -167,8 +195,11 @@
 
 // New returns a placer. It calls announce with each placement that other
 // processes should know.
-func New(s Settings, announce func(Announcement)) *Placer {
-	p := &Placer{settings: s, announce: announce, cache: newPrefixCache(s.CacheTTL)}
+func New(s Settings, announce func(Announcement), opts ...Option) *Placer {
+	p := &Placer{settings: s, announce: announce, cache: newPrefixCache(s.CacheTTL), limiter: noLimiter{}}
+	for _, opt := range opts {
+		opt(p)
+	}
 	p.byIncarnation.Store(&map[replica.Incarnation]*replicaStats{})
 	return p
 }
@@ -227,10 +258,22 @@
 // Choose returns the replica for a request, and counts the request as in flight
 // until Done. It returns false if there is no candidate.
 func (p *Placer) Choose(req Request, replicas []replica.Replica, now time.Time, rnd *rand.Rand) (Choice, bool) {
-	candidates, includesEjected := p.candidates(req, replicas, now)
-	if len(candidates) == 0 {
-		return Choice{}, false
+	for {
+		candidates, includesEjected, limitWait := p.candidates(req, replicas, now)
+		if len(candidates) == 0 {
+			// The jitter keeps callers from returning all at once.
+			return Choice{Refused: true, Reason: LimitedReason, ExpectedWait: limitWait, RetryAfter: limitWait + time.Duration(rnd.Float64()*float64(limitWait))}, limitWait > 0
+		}
+		// Another request may have taken the last one that the replica takes for now.
+		if choice, ok := p.chooseFrom(req, candidates, includesEjected, now, rnd); ok {
+			return choice, true
+		}
 	}
+}
+
+// chooseFrom returns the best of the candidates. It returns false if its limit is
+// exhausted.
+func (p *Placer) chooseFrom(req Request, candidates []candidate, includesEjected bool, now time.Time, rnd *rand.Rand) (Choice, bool) {
 	best, reason := candidates[0], "only"
 	switch {
 	case req.hasPrompt():
@@ -253,6 +296,11 @@
 		if choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, req.TargetLatency, spread); choice.Refused {
 			return choice, true
 		}
+	}
+	if !p.limiter.Take(best.replica.Incarnation(), now) {
+		return Choice{}, false
+	}
+	if req.hasPrompt() {
 		choice.waiter = best.stats.addWaiter(choice.ExpectedPrefill, req.Priority, now)
 		p.recordPlacement(req, best, now)
 	}
@@ -303,13 +351,20 @@
 
 // candidates returns the replicas that may be chosen. If more than
 // MaxEjectedShare of them are ejected or silent, or all are, it returns all of
-// them, and includesEjected is true.
-func (p *Placer) candidates(req Request, replicas []replica.Replica, now time.Time) (list []candidate, includesEjected bool) {
+// them, and includesEjected is true. If the limits of some replicas are exhausted,
+// limitWait is the shortest time until one takes another request.
+func (p *Placer) candidates(req Request, replicas []replica.Replica, now time.Time) (list []candidate, includesEjected bool, limitWait time.Duration) {
 	all := make([]candidate, 0, len(replicas))
 	for _, r := range replicas {
 		if req.Exclude[r.ID] {
 			continue
 		}
+		if wait, allowed := p.limiter.Allows(r.Incarnation(), now); !allowed {
+			if limitWait == 0 || wait < limitWait {
+				limitWait = wait
+			}
+			continue
+		}
 		s := p.stats(r)
 		all = append(all, candidate{replica: r, stats: s, load: s.inFlight.Load()})
 	}
@@ -320,9 +375,9 @@
 		}
 	}
 	if float64(len(all)-len(list)) > p.settings.MaxEjectedShare*float64(len(all)) || len(list) == 0 {
-		return all, len(list) < len(all)
+		return all, len(list) < len(all), limitWait
 	}
-	return list, false
+	return list, false, limitWait
 }
 
 // leastWaiting fills in the estimates of the candidates, and returns the one
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -218,3 +218,74 @@
 		Expect(c.InFlight).To(BeZero())
 	})
 })
+
+// limiter allows a number of requests to each replica.
+type limiter struct {
+	left map[string]int
+	wait time.Duration
+}
+
+func (l limiter) Allows(r replica.Incarnation, _ time.Time) (time.Duration, bool) {
+	n, limited := l.left[r.ID]
+	return l.wait, !limited || n > 0
+}
+
+func (l limiter) Take(r replica.Incarnation, now time.Time) bool {
+	if _, allowed := l.Allows(r, now); !allowed {
+		return false
+	}
+	if n, limited := l.left[r.ID]; limited {
+		l.left[r.ID] = n - 1
+	}
+	return true
+}
+
+var start = time.Unix(1e9, 0)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// Guards against a replica that gets more requests than it takes because it has
+// the shortest queue.
+var _ = Describe("replicas that state limits", func() {
+	DescribeTable("get no more requests than they take, and the others the rest",
+		func(req placement.Request) {
+			list := replicas(3)
+			l := limiter{left: map[string]int{list[0].ID: 2}}
+			p, r := placement.New(placement.Defaults(), nil, placement.WithLimiter(l)), newRand()
+			sent := make(map[string]int)
+			for range 60 {
+				c, ok := p.Choose(req, list, start, r)
+				Expect(ok).To(BeTrue())
+				Expect(c.Refused).To(BeFalse())
+				sent[c.Replica.ID]++
+			}
+			Expect(sent[list[0].ID]).To(Equal(2))
+		},
+		Entry("without a prompt", placement.Request{}),
+		Entry("with a prompt", placement.Request{UniqueTokens: 100}),
+	)
+
+	It("make a request be refused at once when none takes it, with the time until one does", func() {
+		list := replicas(2)
+		l := limiter{left: map[string]int{list[0].ID: 0, list[1].ID: 0}, wait: 300 * time.Millisecond}
+		p, r := placement.New(placement.Defaults(), nil, placement.WithLimiter(l)), newRand()
+		c, ok := p.Choose(placement.Request{}, list, start, r)
+		Expect(ok).To(BeTrue())
+		Expect(c.Refused).To(BeTrue())
+		Expect(c.Reason).To(Equal(placement.LimitedReason))
+		Expect(c.RetryAfter).To(And(BeNumerically(">=", l.wait), BeNumerically("<=", 2*l.wait)))
+	})
+
+	// Guards against ejected replicas that are sent more than they take because all
+	// others are ejected as well.
+	It("keep their limits when the others are ejected", func() {
+		list := replicas(2)
+		l := limiter{left: map[string]int{list[0].ID: 0}, wait: time.Second}
+		p, r := placement.New(placement.Defaults(), nil, placement.WithLimiter(l)), newRand()
+		for range 5 {
+			c, _ := p.Choose(placement.Request{}, list, start, r)
+			p.Done(c, placement.ConnectionBroken, start)
+			Expect(c.Replica.ID).To(Equal(list[1].ID))
+		}
+	})
+})
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -45,6 +45,17 @@
 	return peers
 }
 
+// OtherHolders returns the names of the other live holders.
+func (al *Allocator) OtherHolders() []string {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	var names []string
+	for name := range al.otherHolders() {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Lenders returns the live holders that are homes of a workspace or may have
 // tokens of it left, in a random order weighted by how many.
 func (al *Allocator) Lenders(workspace string, rnd *rand.Rand) []Peer {
