Judge crashes again when a part is cleared or a late report arrives

Two parts that always occur together tie after three crashes. When one of them was answered then, the other one, which crashes replicas, stayed free until the next crash; so did a part whose report arrived after its crash was counted. What is known of crashes is now judged after each change.

Both new entries of 'holds the parts that explain the crashes' failed before.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -149,12 +149,11 @@
 }
 
 func newQuotaSyncers(allocators quotastore.Allocators, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
-	retries *retrybudget.Budget, limits *replicalimit.Limits, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
+	retries *retrybudget.Budget, limits *limitExchange, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
 	return quotastore.NewSyncers(allocators, store, t.Quota, quotastore.WithClock(clock), quotastore.WithLog(l),
 		quotastore.WithMetrics(set), quotastore.WithBorrowing(peers.Borrow), quotastore.WithStepHook(func() {
-			others := allocators.OtherHolders()
-			retries.SetProcessCount(len(others) + 1)
-			limits.SetProcesses(others, clock.Now())
+			retries.SetProcessCount(allocators.HolderCount())
+			limits.updateProcesses(allocators)
 		}))
 }
 
@@ -219,10 +218,10 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, limitsOfReplicas *limitExchange) (*Daemon, error) {
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange) (*Daemon, error) {
 	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(limitsOfReplicas.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
+		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
--- a/gatewaydaemon/limits.go
+++ b/gatewaydaemon/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -9,6 +10,7 @@
 
 	"briarreach/mesh"
 	"briarreach/platform"
+	"briarreach/quotastore"
 	"briarreach/replica"
 	"briarreach/replicalimit"
 )
@@ -28,8 +30,15 @@
 	peers  *mesh.Mesh
 	clock  clockwork.Clock
 	log    log.Interface
+
+	mu        sync.Mutex
+	updatedAt time.Time // of the processes that share the limits
 }
 
+// processesInterval is the time between updates of the processes that share the
+// limits.
+const processesInterval = time.Second
+
 func newLimitExchange(limits *replicalimit.Limits, peers *mesh.Mesh, clock clockwork.Clock, l log.Interface) *limitExchange {
 	x := &limitExchange{limits: limits, peers: peers, clock: clock, log: l}
 	peers.OnLimit(x.handleNotice)
@@ -51,6 +60,19 @@
 	}
 }
 
+// updateProcesses sets the other processes that share the limits, unless it has
+// done so a moment ago.
+func (x *limitExchange) updateProcesses(allocators quotastore.Allocators) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if now := x.clock.Now(); now.Sub(x.updatedAt) >= processesInterval {
+		x.updatedAt = now
+		x.limits.SetProcesses(allocators.OtherHolders(), now)
+	}
+}
+
+// handleNotice takes the limit that another gateway has learned. The end of one is
+// passed on, as not every gateway is connected to all others.
 func (x *limitExchange) handleNotice(n replicalimit.Notice) {
 	if !x.limits.HandleNotice(n, x.clock.Now()) {
 		return
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -162,7 +162,7 @@
 	empty    atomic.Bool // whether there is no crash and no part; saves most requests the lock
 
 	mu          sync.Mutex
-	unjudged    bool // whether a crash was added that no Step has counted
+	unjudged    bool // whether what is known of the crashes has changed since the last Step
 	crashes     map[replica.Incarnation]*crashRecord
 	quarantined map[Part]time.Time // until then
 	answered    map[Part]answer    // of parts that were suspects
@@ -316,8 +316,8 @@
 		}
 		record = &crashRecord{replica: c.Replica, service: c.Service, at: now.Add(-max(c.Age, 0)), parts: make(map[string]bool)}
 		l.crashes[c.Replica] = record
-		l.unjudged = true
 	}
+	l.unjudged = true
 	for _, id := range c.PartIDs {
 		if len(record.parts) < maxPartsPerCrash {
 			record.parts[id] = true
@@ -346,6 +346,7 @@
 			continue
 		}
 		found = true
+		l.unjudged = true // the rest of the parts may explain the crash now
 		delete(c.parts, p.ID)
 		if len(c.parts) == 0 {
 			delete(l.crashes, k)
@@ -494,7 +495,7 @@
 	return actions
 }
 
-// Pending reports whether a crash has not been decided on.
+// Pending reports whether Step has something to decide.
 func (l *List) Pending() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -15,7 +15,8 @@
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-	// step is one event at a process, in milliseconds from the start.
+	// step is one event at a process, in milliseconds from the start. Without a crash
+	// and an answer, it only lets the time pass.
 	type step struct {
 		ms      int
 		crash   string   // replica that ended, or
@@ -29,6 +30,10 @@
 				l.RecordAnswer("s", []string{s.answer}, at(s.ms))
 				continue
 			}
+			if s.crash == "" {
+				l.Step(at(s.ms))
+				continue
+			}
 			l.RecordCrash(quarantine.Crash{Service: "s", Replica: replica.Incarnation{ID: s.crash}, PartIDs: s.suspect}, at(s.ms))
 			l.Step(at(s.ms))
 		}
@@ -63,6 +68,12 @@
 		Entry("two parts always together, no answer with either: five crashes hold both",
 			[]step{{0, "r1", "", []string{"a", "bad"}}, {300, "r2", "", []string{"a", "bad"}}, {600, "r3", "", []string{"a", "bad"}}, {900, "r4", "", []string{"a", "bad"}}, {1200, "r5", "", []string{"a", "bad"}}},
 			[]string{"a", "bad"}, nil),
+		Entry("two parts always together, until one of them is answered",
+			[]step{{0, "r1", "", []string{"a", "bad"}}, {300, "r2", "", []string{"a", "bad"}}, {600, "r3", "", []string{"a", "bad"}}, {800, "", "", nil}, {900, "", "a", nil}},
+			[]string{"bad"}, []string{"a"}),
+		Entry("a report that arrives after the crash was counted",
+			[]step{{0, "r1", "", []string{"bad"}}, {300, "r2", "", []string{"bad"}}, {600, "r3", "", []string{"other"}}, {800, "", "", nil}, {850, "r3", "", []string{"bad"}}},
+			[]string{"bad"}, []string{"other"}),
 		Entry("replicas that end at the same time, as when machines lose power",
 			[]step{{0, "r1", "", []string{"a"}}, {10, "r2", "", []string{"a"}}, {20, "r3", "", []string{"a"}}, {30, "r4", "", []string{"a"}}},
 			nil, []string{"a"}),
