End a replica's limit only with an answer that states none

A refusal or an error without a limit now ends none. The spec 'the limit of a replica' failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,8 +151,8 @@
 	return func(g *Gateway) { g.onBrokenSend = f }
 }
 
-// WithLimitHandler calls f with the limit, or the lack of one, in each response of
-// a replica, and the time at which its request was sent.
+// WithLimitHandler calls f with the limit that a replica states in a response, or
+// does not state in an answer, and the time at which its request was sent.
 func WithLimitHandler(f func(r replica.Replica, stated replicalimit.Limit, sentAt time.Time)) Option {
 	return func(g *Gateway) { g.onLimit = f }
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -144,7 +144,9 @@
 		return nil, nil, &failure{refusal: &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: noReplicaRetryAfter}}
 	}
 	a.limit = res.Limit
-	g.onLimit(choice.Replica, res.Limit, a.started)
+	if failed := res.NotExecuted || res.Status >= 500; res.Limit.Stated || !failed {
+		g.onLimit(choice.Replica, res.Limit, a.started)
+	}
 	a.received()
 	if res.NotExecuted {
 		a.end(placement.ReplicaRefused, sendRefused)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -18,6 +18,7 @@
 	"briarreach/gateway"
 	"briarreach/placement"
 	"briarreach/replica"
+	"briarreach/replicalimit"
 	"briarreach/retrybudget"
 	"briarreach/route"
 )
@@ -40,9 +41,9 @@
 
 // newGateway returns a gateway with two replicas of one service, whose streams may
 // be resumed, and the replicas.
-func newGateway(s gateway.Sender, clock clockwork.Clock, placer *placement.Placer) (*gateway.Gateway, *replica.Set) {
-	g := gateway.New(s, placer, retrybudget.New(retrybudget.Limit{RetriesPerRequest: 1, ExtraRetries: 100, Window: 10 * time.Second}, 1),
-		gateway.WithClock(clock), gateway.WithLog(&log.Logger{Handler: discard.Default}))
+func newGateway(s gateway.Sender, clock clockwork.Clock, placer *placement.Placer, opts ...gateway.Option) (*gateway.Gateway, *replica.Set) {
+	opts = append(opts, gateway.WithClock(clock), gateway.WithLog(&log.Logger{Handler: discard.Default}))
+	g := gateway.New(s, placer, retrybudget.New(retrybudget.Limit{RetriesPerRequest: 1, ExtraRetries: 100, Window: 10 * time.Second}, 1), opts...)
 	var events []replica.Event
 	for i, id := range []string{"r0", "r1"} {
 		events = append(events, replica.Registered{Replica: replica.Replica{ID: id, Service: "engine", Slots: 8,
@@ -137,3 +138,33 @@
 		Expect(relay.Body.Close()).To(Succeed())
 	})
 })
+
+// responder is a fake gateway.Sender that responds with one response per send.
+type responder struct{ responses []*gateway.Response }
+
+func (r *responder) Send(context.Context, gateway.SendRequest) (*gateway.Response, error) {
+	res := r.responses[0]
+	r.responses = r.responses[1:]
+	res.Body = io.NopCloser(strings.NewReader(""))
+	return res, nil
+}
+
+func (*responder) CloseIdleConnections(replica.Replica) {}
+
+// Guards against a replica in need that is taken for one that has recovered because
+// it refuses a request, or fails, without stating its limit.
+var _ = Describe("the limit of a replica", func() {
+	It("is taken from each response that states one, and its end only from an answer", func() {
+		stated := replicalimit.Limit{Stated: true, PerSecond: 2}
+		var limits []replicalimit.Limit
+		g, _ := newGateway(&responder{responses: []*gateway.Response{
+			{Status: 503, NotExecuted: true, Limit: stated}, {Status: 503, NotExecuted: true},
+			{Status: 500, Limit: stated}, {Status: 500}, {Status: 200}, {Status: 421, NotExecuted: true, WrongReplica: true, Limit: stated}, {Status: 200, Limit: stated},
+		}}, clockwork.NewFakeClock(), placement.New(placement.Defaults(), nil),
+			gateway.WithLimitHandler(func(_ replica.Replica, l replicalimit.Limit, _ time.Time) { limits = append(limits, l) }))
+		for range 4 {
+			serveStream(g)
+		}
+		Expect(limits).To(Equal([]replicalimit.Limit{stated, stated, {}, stated}))
+	})
+})
