--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -49,6 +49,17 @@
 	return rows
 }
 
+// startPair starts two gateways that have read each other's rows.
+func startPair() (a, b holder) {
+	GinkgoHelper()
+	a, b = start("a"), start("b")
+	rows := grant(a, 1, nil)
+	Expect(b.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+	rows = grant(b, 2, rows)
+	Expect(a.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+	return a, b
+}
+
 var _ = Describe("loans between gateways", func() {
 	borrow := func(h holder) {
 		defer h.allocators[0].Wait("w", 500)()
@@ -98,11 +109,7 @@
 // gateways none would see a prompt part crash several replicas.
 var _ = Describe("evidence about prompt parts", func() {
 	It("reaches the other gateways as it was sent", func() {
-		a, b := start("a"), start("b")
-		rows := grant(a, 1, nil)
-		Expect(b.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
-		rows = grant(b, 2, rows)
-		Expect(a.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		a, b := startPair()
 		received := make(chan quarantine.Evidence, 100)
 		b.mesh.OnEvidence(func(e quarantine.Evidence) { received <- e })
 		for _, sent := range []quarantine.Evidence{
@@ -127,11 +134,7 @@
 // have not learned that it states no limit anymore.
 var _ = Describe("the limits of replicas", func() {
 	It("reach the other gateways as they were sent", func() {
-		a, b := start("a"), start("b")
-		rows := grant(a, 1, nil)
-		Expect(b.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
-		rows = grant(b, 2, rows)
-		Expect(a.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		a, b := startPair()
 		received := make(chan replicalimit.Notice, 100)
 		b.mesh.OnLimit(func(n replicalimit.Notice) { received <- n })
 		for _, sent := range []replicalimit.Notice{{Replica: replica.Incarnation{ID: "r", Started: 5}, Stated: true, PerSecond: 2.3}, {Replica: replica.Incarnation{ID: "r", Started: 5}}} {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -207,14 +207,7 @@
 	}
 	l.mu.Lock()
 	defer l.unlock()
-	var actions []Action
-	for _, id := range partIDs {
-		p := Part{Service: service, ID: id}
-		if released, relevant := l.clear(p, now); relevant {
-			actions = append(append(actions, l.announce(p, now)...), released...)
-		}
-	}
-	return actions
+	return l.clearAll(service, partIDs, now)
 }
 
 // RecordInterruptedAnswer adds a stream that a crash interrupted long after its
@@ -222,13 +215,21 @@
 func (l *List) RecordInterruptedAnswer(service string, partIDs []string, now time.Time) []Action {
 	l.mu.Lock()
 	defer l.unlock()
+	actions := l.clearAll(service, partIDs, now)
+	for _, id := range partIDs {
+		l.noteAnswer(Part{Service: service, ID: id}, now)
+	}
+	return actions
+}
+
+// clearAll removes the suspicions of parts that this process has seen answered.
+func (l *List) clearAll(service string, partIDs []string, now time.Time) []Action {
 	var actions []Action
 	for _, id := range partIDs {
 		p := Part{Service: service, ID: id}
 		if released, relevant := l.clear(p, now); relevant {
 			actions = append(append(actions, l.announce(p, now)...), released...)
 		}
-		l.noteAnswer(p, now)
 	}
 	return actions
 }
