Check several ended replicas at a time, and count each answer of a long stream

A gateway checked one replica after the other; each that neither accepts nor refuses a connection takes 300 ms, so that the quarantine of a part would wait behind a failure domain that is cut off. Eight are checked at a time now, each replica once.

A stream that had already shown its prompt to be harmless did not clear a suspicion that arose before its end; its end counts as well now.

The spec 'checks several replicas at a time' blocks without the change.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/singleflight"
 
 	"briarreach/replica"
 )
@@ -45,6 +47,9 @@
 
 const (
 	maxQueuedSends = 1024
+	// workerCount is the number of replicas that are checked at a time, as each of
+	// many that don't respond takes checkTimeout.
+	workerCount = 8
 	// checkDelay gives an ending process the time to close its listener.
 	checkDelay = 10 * time.Millisecond
 	// checkTimeout is the time after which a replica counts as ended if the
@@ -64,9 +69,12 @@
 	ends       *metrics.Counter
 	dropped    *metrics.Counter
 	queue      chan BrokenSend
-	results    map[replica.Incarnation]result // used by one goroutine
+	dials      singleflight.Group // by incarnation
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
+
+	mu      sync.Mutex
+	results map[replica.Incarnation]result
 }
 
 // result is the result of a check that started at a time.
@@ -92,12 +100,12 @@
 	}
 }
 
-// WithEndHandler calls f, from one goroutine, for each broken send whose replica
-// has ended.
+// WithEndHandler calls f for each broken send whose replica has ended. Calls may be
+// concurrent.
 func WithEndHandler(f func(End)) Option { return func(d *Detector) { d.onEnd = f } }
 
-// WithCompleteHandler calls f, from the same goroutine, for each send that is
-// complete after all: its replica has not ended.
+// WithCompleteHandler calls f for each send that is complete after all: its replica
+// has not ended. Calls may be concurrent.
 func WithCompleteHandler(f func(BrokenSend)) Option { return func(d *Detector) { d.onComplete = f } }
 
 // New starts a detector.
@@ -109,16 +117,18 @@
 	for _, opt := range opts {
 		opt(d)
 	}
-	d.goroutines.Go(func() {
-		for {
-			select {
-			case b := <-d.queue:
-				d.check(ctx, b)
-			case <-ctx.Done():
-				return
+	for range workerCount {
+		d.goroutines.Go(func() {
+			for {
+				select {
+				case b := <-d.queue:
+					d.check(ctx, b)
+				case <-ctx.Done():
+					return
+				}
 			}
-		}
-	})
+		})
+	}
 	return d
 }
 
@@ -140,21 +150,16 @@
 
 func (d *Detector) check(ctx context.Context, b BrokenSend) {
 	k := b.Replica.Incarnation()
-	known, checked := d.results[k]
-	if !checked || !known.ended && b.At.After(known.at) {
-		known = d.dial(ctx, b)
+	known, checked := d.result(k)
+	for !checked || !known.ended && b.At.After(known.at) {
+		_, _, _ = d.dials.Do(fmt.Sprint(k), func() (any, error) {
+			d.record(k, d.dial(ctx, b))
+			return nil, nil
+		})
 		if ctx.Err() != nil {
 			return
 		}
-		if known.ended {
-			d.ends.Inc()
-		}
-		for key, r := range d.results {
-			if d.clock.Since(r.at) > resultTTL {
-				delete(d.results, key)
-			}
-		}
-		d.results[k] = known
+		known, checked = d.result(k)
 	}
 	fields := log.Fields{"replica": b.Replica.ID, "service": b.Replica.Service, "prompt_parts": b.SharedParts, "answering_ms": b.AnswerTime.Milliseconds()}
 	switch {
@@ -169,6 +174,28 @@
 	d.onEnd(End{BrokenSend: b})
 }
 
+func (d *Detector) result(k replica.Incarnation) (result, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.results[k]
+	return r, ok
+}
+
+// record keeps a result, and drops those that are old.
+func (d *Detector) record(k replica.Incarnation, r result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.ended && !d.results[k].ended {
+		d.ends.Inc()
+	}
+	d.results[k] = r
+	for key, other := range d.results {
+		if d.clock.Since(other.at) > resultTTL {
+			delete(d.results, key)
+		}
+	}
+}
+
 func (d *Detector) dial(ctx context.Context, b BrokenSend) result {
 	select {
 	case <-d.clock.After(checkDelay - d.clock.Since(b.At)):
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -1,8 +1,11 @@
 package crash_test
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,6 +16,16 @@
 	"briarreach/upstream"
 )
 
+// dialer is a crash.Dialer whose replicas don't respond until enough connections to
+// them are tried at a time.
+type dialer struct{ arrived sync.WaitGroup }
+
+func (d *dialer) AcceptsConnections(context.Context, netip.AddrPort) bool {
+	d.arrived.Done()
+	d.arrived.Wait()
+	return false
+}
+
 var _ = Describe("a detector of ended replicas", func() {
 	listen := func() (net.Listener, replica.Replica) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -76,4 +89,21 @@
 		Eventually(ends, "1s").Should(Receive())
 		Expect(complete).To(BeEmpty())
 	})
+
+	// Guards against a verdict that waits until many replicas that don't respond were
+	// tried one after the other.
+	It("checks several replicas at a time", func() {
+		const replicas = 4
+		dialing := &dialer{}
+		dialing.arrived.Add(replicas)
+		ends := make(chan crash.End, replicas)
+		d := crash.New(dialing, crash.WithEndHandler(func(e crash.End) { ends <- e }))
+		DeferCleanup(d.Close)
+		for i := range replicas {
+			d.Report(crash.BrokenSend{Replica: replica.Replica{ID: fmt.Sprint(i)}, At: time.Now()})
+		}
+		for range replicas {
+			Eventually(ends, "5s").Should(Receive())
+		}
+	})
 })
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,7 +31,7 @@
 	lastEventAt        time.Time
 	receivedEvent      bool // whether the current replica has sent an event
 	closeDelimited     bool // whether the end of the connection ends the current replica's stream
-	provedSound        bool // whether the stream has shown that the parts of its prompt are sound
+	provedSound        bool // whether the stream has lasted long enough to show that its prompt does not crash replicas
 }
 
 const streamBufferBytes = 4 << 10
@@ -110,16 +110,16 @@
 		s.exchange.gateway.placer.RecordFirstEvent(s.currentSend.choice)
 	}
 	s.currentSend.received()
-	if s.exchange.gateway.quarantine.ProvesSound(s.currentSend.answerTime()) {
-		s.recordSound()
+	if !s.provedSound && s.exchange.gateway.quarantine.ProvesSound(s.currentSend.answerTime()) {
+		s.provedSound = true
+		s.recordAnswer()
 	}
 	return nil
 }
 
-// recordSound notes, once, that the stream's prompt does not crash replicas.
-func (s *eventStream) recordSound() {
-	if p := s.exchange.request.Prompt; p != nil && !s.provedSound {
-		s.provedSound = true
+// recordAnswer notes that the stream's prompt does not crash replicas.
+func (s *eventStream) recordAnswer() {
+	if p := s.exchange.request.Prompt; p != nil {
 		s.exchange.gateway.quarantine.RecordAnswer(s.exchange.service, p.SharedPartIDs())
 	}
 }
@@ -157,7 +157,7 @@
 		if s.closeDelimited {
 			s.exchange.reportBroken(s.currentSend, true)
 		} else {
-			s.recordSound()
+			s.recordAnswer()
 		}
 		s.exchange.end(outcomeServed, "")
 		s.err = io.EOF
--- a/mesh/placements.go
+++ b/mesh/placements.go
@@ -24,7 +24,8 @@
 )
 
 // datagram is a message to all peers: a placement, evidence about prompt parts that
-// crash replicas, or the limit of a replica. Earlier versions know the fields of a placement only.
+// crash replicas, or the limit of a replica. Earlier versions know the fields of a
+// placement only.
 type datagram struct {
 	placement.Announcement
 	Crash  *quarantine.Crash    `cbor:"4,keyasint,omitempty"`
