--- /dev/null
+++ b/mesh/datagram_test.go
@@ -0,0 +1,40 @@
+package mesh
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/placement"
+	"briarreach/quarantine"
+	"briarreach/replicalimit"
+)
+
+// Guards against gateways of two versions, as during a deployment, that misread each
+// other's datagrams.
+var _ = Describe("a datagram", func() {
+	It("encodes a placement as earlier versions do", func() {
+		p := placement.Announcement{ReplicaID: "r", PrefixHash: 7, PrefillTokens: 9}
+		now, err := cbor.Marshal(datagram{Announcement: p})
+		Expect(err).NotTo(HaveOccurred())
+		before, err := cbor.Marshal(p)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(now).To(Equal(before))
+		var d datagram
+		Expect(cbor.Unmarshal(before, &d)).To(Succeed())
+		Expect(d).To(Equal(datagram{Announcement: p}))
+	})
+
+	DescribeTable("is a placement on no replica for earlier versions if it is another message",
+		func(d datagram) {
+			data, err := cbor.Marshal(d)
+			Expect(err).NotTo(HaveOccurred())
+			var p placement.Announcement
+			Expect(cbor.Unmarshal(data, &p)).To(Succeed())
+			Expect(p).To(BeZero())
+		},
+		Entry("a crash", datagram{Crash: &quarantine.Crash{Service: "s", PartIDs: []string{"a"}}}),
+		Entry("an answer", datagram{Answer: &quarantine.Answer{Part: quarantine.Part{Service: "s", ID: "a"}}}),
+		Entry("a limit", datagram{Limit: &replicalimit.Notice{Stated: true, PerSecond: 2}}),
+	)
+})
--- a/quarantinestore/quarantinestore.go
+++ b/quarantinestore/quarantinestore.go
@@ -73,7 +73,7 @@
 	done      chan struct{}
 
 	mu      sync.Mutex
-	stored  map[quarantine.Part]bool // whose rows the feed has shown
+	stored  map[quarantine.Part]bool // whose rows are in the store, by the feed and the own writes
 	pending map[quarantine.Part]write
 }
 
