Command to list and release quarantined prompt parts

Operators were told to delete a row of the store, without a means to find it. 'briarreach quarantine' lists the parts and releases one.

--- a/cmd/briarreach/main.go
+++ b/cmd/briarreach/main.go
@@ -13,6 +13,8 @@
 	"github.com/urfave/cli/v3"
 
 	"briarreach/operator"
+	"briarreach/quarantinestore"
+	"briarreach/rowstore"
 )
 
 // Exit codes, also in docs/operators.md.
@@ -33,7 +35,7 @@
 		Name:  "briarreach",
 		Usage: "a router fleet for prepaid token budgets",
 		Commands: []*cli.Command{
-			demoCommand(), entryCommand(), agentCommand(), gatewayCommand(), explainCommand(), replayCommand(), standinCommand(),
+			demoCommand(), entryCommand(), agentCommand(), gatewayCommand(), quarantineCommand(), explainCommand(), replayCommand(), standinCommand(),
 			initCommand(), keysCommand(), checkConfigCommand(),
 			configCommand(), workspaceCommand(), budgetCommand(), targetCommand(), moveCommand(), drainCommand(),
 			timelineCommand(),
@@ -63,12 +65,14 @@
 	var timeoutErr *TimeoutError
 	var apiErr *operator.Error
 	var transportErr *operator.TransportError
+	var storeErr *rowstore.UnknownError
+	var unknownEntryErr *quarantinestore.UnknownEntryError
 	switch {
-	case errors.As(err, &usageErr):
+	case errors.As(err, &usageErr), errors.As(err, &unknownEntryErr):
 		return exitUsage
 	case errors.As(err, &timeoutErr):
 		return exitTimeout
-	case errors.As(err, &transportErr):
+	case errors.As(err, &transportErr), errors.As(err, &storeErr):
 		return exitUnavailable
 	case errors.As(err, &apiErr):
 		return exitCodeForType(apiErr.Type)
--- a/quarantinestore/quarantinestore.go
+++ b/quarantinestore/quarantinestore.go
@@ -1,7 +1,7 @@
 // Package quarantinestore shares the quarantine of prompt parts between processes:
 // it exchanges evidence with the other processes, and keeps a row in the shared
 // store for each part in quarantine, so that processes that start later know it
-// too. An operator releases a part by deleting its row.
+// too. An operator lists the parts and releases one by deleting its row.
 package quarantinestore
 
 import (
@@ -52,13 +52,6 @@
 	maxPartsPerMessage = 24
 )
 
-// rowValue is the JSON value of a row.
-type rowValue struct {
-	Service string `json:"service"`
-	Part    string `json:"part"`
-	Crashes int    `json:"crashes"` // after which the part was put into quarantine
-}
-
 // Keeper keeps a process's list in agreement with the other processes.
 type Keeper struct {
 	list      *quarantine.List
@@ -291,7 +284,7 @@
 		}
 		return nil
 	}
-	value, err := json.Marshal(rowValue{Service: p.Service, Part: p.ID, Crashes: crashes})
+	value, err := json.Marshal(Entry{Name: key.Name, Service: p.Service, Part: p.ID, Crashes: crashes})
 	if err != nil {
 		return fmt.Errorf("quarantinestore.write: %w", err)
 	}
@@ -315,12 +308,12 @@
 			k.withdraw(func(p quarantine.Part) bool { return rowName(p) == row.Key.Name })
 			continue
 		}
-		var v rowValue
-		if err := json.Unmarshal(row.Value, &v); err != nil || v.Service == "" || v.Part == "" {
-			k.log.WithField("row", row.Key.Name).WithError(err).Warn("quarantine row ignored")
+		e, ok := decodeEntry(row)
+		if !ok {
+			k.log.WithField("row", row.Key.Name).Warn("quarantine row ignored: it names no service and part")
 			continue
 		}
-		p := quarantine.Part{Service: v.Service, ID: v.Part}
+		p := e.key()
 		listed[p] = true
 		k.mu.Lock()
 		k.stored[p] = true
--- a/quarantinestore/quarantinestore_test.go
+++ b/quarantinestore/quarantinestore_test.go
@@ -104,4 +104,23 @@
 		Eventually(blocks(a, long), "1s", "5ms").Should(BeTrue())
 		Expect(blocks(a, long+"y")()).To(BeFalse())
 	})
+
+	It("lists the parts for an operator, who releases one", func() {
+		a := start()
+		client := platform.NewStore(platform.StoreSettings{Address: store.Address()})
+		ctx := context.Background()
+		crashReplicas(a, 3, "bad")
+		store.Put(quarantinestore.Table, "", "x", []byte("{"))
+		var entries []quarantinestore.Entry
+		Eventually(func() []quarantinestore.Entry {
+			entries, _ = quarantinestore.List(ctx, client)
+			return entries
+		}, "2s", "10ms").Should(HaveLen(1))
+		Expect(entries[0].Service).To(Equal("s"))
+		Expect(entries[0].Part).To(Equal("bad"))
+		Expect(entries[0].Crashes).To(Equal(3))
+		Expect(quarantinestore.Release(ctx, client, "none")).To(BeAssignableToTypeOf(&quarantinestore.UnknownEntryError{}))
+		Expect(quarantinestore.Release(ctx, client, entries[0].Name)).To(Succeed())
+		Eventually(blocks(a, "bad"), "2s", "5ms").Should(BeFalse())
+	})
 })
