Tell callers to return when any gateway may send to a replica with a limit

A gateway without a share of a limit sent callers away for 10 to 20 s, though another gateway may serve them after the pace of the limit. The new entry 'is waited for as long as the next request of any process takes' covers it.

--- a/replicalimit/replicalimit.go
+++ b/replicalimit/replicalimit.go
@@ -241,10 +241,13 @@
 	if known.tokens >= 1 {
 		return 0, true
 	}
+	seconds := (1 - known.tokens) / known.share
 	if known.share <= 0 {
-		return maxWait, false
+		// The replica takes the next request from another process, which may be the
+		// one that the caller reaches when it returns.
+		seconds = 1 / max(known.perSecond, minPerSecond)
 	}
-	return min(time.Duration((1-known.tokens)/known.share*float64(time.Second))+time.Millisecond, maxWait), false
+	return min(time.Duration(seconds*float64(time.Second))+time.Millisecond, maxWait), false
 }
 
 // Take takes a request from this process's share, or returns false if there is
--- a/replicalimit/replicalimit_test.go
+++ b/replicalimit/replicalimit_test.go
@@ -197,6 +197,27 @@
 		Expect(l.IsLimited(limited)).To(BeFalse())
 	})
 
+	// Guards against callers that are sent away for longer than the replica needs.
+	It("is waited for as long as the next request of any process takes", func() {
+		var names []string
+		for i := range 40 {
+			names = append(names, fmt.Sprint("p", i))
+		}
+		sharing := 0
+		for i, name := range names {
+			l := replicalimit.New(name, 1, rand.New(rand.NewPCG(1, 1)))
+			l.SetProcesses(append(append([]string(nil), names[:i]...), names[i+1:]...), at(0))
+			l.Record(limited, replicalimit.Limit{Stated: true, PerSecond: 2}, at(0), at(0))
+			wait, allowed := l.Allows(limited, at(0))
+			Expect(allowed).To(BeFalse())
+			Expect(wait).To(BeNumerically("<=", 10*time.Second))
+			if wait != 501*time.Millisecond {
+				sharing++
+			}
+		}
+		Expect(sharing).To(Equal(2*2 + 3))
+	})
+
 	It("is forgotten when nothing has stated it for minutes", func() {
 		l := replicalimit.New("a", 1, rand.New(rand.NewPCG(1, 1)))
 		l.Record(limited, replicalimit.Limit{Stated: true, PerSecond: 1}, at(0), at(0))
