Handle SIGHUP from the start of a gateway on

Cause: the handler was registered after the gateway had been built, 12 to 20 ms after the start; until then SIGHUP ends the process.

Change: main registers it before anything else and hands the channel to the gateway. Other commands end at SIGHUP as before.

--- a/cmd/briarreach/gateway.go
+++ b/cmd/briarreach/gateway.go
@@ -28,9 +28,13 @@
 // garbage collector runs more often.
 const memoryLimitShare = 0.6
 
-func gatewayCommand() *cli.Command {
+const gatewayName = "gateway"
+
+// gatewayCommand returns the command. SIGHUP must be delivered to hangups since the
+// start of the process.
+func gatewayCommand(hangups <-chan os.Signal) *cli.Command {
 	return &cli.Command{
-		Name: "gateway", Usage: "run a gateway on the platform", Description: gatewayUsage,
+		Name: gatewayName, Usage: "run a gateway on the platform", Description: gatewayUsage,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "platform", Usage: "the platform's settings `FILE`",
 				Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
@@ -60,7 +64,7 @@
 			if err != nil {
 				return err
 			}
-			return d.Run(ctx, c.String("platform"))
+			return d.Run(ctx, c.String("platform"), hangups)
 		},
 	}
 }
--- a/cmd/briarreach/main.go
+++ b/cmd/briarreach/main.go
@@ -29,17 +29,27 @@
 )
 
 func main() {
+	// Before anything else, as a signal that is not expected ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	app := &cli.Command{
 		Name:  "briarreach",
 		Usage: "a router fleet for prepaid token budgets",
 		Commands: []*cli.Command{
-			demoCommand(), entryCommand(), agentCommand(), gatewayCommand(), quarantineCommand(), explainCommand(), replayCommand(), standinCommand(),
+			demoCommand(), entryCommand(), agentCommand(), gatewayCommand(hangups), quarantineCommand(), explainCommand(), replayCommand(), standinCommand(),
 			initCommand(), keysCommand(), checkConfigCommand(),
 			configCommand(), workspaceCommand(), budgetCommand(), targetCommand(), moveCommand(), drainCommand(),
 			timelineCommand(),
 		},
+		// Only a gateway expects SIGHUP.
+		Before: func(ctx context.Context, c *cli.Command) (context.Context, error) {
+			if c.Args().First() != gatewayName {
+				signal.Reset(syscall.SIGHUP)
+			}
+			return ctx, nil
+		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -9,7 +9,6 @@
 	"maps"
 	"net/netip"
 	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -358,15 +357,12 @@
 	sigkillMargin = 500 * time.Millisecond
 )
 
-// Run serves until ctx ends, then stops gracefully. On SIGHUP it checks the
-// platform's settings file at path, which is not the tuning file.
-func (d *Daemon) Run(ctx context.Context, path string) error {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+// Run serves until ctx ends, then stops gracefully. At each signal of hangups it
+// checks the platform's settings file at path, which is not the tuning file.
+func (d *Daemon) Run(ctx context.Context, path string, hangups <-chan os.Signal) error {
 	for ctx.Err() == nil {
 		select {
-		case <-reload:
+		case <-hangups:
 			d.reload(path)
 		case <-ctx.Done():
 		}
