--- a/placement/placement.go
+++ b/placement/placement.go
@@ -256,7 +256,8 @@
 }
 
 // Choose returns the replica for a request, and counts the request as in flight
-// until Done. It returns false if there is no candidate.
+// until Done. It returns false if there is no candidate. If there are some but their
+// limits are exhausted, the choice is refused with LimitedReason.
 func (p *Placer) Choose(req Request, replicas []replica.Replica, now time.Time, rnd *rand.Rand) (Choice, bool) {
 	for {
 		candidates, includesEjected, limitWait := p.candidates(req, replicas, now)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -27,8 +27,8 @@
 
 // Settings are the parameters of the quarantine.
 type Settings struct {
-	Crashes     int           // that put a part into quarantine, without those that coincide
-	ManyCrashes int           // that put a part into quarantine if most of them coincide, or all parts that are suspect in the same crashes
+	Crashes     int           // after which a part is put into quarantine; those that coincide count as one
+	ManyCrashes int           // the same, counting each, where two or more don't coincide; also settles a tie of parts that are suspect in the same crashes
 	Coincidence time.Duration // crashes within this time count as one: they have a cause in common outside of the requests
 	Settle      time.Duration // from a crash until it counts, in which other processes report what they had in flight
 	SoundAfter  time.Duration // a stream that lasts this long beyond its first event shows that its parts are sound
@@ -68,7 +68,8 @@
 	maxPartsPerCrash = 256
 	maxQuarantined   = 1024
 	maxAnswered      = 1024
-	// minDistinct is the least number of crashes that don't coincide.
+	// minDistinct is the least number of crashes that don't coincide, however many
+	// there are.
 	minDistinct = 2
 	// objectionTTL is how long an answer speaks against a quarantine that another
 	// process decides.
