Bound and expire the answers that the quarantine remembers

What operators would have seen: memory that keeps the parts named in peers' answers until 1,024 others push them out, and one entry beyond the bound.

Cause: the time of an announcement was written past the bound, and entries were dropped only when the map was full.

The spec 'are kept in a bounded number, and not for long' failed before (1,025 entries of 1,024); go test ./quarantine ./quarantinestore passes.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -160,7 +160,7 @@
 // is safe for concurrent use.
 type List struct {
 	settings Settings
-	empty    atomic.Bool // whether there is no crash and no part; saves most requests the lock
+	empty    atomic.Bool // whether nothing is remembered; saves most requests the lock
 
 	mu          sync.Mutex
 	unjudged    bool // whether what is known of the crashes has changed since the last Step
@@ -183,7 +183,7 @@
 
 // unlock releases mu after a change.
 func (l *List) unlock() {
-	l.empty.Store(len(l.crashes) == 0 && len(l.quarantined) == 0)
+	l.empty.Store(len(l.crashes) == 0 && len(l.quarantined) == 0 && len(l.answered) == 0)
 	l.mu.Unlock()
 }
 
@@ -256,9 +256,7 @@
 	case Answer:
 		actions, _ := l.clear(e.Part, now)
 		l.noteAnswer(e.Part, now)
-		a := l.answered[e.Part]
-		a.announced = now
-		l.answered[e.Part] = a
+		l.noteAnnounced(e.Part, now)
 		return actions
 	default:
 		return nil
@@ -296,15 +294,21 @@
 // announce returns the announcement of an answer with a part, unless there was one
 // a moment ago.
 func (l *List) announce(p Part, now time.Time) []Action {
-	a := l.answered[p]
-	if now.Sub(a.announced) < objectionInterval {
+	if now.Sub(l.answered[p].announced) < objectionInterval {
 		return nil
 	}
-	a.announced = now
-	l.answered[p] = a
+	l.noteAnnounced(p, now)
 	return []Action{Announce{Evidence: Answer{Part: p}}}
 }
 
+// noteAnnounced remembers the time of an announcement, if the answer is remembered.
+func (l *List) noteAnnounced(p Part, now time.Time) {
+	if a, ok := l.answered[p]; ok {
+		a.announced = now
+		l.answered[p] = a
+	}
+}
+
 // add merges a crash with what is known of it.
 func (l *List) add(c Crash, now time.Time) {
 	if len(c.PartIDs) == 0 {
@@ -489,6 +493,7 @@
 			actions = append(actions, Released{Part: p, Reason: Expired})
 		}
 	}
+	maps.DeleteFunc(l.answered, func(_ Part, a answer) bool { return now.Sub(a.at) > objectionTTL })
 	maps.DeleteFunc(l.crashes, func(_ replica.Incarnation, c *crashRecord) bool { return now.Sub(c.at) > l.settings.EvidenceTTL })
 	if l.unjudged {
 		l.unjudged = false
@@ -504,9 +509,16 @@
 	return l.unjudged
 }
 
-// Empty reports whether there is no crash and no part in quarantine.
+// Empty reports whether nothing is remembered.
 func (l *List) Empty() bool { return l.empty.Load() }
 
+// AnswerCount returns the number of answers that are remembered.
+func (l *List) AnswerCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.answered)
+}
+
 // Parts returns the parts in quarantine.
 func (l *List) Parts() []Part {
 	l.mu.Lock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -153,3 +153,17 @@
 		Entry("no duration", func(s *quarantine.Settings) { s.Duration = 0 }),
 	)
 })
+
+// Guards against memory that grows with the parts that peers name in answers.
+var _ = Describe("answers that other processes announce", func() {
+	It("are kept in a bounded number, and not for long", func() {
+		l := quarantine.New(quarantine.Defaults())
+		now := time.Unix(1_000_000, 0)
+		for i := range 20_000 {
+			l.HandleEvidence(quarantine.Answer{Part: quarantine.Part{Service: "s", ID: fmt.Sprint(i)}}, now)
+		}
+		Expect(l.AnswerCount()).To(BeNumerically("<=", 1024))
+		l.Step(now.Add(time.Minute))
+		Expect(l.AnswerCount()).To(BeZero())
+	})
+})
