Share a limit with the assumed gateways until the others are known

A gateway that had not reached the store since its start took itself for the only one and used a whole limit; so did each other gateway in that state. It shares with the assumed number until the holders' rows were read.

--- a/gatewaydaemon/limits.go
+++ b/gatewaydaemon/limits.go
@@ -65,9 +65,14 @@
 func (x *limitExchange) updateProcesses(allocators quotastore.Allocators) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if now := x.clock.Now(); now.Sub(x.updatedAt) >= processesInterval {
+	now := x.clock.Now()
+	if now.Sub(x.updatedAt) < processesInterval {
+		return
+	}
+	// A gateway that does not know the others must not take a whole limit.
+	if others, known := allocators.OtherHolders(); known {
 		x.updatedAt = now
-		x.limits.SetProcesses(allocators.OtherHolders(), now)
+		x.limits.SetProcesses(others, now)
 	}
 }
 
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -45,15 +45,18 @@
 	return peers
 }
 
-// OtherHolders returns the names of the other live holders.
-func (al *Allocator) OtherHolders() []string {
+// OtherHolders returns the names of the other live holders. It returns false if the
+// holders' rows have not been read yet.
+func (al *Allocator) OtherHolders() (names []string, known bool) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	var names []string
+	if !al.allRead {
+		return nil, false
+	}
 	for name := range al.otherHolders() {
 		names = append(names, name)
 	}
-	return names
+	return names, true
 }
 
 // Lenders returns the live holders that are homes of a workspace or may have
--- a/quotastore/syncers.go
+++ b/quotastore/syncers.go
@@ -75,8 +75,9 @@
 	return repayments
 }
 
-// OtherHolders returns the names of the other live holders.
-func (a Allocators) OtherHolders() []string { return a[0].OtherHolders() }
+// OtherHolders returns the names of the other live holders, or false if they are not
+// known yet.
+func (a Allocators) OtherHolders() (names []string, known bool) { return a[0].OtherHolders() }
 
 // Peers returns the other live holders that have published a fingerprint.
 func (a Allocators) Peers() []quota.Peer { return a[0].Peers() }
