Test that a quarantine stops retries and resumptions, and that a limit's end is passed on

Three mechanisms had no test that was red without them. Each new spec fails when its mechanism is taken out (the retry, the resumption, the notice). The limits of a gateway are handed their broadcast instead of the mesh, for the last one.

--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -168,3 +168,34 @@
 		Expect(limits).To(Equal([]replicalimit.Limit{stated, stated, {}, stated}))
 	})
 })
+
+// lateQuarantine blocks all prompts once it was asked a number of times.
+type lateQuarantine struct{ asked, free int }
+
+func (q *lateQuarantine) Blocks(string, []string) (string, time.Duration, bool) {
+	q.asked++
+	return "a", time.Minute, q.asked > q.free
+}
+
+func (*lateQuarantine) ProvesSound(time.Duration) bool { return false }
+
+func (*lateQuarantine) RecordAnswer(string, []string) {}
+
+// Guards against a retry or a resumption that crashes another replica after the part
+// of the prompt was put into quarantine.
+var _ = Describe("a request whose prompt is put into quarantine after it was sent", func() {
+	sends := func(first string) int {
+		s := &sender{bodies: []io.ReadCloser{io.NopCloser(strings.NewReader(first)), io.NopCloser(strings.NewReader("id: 2\ndata: b\n\n"))}}
+		g, _ := newGateway(s, clockwork.NewFakeClock(), placement.New(placement.Defaults(), nil), gateway.WithQuarantine(&lateQuarantine{free: 1}))
+		if relayed, ok := serveStream(g).(*gateway.RelayedResponse); ok {
+			_, err := io.ReadAll(relayed.Body)
+			Expect(err).To(HaveOccurred())
+		}
+		return 2 - len(s.bodies)
+	}
+
+	It("is neither sent again nor resumed", func() {
+		Expect(sends("data: half")).To(Equal(1))
+		Expect(sends("id: 1\ndata: a\n\nid: 2\ndata: half")).To(Equal(1))
+	})
+})
--- a/gatewaydaemon/limits.go
+++ b/gatewaydaemon/limits.go
@@ -26,10 +26,10 @@
 // limitExchange records the limits that replicas state and exchanges them with the
 // other gateways.
 type limitExchange struct {
-	limits *replicalimit.Limits
-	peers  *mesh.Mesh
-	clock  clockwork.Clock
-	log    log.Interface
+	limits    *replicalimit.Limits
+	broadcast func(replicalimit.Notice) // to the other gateways
+	clock     clockwork.Clock
+	log       log.Interface
 
 	mu        sync.Mutex
 	updatedAt time.Time // of the processes that share the limits
@@ -40,7 +40,7 @@
 const processesInterval = time.Second
 
 func newLimitExchange(limits *replicalimit.Limits, peers *mesh.Mesh, clock clockwork.Clock, l log.Interface) *limitExchange {
-	x := &limitExchange{limits: limits, peers: peers, clock: clock, log: l}
+	x := &limitExchange{limits: limits, broadcast: peers.BroadcastLimit, clock: clock, log: l}
 	peers.OnLimit(x.handleNotice)
 	return x
 }
@@ -53,7 +53,7 @@
 	}
 	notice, changed := x.limits.Record(r.Incarnation(), stated, sentAt, x.clock.Now())
 	if notice != nil {
-		x.peers.BroadcastLimit(*notice)
+		x.broadcast(*notice)
 	}
 	if changed {
 		x.logChange(r.ID, stated.Stated, stated.PerSecond, "response")
@@ -84,7 +84,7 @@
 	}
 	x.logChange(n.Replica.ID, n.Stated, n.PerSecond, "peer")
 	if !n.Stated {
-		x.peers.BroadcastLimit(n)
+		x.broadcast(n)
 	}
 }
 
--- a/gatewaydaemon/limits_test.go
+++ b/gatewaydaemon/limits_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -39,3 +41,21 @@
 		Expect(sent()).To(BeNumerically(">", 20), "the only gateway has the whole limit")
 	})
 })
+
+// Guards against gateways that send nothing to a recovered replica because they are
+// connected to none of those that have seen its limit end.
+var _ = Describe("the end of a limit that another gateway has noticed", func() {
+	It("is passed on once", func() {
+		clock := clockwork.NewFakeClock()
+		var sent []replicalimit.Notice
+		x := &limitExchange{limits: replicalimit.New("a", 1, rand.New(rand.NewPCG(1, 1))), clock: clock, log: &log.Logger{Handler: discard.Default},
+			broadcast: func(n replicalimit.Notice) { sent = append(sent, n) }}
+		r := replica.Incarnation{ID: "r"}
+		x.handleNotice(replicalimit.Notice{Replica: r, Stated: true, PerSecond: 2})
+		Expect(sent).To(BeEmpty())
+		for range 3 {
+			x.handleNotice(replicalimit.Notice{Replica: r})
+		}
+		Expect(sent).To(Equal([]replicalimit.Notice{{Replica: r}}))
+	})
+})
