--- a/cmd/briarreach/gateway_test.go
+++ b/cmd/briarreach/gateway_test.go
@@ -12,10 +12,10 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a gateway that ends because it is told to read its settings again
-// while it starts.
+// Guards against a gateway that ends because SIGHUP, which announces changed
+// settings, arrives while it starts.
 var _ = Describe("a gateway that gets SIGHUP while it starts", func() {
-	It("goes on with its start", func() {
+	It("continues to start", func() {
 		program := filepath.Join(GinkgoT().TempDir(), "briarreach")
 		output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 		Expect(err).NotTo(HaveOccurred(), string(output))
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -254,6 +254,7 @@
 		Entry("many requests with the part", scenario{gateways: 5, replicas: 9, badPerSecond: 40, soundPerSecond: 60, firstParts: 8, sessions: 140}),
 		Entry("half of the messages between gateways are lost", scenario{gateways: 5, replicas: 9, badPerSecond: 4, soundPerSecond: 60, firstParts: 8, sessions: 140, loss: 0.5}),
 		Entry("60 gateways, 120 replicas", scenario{gateways: 60, replicas: 120, badPerSecond: 20, soundPerSecond: 300, firstParts: 8, sessions: 600}),
+		Entry("300 gateways, 600 replicas", scenario{gateways: 300, replicas: 600, badPerSecond: 20, soundPerSecond: 200, firstParts: 8, sessions: 600, loss: 0.68}),
 		Entry("a third of the replicas lose power every 5 s", scenario{gateways: 5, replicas: 9, soundPerSecond: 60, firstParts: 8, sessions: 140, powerLoss: 5 * time.Second}),
 		Entry("a third of the replicas lose power every 5 s, with the part", scenario{gateways: 5, replicas: 9, badPerSecond: 4, soundPerSecond: 60, firstParts: 8, sessions: 140, powerLoss: 5 * time.Second}),
 	)
--- a/quarantinestore/quarantinestore.go
+++ b/quarantinestore/quarantinestore.go
@@ -43,6 +43,8 @@
 	writeRetryDelay = 300 * time.Millisecond
 	// maxPendingWrites bounds the rows that wait to be written.
 	maxPendingWrites = 1024
+	// maxRows bounds the rows that are followed.
+	maxRows = 1024
 	// feedWait is how long one call waits for changed rows, which are rare.
 	feedWait   = 10 * time.Second
 	feedMargin = 700 * time.Millisecond
@@ -128,6 +130,13 @@
 	k.watcher.Close(ctx)
 }
 
+// RowCount returns the number of rows that the keeper follows.
+func (k *Keeper) RowCount() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.stored)
+}
+
 // waitForWork waits until there may be something to decide or to write. It returns
 // false when ctx has ended.
 func (k *Keeper) waitForWork(ctx context.Context) bool {
@@ -314,10 +323,11 @@
 			continue
 		}
 		p := e.key()
+		if !k.follow(p) {
+			k.log.WithField("row", row.Key.Name).Warn("quarantine row ignored: too many rows")
+			continue
+		}
 		listed[p] = true
-		k.mu.Lock()
-		k.stored[p] = true
-		k.mu.Unlock()
 		k.do(k.list.Add(p, k.clock.Now()))
 	}
 	if b.Complete {
@@ -325,6 +335,18 @@
 	}
 }
 
+// follow notes that the row of a part is in the store. It returns false if there are
+// too many rows.
+func (k *Keeper) follow(p quarantine.Part) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.stored[p] && len(k.stored) >= maxRows {
+		return false
+	}
+	k.stored[p] = true
+	return true
+}
+
 // withdraw releases the stored parts whose rows are gone.
 func (k *Keeper) withdraw(gone func(quarantine.Part) bool) {
 	k.mu.Lock()
--- a/quarantinestore/quarantinestore_test.go
+++ b/quarantinestore/quarantinestore_test.go
@@ -98,6 +98,16 @@
 		Eventually(blocks(a, "bad"), "2s", "5ms").Should(BeTrue())
 	})
 
+	// Guards against memory that grows with a table that nobody cleans up.
+	It("follows a bounded number of rows", func() {
+		for i := range 3000 {
+			store.Put(quarantinestore.Table, "", fmt.Sprint("row", i), fmt.Appendf(nil, `{"service":"s","part":"p%d","crashes":3}`, i))
+		}
+		a := start()
+		Eventually(a.RowCount, "3s", "10ms").Should(Equal(1024))
+		Consistently(a.RowCount, "200ms").Should(Equal(1024))
+	})
+
 	It("handles IDs that are too long for a message", func() {
 		a, long := start(), strings.Repeat("x", 5000)
 		crashReplicas(a, 3, long)
--- a/replicalimit/replicalimit_test.go
+++ b/replicalimit/replicalimit_test.go
@@ -40,7 +40,7 @@
 	answerTime    = 100 * time.Millisecond
 	window        = 4 * time.Second        // of the platform's bound
 	contactWindow = 3 * time.Second        // from the first statement until the bound holds
-	toldBefore    = 500 * time.Millisecond // for how long a process must have known to count
+	knownBefore   = 500 * time.Millisecond // for how long a process must have known to count
 )
 
 // allowed is the platform's bound of the requests in a window.
@@ -54,7 +54,7 @@
 
 func simulate(sc scenario, seed uint64) outcome {
 	rnd := rand.New(rand.NewPCG(seed, 5))
-	processes, told := make([]*replicalimit.Limits, sc.processes), make([]time.Duration, sc.processes)
+	processes, informed := make([]*replicalimit.Limits, sc.processes), make([]time.Duration, sc.processes)
 	peers := make([][]int, sc.processes)
 	for i := range processes {
 		processes[i] = replicalimit.New(fmt.Sprint("p", i), 8, rnd)
@@ -65,7 +65,7 @@
 			}
 		}
 		processes[i].SetProcesses(others, at(0))
-		told[i] = -1
+		informed[i] = -1
 		for _, j := range rnd.Perm(sc.processes)[:min(sc.peers, sc.processes)] {
 			if j != i {
 				peers[i] = append(peers[i], j)
@@ -94,8 +94,8 @@
 			x := pending[0]
 			pending = pending[1:]
 			stated := replicalimit.Limit{Stated: x.when < limitedFor, PerSecond: sc.perSecond}
-			if stated.Stated && told[x.process] < 0 {
-				told[x.process] = now
+			if stated.Stated && informed[x.process] < 0 {
+				informed[x.process] = now
 			}
 			notice, _ := processes[x.process].Record(limited, stated, at(x.sentAt), at(now))
 			if notice != nil {
@@ -110,7 +110,7 @@
 				continue
 			}
 			pending = append(pending, response{process: i, sentAt: now, when: now + answerTime})
-			if now >= contactWindow && now < limitedFor && told[i] >= 0 && now-told[i] >= toldBefore {
+			if now >= contactWindow && now < limitedFor && informed[i] >= 0 && now-informed[i] >= knownBefore {
 				counted = append(counted, now)
 			}
 		}
