Keep replicas that left from coming back with a restored registry

Cause: a listing was taken as the present state. After a restore it may have a replica as ready that has drained or was removed since, and lack one that has registered since. Class: a write taken as lasting because it was acknowledged. Change: the directory remembers, bounded and for two minutes, which starts of replicas drained or were removed. In later eras a draining one stays so; a removed one is used when it registers again or when its entry has outlasted three heartbeats. Ready ones that the copy lacks stay for the grace period. Red before: the specs "the registry is restored from a copy" with Replace.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -192,6 +192,12 @@
 // outage of the platform's store.
 const registryGrace = 2 * time.Second
 
+// registrySilence is the time after which the registry has removed an entry whose
+// replica sends nothing: three heartbeats and the delay of the removal.
+func registrySilence(s *platform.Settings) time.Duration {
+	return 3*s.HeartbeatInterval + registryGrace
+}
+
 // Daemon is a running gateway with its servers and watchers.
 type Daemon struct {
 	settings        *platform.Settings
@@ -211,14 +217,15 @@
 	limits          *replicalimit.Limits
 	stopping        atomic.Bool
 
-	mu        sync.Mutex
-	directory *replica.Directory
+	mu          sync.Mutex
+	directory   *replica.Directory
+	expiryTimer clockwork.Timer // of the next entry in directory; nil before the first
 }
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
 	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits}
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
@@ -305,9 +312,12 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if b.Complete {
+	switch {
+	case b.Restored:
+		d.directory.ReplaceRestored(b.Events, b.Version, now)
+	case b.Complete:
 		d.directory.Replace(b.Events, b.Version, now)
-	} else {
+	default:
 		d.directory.Apply(b.Events, b.Version, now)
 	}
 	for _, event := range b.Events {
@@ -316,25 +326,28 @@
 		}
 	}
 	d.publishReplicas(now)
-	if next, ok := d.directory.NextExpiry(); ok {
-		d.clock.AfterFunc(next.Sub(now), func() {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.publishReplicas(d.clock.Now())
-		})
-	}
 }
 
-// publishReplicas updates the gateway and the placer with the current replicas.
-// d.mu must be held.
+// publishReplicas updates the gateway and the placer with the current replicas, and
+// does so again when the next entry expires. d.mu must be held.
 func (d *Daemon) publishReplicas(now time.Time) {
 	set := d.directory.Snapshot(now)
 	all := set.All()
 	d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot { snapshot.Replicas = set; return snapshot })
 	d.placer.SetReplicas(all)
 	d.limits.DropOld(now)
+	if d.expiryTimer != nil {
+		d.expiryTimer.Stop()
+	}
+	if next, ok := d.directory.NextExpiry(); ok {
+		d.expiryTimer = d.clock.AfterFunc(next.Sub(now), func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.publishReplicas(d.clock.Now())
+		})
+	}
 	d.log.WithField("registry_version", set.Version).WithField("replicas", len(all)).
-		WithField("missing", d.directory.MissingCount()).Info("replicas changed")
+		WithField("missing", d.directory.MissingCount()).WithField("unconfirmed", d.directory.UnconfirmedCount()).Info("replicas changed")
 }
 
 // Durations of the steps between SIGTERM and SIGKILL.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -6,9 +6,17 @@
 // for a grace period in which live replicas register again, so that the outage
 // does not leave the service without replicas. A single entry that is removed is
 // a replica that stopped. The table tests in this package cover it.
+//
+// Failure: the registry is restored from a copy some seconds old. A replica that
+// has left is there as before, and one that has registered since is not. The
+// directory remembers which replicas drained or were removed: in later eras, a
+// draining one stays so, and a removed one is used only after its entry was written
+// again or has outlasted the time after which silent replicas are removed. The
+// specs "the registry is restored from a copy" cover it.
 package replica
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -107,16 +115,108 @@
 	version     uint64
 	entries     map[string]Replica
 	missing     map[string]time.Time // removed entries that are kept until then
+	era         uint64
+	departures  map[Incarnation]departure
+	unconfirmed map[string]time.Time // entries of a copy that were removed before; not used until then
+	silence     time.Duration
+}
+
+// departure is how a replica has left: it drains, or its entry was removed.
+type departure struct {
+	removed bool
+	era     uint64
+	at      time.Time
 }
 
+const (
+	// departureTTL exceeds the age of the copies from which a registry is restored.
+	departureTTL  = 2 * time.Minute
+	maxDepartures = 4096
+)
+
+// Option changes a default of New.
+type Option func(*Directory)
+
+// WithSilence sets the time after which the registry removes the entry of a replica
+// that sends nothing.
+func WithSilence(d time.Duration) Option { return func(dir *Directory) { dir.silence = d } }
+
 // massRemovalShare is the share of a service's entries whose removal at once is
 // treated as a failure of the registry.
 const massRemovalShare = 0.5
 
 // New returns an empty directory. The grace period is how long a live replica
 // takes to register again after an outage of the registry.
-func New(gracePeriod time.Duration) *Directory {
-	return &Directory{gracePeriod: gracePeriod, entries: make(map[string]Replica), missing: make(map[string]time.Time)}
+func New(gracePeriod time.Duration, opts ...Option) *Directory {
+	d := &Directory{gracePeriod: gracePeriod, entries: make(map[string]Replica), missing: make(map[string]time.Time),
+		departures: make(map[Incarnation]departure), unconfirmed: make(map[string]time.Time), silence: 5 * time.Second}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// ReplaceRestored applies the first complete listing of a registry that was restored
+// from a copy. Ready entries that it lacks are kept for the grace period, in which
+// the replicas register again.
+func (d *Directory) ReplaceRestored(events []Event, version uint64, now time.Time) {
+	d.expire(now)
+	d.era++
+	d.version = version
+	listed := make(map[string]bool, len(events))
+	clear(d.unconfirmed)
+	for _, e := range events {
+		r, ok := e.(Registered)
+		if !ok {
+			continue
+		}
+		id := r.Replica.ID
+		listed[id] = true
+		if left, ok := d.departures[r.Replica.Incarnation()]; ok && left.removed {
+			d.unconfirmed[id] = now.Add(d.silence)
+		}
+		d.register(r.Replica, now)
+	}
+	for id, r := range d.entries {
+		switch _, missing := d.missing[id]; {
+		case listed[id] || missing:
+		case r.State == Ready:
+			d.missing[id] = now.Add(d.gracePeriod)
+		default:
+			d.remove(id, now)
+		}
+	}
+}
+
+// register adds or changes an entry. A replica that was draining in an earlier era
+// of the registry still is.
+func (d *Directory) register(r Replica, now time.Time) {
+	incarnation := r.Incarnation()
+	left, known := d.departures[incarnation]
+	drained := known && !left.removed
+	if drained && left.era < d.era && r.Started.UnixMilli() > 0 {
+		r.State = Draining
+	} else if r.State == Draining && !drained {
+		d.noteDeparture(incarnation, false, now)
+	}
+	d.entries[r.ID] = r
+	delete(d.missing, r.ID)
+}
+
+func (d *Directory) remove(id string, now time.Time) {
+	if r, ok := d.entries[id]; ok {
+		d.noteDeparture(r.Incarnation(), true, now)
+	}
+	delete(d.entries, id)
+	delete(d.missing, id)
+	delete(d.unconfirmed, id)
+}
+
+func (d *Directory) noteDeparture(i Incarnation, removed bool, now time.Time) {
+	maps.DeleteFunc(d.departures, func(_ Incarnation, left departure) bool { return now.Sub(left.at) > departureTTL })
+	if _, ok := d.departures[i]; ok || len(d.departures) < maxDepartures {
+		d.departures[i] = departure{removed: removed, era: d.era, at: now}
+	}
 }
 
 // Replace applies a complete listing: entries that it lacks count as removed.
@@ -137,14 +237,14 @@
 
 // Apply applies changes in order.
 func (d *Directory) Apply(events []Event, version uint64, now time.Time) {
-	d.version = max(d.version, version)
+	d.version = version
 	readyBefore := d.readyCountByService()
 	var removed []Replica
 	for _, e := range events {
 		switch e := e.(type) {
 		case Registered:
-			d.entries[e.Replica.ID] = e.Replica
-			delete(d.missing, e.Replica.ID)
+			d.register(e.Replica, now)
+			delete(d.unconfirmed, e.Replica.ID)
 			removed = slices.DeleteFunc(removed, func(r Replica) bool { return r.ID == e.Replica.ID })
 		case Removed:
 			if r, ok := d.entries[e.ID]; ok {
@@ -153,6 +253,7 @@
 		case Unreadable:
 			delete(d.entries, e.ID)
 			delete(d.missing, e.ID)
+			delete(d.unconfirmed, e.ID)
 		}
 	}
 	readyRemoved := make(map[string]int)
@@ -168,8 +269,7 @@
 			}
 			continue
 		}
-		delete(d.entries, r.ID)
-		delete(d.missing, r.ID)
+		d.remove(r.ID, now)
 	}
 	d.expire(now)
 }
@@ -187,18 +287,21 @@
 func (d *Directory) expire(now time.Time) {
 	for id, until := range d.missing {
 		if !now.Before(until) {
-			delete(d.missing, id)
-			delete(d.entries, id)
+			d.remove(id, now)
 		}
 	}
+	maps.DeleteFunc(d.unconfirmed, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
-// NextExpiry returns when the grace period of the next missing entry ends.
+// NextExpiry returns when the next missing entry is removed or the next unconfirmed
+// one is used.
 func (d *Directory) NextExpiry() (time.Time, bool) {
 	var next time.Time
-	for _, until := range d.missing {
-		if next.IsZero() || until.Before(next) {
-			next = until
+	for _, waiting := range []map[string]time.Time{d.missing, d.unconfirmed} {
+		for _, until := range waiting {
+			if next.IsZero() || until.Before(next) {
+				next = until
+			}
 		}
 	}
 	return next, !next.IsZero()
@@ -207,12 +310,15 @@
 // MissingCount returns the number of removed entries that are still kept.
 func (d *Directory) MissingCount() int { return len(d.missing) }
 
+// UnconfirmedCount returns the number of entries of a copy that are not used yet.
+func (d *Directory) UnconfirmedCount() int { return len(d.unconfirmed) }
+
 // Snapshot returns the replicas that accept requests at the given time.
 func (d *Directory) Snapshot(now time.Time) *Set {
 	d.expire(now)
 	s := &Set{Version: d.version, services: make(map[string][]Replica)}
-	for _, r := range d.entries {
-		if r.State == Ready {
+	for id, r := range d.entries {
+		if _, unconfirmed := d.unconfirmed[id]; r.State == Ready && !unconfirmed {
 			s.services[r.Service] = append(s.services[r.Service], r)
 		}
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -59,6 +59,65 @@
 		Expect(count(d, now.Add(time.Hour))).To(Equal(4))
 	})
 
+	Describe("the registry is restored from a copy", func() {
+		started := time.Unix(1e9-100, 0)
+		entry := func(id string, s replica.State) replica.Replica {
+			return replica.Replica{ID: id, Service: "s", State: s, Started: started}
+		}
+		ids := func(d *replica.Directory, at time.Time) (ids []string) {
+			for _, r := range d.Snapshot(at).ForService("s") {
+				ids = append(ids, r.ID)
+			}
+			return ids
+		}
+		var d *replica.Directory
+		silence := 5 * time.Second
+		BeforeEach(func() {
+			d = replica.New(grace, replica.WithSilence(silence))
+			var all []replica.Event
+			for _, id := range []string{"a", "b", "c", "d", "e"} {
+				all = append(all, replica.Registered{Replica: entry(id, replica.Ready)})
+			}
+			d.Replace(all, 100, now)
+			d.Apply([]replica.Event{replica.Registered{Replica: entry("a", replica.Draining)}, replica.Removed{ID: "b"},
+				replica.Registered{Replica: entry("new", replica.Ready)}}, 110, now)
+			Expect(ids(d, now)).To(Equal([]string{"c", "d", "e", "new"}))
+			// The copy has none of the last changes.
+			d.ReplaceRestored(all, 50, now)
+		})
+
+		// Guards against requests to replicas that have left.
+		It("sends nothing to replicas that drain or were removed", func() {
+			Expect(ids(d, now)).To(Equal([]string{"c", "d", "e", "new"}))
+			Expect(d.Snapshot(now).Version).To(BeEquivalentTo(50))
+			d.Apply([]replica.Event{replica.Registered{Replica: entry("a", replica.Ready)}}, 51, now)
+			Expect(ids(d, now)).NotTo(ContainElement("a"))
+		})
+
+		// Guards against a live replica that stays unused because it had lapsed.
+		It("uses a removed replica that is registered again or whose entry lasts", func() {
+			d.Apply([]replica.Event{replica.Registered{Replica: entry("b", replica.Ready)}}, 51, now)
+			Expect(ids(d, now)).To(ContainElement("b"))
+			d.ReplaceRestored([]replica.Event{replica.Registered{Replica: entry("b", replica.Ready)}}, 50, now)
+			Expect(ids(d, now.Add(silence))).To(ContainElement("b"))
+		})
+
+		It("uses a new start of a replica that has left", func() {
+			again := entry("a", replica.Ready)
+			again.Started = started.Add(time.Second)
+			d.Apply([]replica.Event{replica.Registered{Replica: again}}, 51, now)
+			Expect(ids(d, now)).To(ContainElement("a"))
+		})
+
+		// Guards against a live replica that gets nothing until it has registered again.
+		It("keeps a replica that the copy lacks for the grace period", func() {
+			Expect(d.MissingCount()).To(Equal(1))
+			Expect(ids(d, now.Add(grace))).To(Equal([]string{"c", "d", "e"}))
+			d.Apply([]replica.Event{replica.Registered{Replica: entry("new", replica.Ready)}}, 51, now.Add(grace))
+			Expect(ids(d, now.Add(time.Hour))).To(ContainElement("new"))
+		})
+	})
+
 	It("does not keep draining entries that are removed", func() {
 		d := replica.New(grace)
 		d.Replace(register(4, replica.Draining), 1, now)
