Withdraw moves that a listing lacks, unless the store was restored

Cause: an order to move that was withdrawn while history was lost stayed in force at the gateways, as only a deletion in the feed withdrew it. Change: a complete listing withdraws what it lacks. The listing of a restored store does not, as the operator writes the order again; a bad version gets no requests meanwhile.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -246,6 +246,7 @@
 }
 
 func (d *Daemon) applyConfigEvents(b feed.Batch[platform.OperatorEvent]) {
+	ordered := make(map[string]bool) // services with a move
 	for _, event := range b.Events {
 		switch event := event.(type) {
 		case platform.ConfigPublished:
@@ -266,6 +267,7 @@
 			}
 			d.log.WithFields(fields).Info("configuration in force")
 		case platform.MoveOrdered:
+			ordered[event.Service] = true
 			d.setWithheldVersion(event.Service, event.Version)
 			d.log.WithFields(log.Fields{"service": event.Service, "version": event.Version}).
 				Warn("move ordered; the version is withheld, as gateways do not lead moves yet")
@@ -276,6 +278,16 @@
 			d.log.WithError(event.Err).Error("configuration ignored")
 		}
 	}
+	// A copy may lack an order that the operator is about to write again.
+	if !b.Complete || b.Restored {
+		return
+	}
+	for service := range d.gateway.Snapshot().WithheldVersions {
+		if !ordered[service] {
+			d.setWithheldVersion(service, "")
+			d.log.WithField("service", service).Info("move withdrawn")
+		}
+	}
 }
 
 // setWithheldVersion excludes the replicas of one version of a service from
