Write quarantine rows again that a restored store has lost

Cause: a part whose row a listing lacks was released at all gateways, as if an operator had deleted the row, and a part that was released came back with the copy. Class: a write taken as lasting because it was acknowledged. Change: after a restore the keepers write lost rows again and delete those of parts that were released within two minutes (bounded). Red before: "writes a row again that a restored store has lost" and "deletes a row again that a restored store has back", with the old applyRows.

--- a/quarantinestore/quarantinestore.go
+++ b/quarantinestore/quarantinestore.go
@@ -48,6 +48,10 @@
 	// feedWait is how long one call waits for changed rows, which are rare.
 	feedWait   = 10 * time.Second
 	feedMargin = 700 * time.Millisecond
+	// releasedTTL exceeds the age of the copies from which the store is restored.
+	releasedTTL = 2 * time.Minute
+	// maxReleased bounds the released parts that are remembered.
+	maxReleased = 1024
 	// maxIDBytes bounds the ID of a part in messages; longer ones are hashed.
 	maxIDBytes = 32
 	// maxPartsPerMessage keeps a message within a datagram.
@@ -67,9 +71,10 @@
 	cancel    context.CancelFunc
 	done      chan struct{}
 
-	mu      sync.Mutex
-	stored  map[quarantine.Part]bool // whose rows are in the store, by the feed and the own writes
-	pending map[quarantine.Part]write
+	mu       sync.Mutex
+	stored   map[quarantine.Part]int // whose rows are in the store, by the feed and the own writes, with the crashes in the row
+	pending  map[quarantine.Part]write
+	released map[quarantine.Part]time.Time // a short time ago; a copy of the store may still have their rows
 }
 
 // write is a row to be written or deleted.
@@ -103,7 +108,7 @@
 func New(list *quarantine.List, store rowstore.Store, opts ...Option) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{list: list, store: store, clock: clockwork.NewRealClock(), log: log.Log, broadcast: func(quarantine.Evidence) {},
-		wake: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), stored: make(map[quarantine.Part]bool), pending: make(map[quarantine.Part]write)}
+		wake: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), stored: make(map[quarantine.Part]int), pending: make(map[quarantine.Part]write), released: make(map[quarantine.Part]time.Time)}
 	WithMetrics(metrics.NewSet())(k)
 	for _, opt := range opts {
 		opt(k)
@@ -230,11 +235,13 @@
 			k.broadcast(a.Evidence)
 		case quarantine.Quarantined:
 			k.log.WithFields(log.Fields{"service": a.Part.Service, "part": a.Part.ID, "crashes": a.Crashes, "until": a.Until}).Warn("prompt part quarantined")
+			k.noteReleased(a.Part, false)
 			if a.Crashes > 0 {
 				k.schedule(a.Part, a.Crashes)
 			}
 		case quarantine.Released:
 			k.log.WithFields(log.Fields{"service": a.Part.Service, "part": a.Part.ID, "reason": string(a.Reason)}).Warn("prompt part released")
+			k.noteReleased(a.Part, true)
 			if a.Reason != quarantine.Withdrew {
 				k.schedule(a.Part, 0)
 			}
@@ -245,6 +252,19 @@
 	}
 }
 
+// noteReleased remembers or forgets that a part was released.
+func (k *Keeper) noteReleased(p quarantine.Part, released bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	maps.DeleteFunc(k.released, func(_ quarantine.Part, at time.Time) bool { return now.Sub(at) > releasedTTL })
+	if !released {
+		delete(k.released, p)
+	} else if len(k.released) < maxReleased {
+		k.released[p] = now
+	}
+}
+
 func (k *Keeper) schedule(p quarantine.Part, crashes int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -258,7 +278,7 @@
 func (k *Keeper) writeRows(ctx context.Context) {
 	now := k.clock.Now()
 	k.mu.Lock()
-	maps.DeleteFunc(k.pending, func(p quarantine.Part, w write) bool { return k.stored[p] == (w.crashes > 0) })
+	maps.DeleteFunc(k.pending, func(p quarantine.Part, w write) bool { return (k.stored[p] > 0) == (w.crashes > 0) })
 	due := maps.Clone(k.pending)
 	k.mu.Unlock()
 	for p, w := range due {
@@ -272,7 +292,7 @@
 		case err == nil && w.crashes == 0:
 			delete(k.stored, p)
 		case err == nil || errors.As(err, &conflict):
-			k.stored[p] = true
+			k.stored[p] = max(w.crashes, 1)
 		case k.pending[p] == w:
 			k.pending[p] = write{crashes: w.crashes, due: k.clock.Now().Add(writeRetryDelay)}
 		}
@@ -309,7 +329,9 @@
 	return fmt.Sprintf("%016x", xxhash.Sum64String(p.Service+"\x00"+p.ID))
 }
 
-// applyRows applies changed rows, or all rows.
+// applyRows applies changed rows, or all rows. If the store was restored from a copy,
+// the rows that the copy lacks are written again, and those of parts that were
+// released since are deleted again.
 func (k *Keeper) applyRows(b feed.Batch[rowstore.Row]) {
 	listed := make(map[quarantine.Part]bool)
 	for _, row := range b.Events {
@@ -323,30 +345,64 @@
 			continue
 		}
 		p := e.key()
-		if !k.follow(p) {
+		if !k.follow(p, e.Crashes) {
 			k.log.WithField("row", row.Key.Name).Warn("quarantine row ignored: too many rows")
 			continue
 		}
 		listed[p] = true
+		if b.Restored && k.wasReleased(p) {
+			k.schedule(p, 0)
+			continue
+		}
 		k.do(k.list.Add(p, k.clock.Now()))
 	}
-	if b.Complete {
+	switch {
+	case b.Restored:
+		k.writeAgain(listed)
+	case b.Complete:
 		k.withdraw(func(p quarantine.Part) bool { return !listed[p] })
 	}
 }
 
 // follow notes that the row of a part is in the store. It returns false if there are
 // too many rows.
-func (k *Keeper) follow(p quarantine.Part) bool {
+func (k *Keeper) follow(p quarantine.Part, crashes int) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.stored[p] && len(k.stored) >= maxRows {
+	if k.stored[p] == 0 && len(k.stored) >= maxRows {
 		return false
 	}
-	k.stored[p] = true
+	k.stored[p] = max(crashes, 1)
 	return true
 }
 
+func (k *Keeper) wasReleased(p quarantine.Part) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.released[p]
+	return ok && k.clock.Since(at) <= releasedTTL
+}
+
+// writeAgain schedules the rows of the parts that are still in quarantine and that
+// the store has lost.
+func (k *Keeper) writeAgain(listed map[quarantine.Part]bool) {
+	k.mu.Lock()
+	lost := make(map[quarantine.Part]int)
+	for p, crashes := range k.stored {
+		if !listed[p] {
+			lost[p] = crashes
+			delete(k.stored, p)
+		}
+	}
+	k.mu.Unlock()
+	for _, p := range k.list.Parts() {
+		if crashes := lost[p]; crashes > 0 {
+			k.schedule(p, crashes)
+		}
+	}
+	k.wakeUp()
+}
+
 // withdraw releases the stored parts whose rows are gone.
 func (k *Keeper) withdraw(gone func(quarantine.Part) bool) {
 	k.mu.Lock()
@@ -382,5 +438,5 @@
 	if err != nil {
 		return feed.Batch[rowstore.Row]{}, fmt.Errorf("quarantinestore: %w", err)
 	}
-	return feed.Batch[rowstore.Row]{Events: page.Rows, Version: page.Version, Complete: complete}, nil
+	return feed.Batch[rowstore.Row]{Events: page.Rows, Era: page.Era, Version: page.Version, Complete: complete}, nil
 }
--- a/quarantinestore/quarantinestore_test.go
+++ b/quarantinestore/quarantinestore_test.go
@@ -90,6 +90,34 @@
 		Eventually(func() []string { return store.Names(quarantinestore.Table, "") }, "2s", "10ms").Should(BeEmpty())
 	})
 
+	// Guards against a part that every gateway sends again because the store has lost
+	// its row.
+	It("writes a row again that a restored store has lost", func() {
+		before := store.Copy()
+		a := start()
+		crashReplicas(a, 3, "bad")
+		Eventually(func() []string { return store.Names(quarantinestore.Table, "") }, "2s", "10ms").Should(HaveLen(1))
+		b := start()
+		Eventually(blocks(b, "bad"), "2s", "5ms").Should(BeTrue())
+		store.Restore(before)
+		Eventually(func() []string { return store.Names(quarantinestore.Table, "") }, "2s", "10ms").Should(HaveLen(1))
+		Consistently(blocks(a, "bad"), "400ms", "10ms").Should(BeTrue())
+		Expect(blocks(b, "bad")()).To(BeTrue())
+	})
+
+	// Guards against a released part that a restored store puts into quarantine again.
+	It("deletes a row again that a restored store has back", func() {
+		a := start()
+		crashReplicas(a, 3, "p")
+		Eventually(func() []string { return store.Names(quarantinestore.Table, "") }, "2s", "10ms").Should(HaveLen(1))
+		before := store.Copy()
+		store.Delete(quarantinestore.Table, "", store.Names(quarantinestore.Table, "")[0])
+		Eventually(blocks(a, "p"), "2s", "5ms").Should(BeFalse())
+		store.Restore(before)
+		Eventually(func() []string { return store.Names(quarantinestore.Table, "") }, "2s", "10ms").Should(BeEmpty())
+		Expect(blocks(a, "p")()).To(BeFalse())
+	})
+
 	It("ignores rows that it can't read", func() {
 		store.Put(quarantinestore.Table, "", "x", []byte("{"))
 		store.Put(quarantinestore.Table, "", "y", []byte(`{"service":5}`))
