Draw no quota from a restored store until its rows count all grants

Cause: an allocator dropped rows with a lower version than the one it knew, so its transactions expected versions that the store no longer has. Worse, the workspace rows of the copy count fewer tokens as granted than holders may spend: what was granted since could be drawn again. Class: a write taken as lasting because it was acknowledged, and versions that are compared as if they only rose. Change: rows have the era in which they were written. In a new era nothing is drawn until each known holder has written its row, with the grants that it has in memory; for holders that do not, others write the newest row that they remember, spent in full. Holders tell each other of new grants in the broadcast, so that a grant that nobody has read yet is not lost with its holder. A process that remembers nothing waits until the era is 3 s old; a successor waits with its predecessor's row.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -149,8 +149,9 @@
 
 func newQuotaSyncers(allocators quotastore.Allocators, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
 	retries *retrybudget.Budget, limits *limitExchange, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
+	peers.OnGrants(allocators.HandleNotice)
 	return quotastore.NewSyncers(allocators, store, t.Quota, quotastore.WithClock(clock), quotastore.WithLog(l),
-		quotastore.WithMetrics(set), quotastore.WithBorrowing(peers.Borrow), quotastore.WithStepHook(func() {
+		quotastore.WithMetrics(set), quotastore.WithBorrowing(peers.Borrow), quotastore.WithGrantBroadcast(peers.BroadcastGrants), quotastore.WithStepHook(func() {
 			retries.SetProcessCount(allocators.HolderCount())
 			limits.updateProcesses(allocators)
 		}))
--- a/mesh/datagram_test.go
+++ b/mesh/datagram_test.go
@@ -7,6 +7,7 @@
 
 	"briarreach/placement"
 	"briarreach/quarantine"
+	"briarreach/quota"
 	"briarreach/replicalimit"
 )
 
@@ -35,6 +36,7 @@
 		},
 		Entry("a crash", datagram{Crash: &quarantine.Crash{Service: "s", PartIDs: []string{"a"}}}),
 		Entry("an answer", datagram{Answer: &quarantine.Answer{Part: quarantine.Part{Service: "s", ID: "a"}}}),
+		Entry("grants", datagram{Grants: &quota.GrantNotice{Holder: "h", Granted: map[string]int64{"w": 1}}}),
 		Entry("a limit", datagram{Limit: &replicalimit.Notice{Stated: true, PerSecond: 2}}),
 	)
 })
--- a/mesh/datagrams.go
+++ b/mesh/datagrams.go
@@ -8,6 +8,7 @@
 
 	"briarreach/placement"
 	"briarreach/quarantine"
+	"briarreach/quota"
 	"briarreach/replicalimit"
 )
 
@@ -24,13 +25,14 @@
 )
 
 // datagram is a message to all peers: a placement, evidence about prompt parts that
-// crash replicas, or the limit of a replica. Earlier versions know the fields of a
+// crash replicas, the limit of a replica, or a holder's grants. Earlier versions know the fields of a
 // placement only.
 type datagram struct {
 	placement.Announcement
 	Crash  *quarantine.Crash    `cbor:"4,keyasint,omitempty"`
 	Answer *quarantine.Answer   `cbor:"5,keyasint,omitempty"`
 	Limit  *replicalimit.Notice `cbor:"6,keyasint,omitempty"`
+	Grants *quota.GrantNotice   `cbor:"7,keyasint,omitempty"`
 }
 
 // evidence returns the evidence in a datagram, or nil for another message.
@@ -66,6 +68,17 @@
 	m.onLimit = f
 }
 
+// OnGrants sets the handler of grants that other gateways broadcast.
+func (m *Mesh) OnGrants(f func(quota.GrantNotice)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onGrants = f
+}
+
+// BroadcastGrants sends what this gateway was granted to the others. It never
+// blocks: if the queue is full, the notice is dropped.
+func (m *Mesh) BroadcastGrants(n quota.GrantNotice) { m.broadcast(datagram{Grants: &n}) }
+
 // BroadcastLimit sends a replica's limit to the other gateways. It never blocks: if
 // the queue is full, the limit is dropped.
 func (m *Mesh) BroadcastLimit(n replicalimit.Notice) { m.broadcast(datagram{Limit: &n}) }
@@ -170,12 +183,14 @@
 			continue
 		}
 		m.mu.Lock()
-		onPlacement, onEvidence, onLimit := m.onPlacement, m.onEvidence, m.onLimit
+		onPlacement, onEvidence, onLimit, onGrants := m.onPlacement, m.onEvidence, m.onLimit, m.onGrants
 		m.mu.Unlock()
 		if e := d.evidence(); e != nil {
 			onEvidence(e)
 		} else if d.Limit != nil {
 			onLimit(*d.Limit)
+		} else if d.Grants != nil {
+			onGrants(*d.Grants)
 		} else {
 			onPlacement(d.Announcement)
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -127,6 +127,7 @@
 	onPlacement func(placement.Announcement)
 	onEvidence  func(quarantine.Evidence)
 	onLimit     func(replicalimit.Notice)
+	onGrants    func(quota.GrantNotice)
 	datagrams   chan datagram
 }
 
@@ -158,7 +159,7 @@
 // New listens for peers and publishes the address through allocators.
 func New(listen netip.AddrPort, allocators QuotaAllocators, opts ...Option) (*Mesh, error) {
 	m := &Mesh{allocators: allocators, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
-		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, onLimit: func(replicalimit.Notice) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
+		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, onLimit: func(replicalimit.Notice) {}, onGrants: func(quota.GrantNotice) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
 	WithMetrics(metrics.NewSet())(m)
 	for _, opt := range opts {
 		opt(m)
--- a/quota/directory.go
+++ b/quota/directory.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -36,6 +37,17 @@
 	return d.entries[holder].peer
 }
 
+// forgetTimes lets later rows replace all entries, as the store's clock may have
+// been set back.
+func (d *Directory) forgetTimes() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for holder, e := range d.entries {
+		e.recordedAt = math.MinInt64
+		d.entries[holder] = e
+	}
+}
+
 // Knows reports whether a certificate with this fingerprint belongs to a holder.
 func (d *Directory) Knows(fingerprint string) bool {
 	d.mu.Lock()
--- /dev/null
+++ b/quota/era.go
@@ -0,0 +1,353 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"briarreach/rowstore"
+)
+
+// The store may be restored from a copy some seconds old; its next era begins then.
+// Grants that were drawn after the copy are missing in its rows, so what they count
+// as free may have been spent. Until the rows are complete again, no holder draws:
+// each writes what it was granted, and for a holder that does not, the others write
+// the newest row of it that they remember. The test "a store that is restored from
+// a copy" covers it.
+
+const (
+	// restoreDelay is how long the others wait for a holder to write its row in a
+	// new era; the homes of its row go first, then all that remember it.
+	restoreDelay = time.Second
+	// unrememberedDelay is the time after which a holder's row in the copy is taken
+	// as it is, with a write-off, because no process remembers a newer one.
+	unrememberedDelay = 3 * time.Second
+	// maxRestoredRows bounds the rows of other holders in one transaction.
+	maxRestoredRows = 8
+	// unsettledListEvery is the interval between reads of all rows until they are
+	// complete.
+	unsettledListEvery = 250 * time.Millisecond
+	// firstEra is that of a store that was never restored; one that states none has
+	// era 0.
+	firstEra = 1
+	// writeOffFactor times its demand is what a holder may have drawn and spent in
+	// each second since its last known row.
+	writeOffFactor = 2
+	// maxWriteOffTime bounds the time that is written off.
+	maxWriteOffTime = 30 * time.Second
+)
+
+// Era returns the era of the store that the allocator's rows belong to.
+func (al *Allocator) Era() uint64 {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	return al.era
+}
+
+// EnterEra notes the store's era. It must be called before rows of the era are
+// loaded. It returns true if the store was restored since the last call; all rows
+// must be read then.
+func (al *Allocator) EnterEra(era uint64, now time.Time) (restored bool) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	first := !al.eraKnown
+	if !first && era == al.era {
+		return false
+	}
+	al.remembers = al.remembers || !first && al.allRead && al.isEstablished()
+	al.era, al.eraKnown, al.eraSeenAt = era, true, now
+	if first {
+		return false
+	}
+	al.restored = true
+	al.rows, al.storedHolders = make(map[string]rowstore.Row), make(map[string]holderRow)
+	for name, w := range al.workspaceRows {
+		w.Granted = 0 // the limit stays known
+		al.workspaceRows[name] = w
+	}
+	al.directory.forgetTimes()
+	al.applyNotices()
+	al.allRead, al.syncUrgent = false, true
+	al.mergeStates()
+	return true
+}
+
+// mergeStates replaces the possible states by one that allows no more than each of
+// them. Its grants are those that this holder has at least.
+func (al *Allocator) mergeStates() {
+	merged := al.possibleStates[0]
+	accounts := maps.Clone(merged.row.Accounts)
+	for _, s := range al.possibleStates[1:] {
+		merged.preparedAt = s.preparedAt
+		for name, a := range accounts {
+			b := s.row.Accounts[name]
+			a.Granted, a.ReleaseRate = min(a.Granted, b.Granted), min(a.ReleaseRate, b.ReleaseRate)
+			a.Window = min(a.Spent+a.Window, b.Spent+b.Window) - a.Spent
+			a.ReleaseDelayMS = max(a.ReleaseDelayMS, b.ReleaseDelayMS)
+			accounts[name] = a
+		}
+	}
+	merged.row.Accounts = accounts
+	al.possibleStates = []possibleState{merged}
+}
+
+// isNewer reports whether a row of a holder is newer than another one of it.
+func (h holderRow) isNewer(other holderRow) bool {
+	switch {
+	case h.Era != other.Era:
+		return h.Era > other.Era
+	case h.Incarnation == other.Incarnation:
+		return h.Sequence > other.Sequence
+	default:
+		return h.RecordedAtMS > other.RecordedAtMS
+	}
+}
+
+// isCurrent reports whether a holder's row was written in the store's era. Rows of
+// builds that write no era count as current unless the store was restored.
+func (al *Allocator) isCurrent(holder string) bool {
+	era := al.storedHolders[holder].Era
+	return era == al.era || era == 0 && !al.restored
+}
+
+// isSettled reports whether all rows are of the store's era, so that the workspace
+// rows count all grants.
+func (al *Allocator) isSettled() bool {
+	for name := range al.holderRows {
+		if !al.isCurrent(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// isEstablished reports whether the era was old enough for each holder to have
+// written its row when all rows were read last. A process that remembers no earlier era can't know the holders
+// that the copy lacks.
+func (al *Allocator) isEstablished() bool {
+	if al.remembers || al.era <= firstEra {
+		return true
+	}
+	if !al.allRead {
+		return false
+	}
+	age := al.allReadAt.Sub(al.eraSeenAt)
+	for _, h := range al.storedHolders {
+		if h.Era == al.era {
+			age = max(age, al.allReadStoreTime-time.Duration(h.EraSinceMS)*time.Millisecond)
+		}
+	}
+	return age-al.fleetDelay() >= unrememberedDelay
+}
+
+// mayDraw reports whether the workspace rows count all grants.
+func (al *Allocator) mayDraw() bool { return al.isSettled() && al.isEstablished() }
+
+// Settled reports whether the rows are complete since the store was last restored.
+// Until then, nothing is drawn.
+func (al *Allocator) Settled() bool {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	return al.allRead && al.isSettled()
+}
+
+// fleetDelay spreads the writes of all holders over the time that their part takes
+// for them.
+func (al *Allocator) fleetDelay() time.Duration {
+	return 2 * time.Duration(al.holderCountLocked()) * al.settings.TxInterval
+}
+
+// restoreDue reports whether this holder may write a remembered row of another
+// one.
+func (al *Allocator) restoreDue(holder string, now time.Time) bool {
+	waited := now.Sub(al.eraSeenAt) - al.fleetDelay()
+	switch {
+	case !al.remembers:
+		return waited >= unrememberedDelay
+	case al.isHome(holderPrefix + holder):
+		return waited >= restoreDelay
+	default:
+		return waited >= 2*restoreDelay
+	}
+}
+
+// awaitsPredecessor reports whether this process must not write its row yet: the
+// row of the earlier process on this VM is missing or of an earlier era, and others
+// may remember a newer one.
+func (al *Allocator) awaitsPredecessor() bool {
+	own, ok := al.holderRows[al.holder]
+	if ok && (own.Incarnation == al.incarnation || al.isCurrent(al.holder)) {
+		return false
+	}
+	return !al.isEstablished()
+}
+
+// AwaitsPredecessor reports whether this process must leave its row to the others
+// for now.
+func (al *Allocator) AwaitsPredecessor() bool {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	return al.awaitsPredecessor()
+}
+
+// rowsToRestore returns the other holders whose rows this one should write now.
+func (al *Allocator) rowsToRestore(now time.Time) []string {
+	var names []string
+	for name := range al.holderRows {
+		if name != al.holder && !al.isCurrent(name) && al.restoreDue(name, now) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names[:min(len(names), maxRestoredRows)]
+}
+
+// eraSyncDue reports whether a sync is due because of a new era.
+func (al *Allocator) eraSyncDue(now time.Time) bool {
+	if !al.allRead || al.isSettled() {
+		return false
+	}
+	if _, written := al.holderRows[al.holder]; written && !al.isCurrent(al.holder) {
+		spread := float64(xxhash.Sum64String(al.holder)%1024) / 1024
+		return now.Sub(al.eraSeenAt) >= time.Duration(spread*float64(al.fleetDelay()))
+	}
+	return now.Sub(al.lastSync) >= al.urgentInterval() && len(al.rowsToRestore(now)) > 0
+}
+
+// planGranted adds to the workspaces' rows what a holder's new grants differ from
+// those in its stored row.
+func (al *Allocator) planGranted(p *SyncPlan, holder string, accounts map[string]account) {
+	stored := al.storedHolders[holder].Accounts
+	add := func(name string, tokens int64) {
+		if tokens == 0 {
+			return
+		}
+		w, changed := p.workspaceRows[name]
+		if !changed {
+			w = al.workspaceRows[name]
+		}
+		w.Granted += tokens
+		p.workspaceRows[name] = w
+	}
+	for name, a := range accounts {
+		add(name, a.Granted-stored[name].Granted)
+	}
+	for name, a := range stored {
+		if _, ok := accounts[name]; !ok {
+			add(name, -a.Granted)
+		}
+	}
+}
+
+// planRestoredRows adds the rows of other holders that have not written theirs in
+// this era. All that they were granted counts as spent, and so does what they may
+// have drawn since.
+func (al *Allocator) planRestoredRows(p *SyncPlan, now time.Time) {
+	p.restored = make(map[string]holderRow)
+	storeNow := al.storeTime + now.Sub(al.storeTimeReadAt)
+	for _, holder := range al.rowsToRestore(now) {
+		row := al.holderRows[holder]
+		row.Era = al.era
+		unknown := min(max(storeNow-time.Duration(row.RecordedAtMS)*time.Millisecond, 0), maxWriteOffTime)
+		accounts := make(map[string]account, len(row.Accounts))
+		for name, a := range row.Accounts {
+			drawn := max(int64(writeOffFactor*float64(a.Demand)*unknown.Seconds())-a.unspent(), 0)
+			free := al.limit(name) - al.workspaceRows[name].Granted - (a.Granted - al.storedHolders[holder].Accounts[name].Granted)
+			a.Granted += min(drawn, max(free, 0))
+			a.Window = a.unspent()
+			accounts[name] = a
+		}
+		row.Accounts = accounts
+		al.planGranted(p, holder, accounts)
+		p.restored[holder] = row
+	}
+}
+
+// GrantNotice tells the other holders what a holder was granted. They remember it
+// in case the store loses the row, and drop it once they have read a row as new.
+type GrantNotice struct {
+	Part         string           `cbor:"1,keyasint"`
+	Holder       string           `cbor:"2,keyasint"`
+	Incarnation  string           `cbor:"3,keyasint"`
+	Sequence     int64            `cbor:"4,keyasint"`
+	Era          uint64           `cbor:"5,keyasint"`
+	RecordedAtMS int64            `cbor:"6,keyasint"`
+	Granted      map[string]int64 `cbor:"7,keyasint"` // total grant by workspace, of those that the transaction changed
+}
+
+const (
+	// maxNoticeWorkspaces keeps a notice within a datagram.
+	maxNoticeWorkspaces = 16
+	// maxNotices bounds the holders whose notices are remembered.
+	maxNotices = 1024
+)
+
+// Notices returns what the other holders should know of a confirmed plan.
+func (al *Allocator) Notices(p SyncPlan) []GrantNotice {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	row := p.state.row
+	var names []string
+	for name := range row.Accounts {
+		if p.Drawn[name] != 0 || p.Returned[name] != 0 || p.Adopted[name] != 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var notices []GrantNotice
+	for chunk := range slices.Chunk(names, maxNoticeWorkspaces) {
+		n := GrantNotice{Part: al.part, Holder: al.holder, Incarnation: row.Incarnation, Sequence: row.Sequence, Era: row.Era, RecordedAtMS: row.RecordedAtMS, Granted: make(map[string]int64)}
+		for _, name := range chunk {
+			n.Granted[name] = row.Accounts[name].Granted
+		}
+		notices = append(notices, n)
+	}
+	return notices
+}
+
+// HandleNotice remembers the grants of another holder.
+func (al *Allocator) HandleNotice(n GrantNotice) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	row := holderRow{Incarnation: n.Incarnation, Sequence: n.Sequence, Era: n.Era, RecordedAtMS: n.RecordedAtMS}
+	if n.Holder == al.holder || n.Part != al.part || len(n.Granted) > maxNoticeWorkspaces || n.Era != al.era || !row.isNewer(al.holderRows[n.Holder]) {
+		return
+	}
+	known, ok := al.notices[n.Holder]
+	if !ok && len(al.notices) >= maxNotices || ok && known.isNewer(row) {
+		return
+	}
+	row.Accounts = make(map[string]account)
+	if ok && known.Incarnation == row.Incarnation {
+		maps.Copy(row.Accounts, known.Accounts)
+	}
+	for name, granted := range n.Granted {
+		row.Accounts[name] = account{Granted: granted}
+	}
+	al.notices[n.Holder] = row
+}
+
+// applyNotices adds what the holders have told to their rows, as the store has lost
+// rows that were not read yet.
+func (al *Allocator) applyNotices() {
+	for holder, notice := range al.notices {
+		row := al.holderRows[holder]
+		if !notice.isNewer(row) {
+			continue
+		}
+		row.Incarnation, row.Sequence, row.RecordedAtMS, row.Era = notice.Incarnation, notice.Sequence, notice.RecordedAtMS, notice.Era
+		row.Accounts = maps.Clone(row.Accounts)
+		if row.Accounts == nil {
+			row.Accounts = make(map[string]account)
+		}
+		for name, a := range notice.Accounts {
+			known := row.Accounts[name]
+			known.Granted = a.Granted
+			row.Accounts[name] = known
+		}
+		al.holderRows[holder] = row
+	}
+	clear(al.notices)
+}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,9 +21,22 @@
 	version uint64
 	now     time.Duration
 	lateTxs []rowstore.Tx
+	era     uint64
+	commits int
+	copy    *fakeStore
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{rows: make(map[string]rowstore.Row)} }
+// keepCopy keeps a copy of the rows, from which restore restores the store.
+func (s *fakeStore) keepCopy() { s.copy = &fakeStore{rows: maps.Clone(s.rows), version: s.version} }
+
+// restore begins a new era with the rows of the copy. Transactions that were not
+// applied are lost.
+func (s *fakeStore) restore() {
+	s.rows, s.version, s.lateTxs = maps.Clone(s.copy.rows), s.copy.version, nil
+	s.era++
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{rows: make(map[string]rowstore.Row), era: 1} }
 
 func (s *fakeStore) list(scope quota.Scope) []rowstore.Row {
 	rows := make([]rowstore.Row, 0, len(s.rows))
@@ -36,6 +50,7 @@
 
 // commit applies a transaction, or returns the current rows of its condition.
 func (s *fakeStore) commit(tx rowstore.Tx) (rowstore.Committed, []rowstore.Row) {
+	s.commits++
 	var current []rowstore.Row
 	conflict := false
 	for _, e := range tx.Expect {
@@ -54,7 +69,7 @@
 		p.Version = s.version
 		s.rows[p.Key.Name] = p
 	}
-	return rowstore.Committed{Version: s.version, Time: s.now}, nil
+	return rowstore.Committed{Era: s.era, Version: s.version, Time: s.now}, nil
 }
 
 // holder is a simulated process.
@@ -127,7 +142,11 @@
 // sync runs one sync of a holder with the store.
 func (f *fleet) sync(h *holder, res response) {
 	now := f.clock(h)
+	f.enterEra(h)
 	f.read(h, h.allocator.ScopeToRead(now))
+	if h.allocator.AwaitsPredecessor() {
+		return
+	}
 	for range 3 {
 		plan := h.allocator.PrepareSync(now, false)
 		switch res {
@@ -143,6 +162,11 @@
 		committed, current := f.store.commit(plan.Tx)
 		if current == nil {
 			h.allocator.ConfirmSync(plan, committed, now)
+			for _, n := range h.allocator.Notices(plan) {
+				for _, other := range f.holders {
+					other.allocator.HandleNotice(n)
+				}
+			}
 			return
 		}
 		h.allocator.DiscardSync(plan)
@@ -150,8 +174,16 @@
 	}
 }
 
+// enterEra lets a holder notice that the store was restored.
+func (f *fleet) enterEra(h *holder) {
+	if h.allocator.EnterEra(f.store.era, f.clock(h)) {
+		f.read(h, quota.ScopeAll)
+	}
+}
+
 // tick reads and syncs as a process does between requests.
 func (f *fleet) tick(h *holder) {
+	f.enterEra(h)
 	f.read(h, h.allocator.ScopeToRead(f.clock(h)))
 	if h.allocator.SyncDue(f.clock(h)) {
 		f.sync(h, arrived)
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	state         possibleState
 	requested     map[string]int64 // by workspace, the tokens that the plan makes available as far as they exist
 	workspaceRows map[string]workspaceRow
+	restored      map[string]holderRow // of other holders, written for them after the store was restored
 }
 
 // SyncDue reports whether a sync should be prepared now, to record consumption
@@ -27,7 +29,10 @@
 func (al *Allocator) SyncDue(now time.Time) bool {
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	if len(al.possibleStates) != 1 || al.lastSync.IsZero() && len(al.limits) > 0 {
+	if al.awaitsPredecessor() {
+		return false
+	}
+	if al.eraSyncDue(now) || len(al.possibleStates) != 1 || al.lastSync.IsZero() && len(al.limits) > 0 {
 		return true
 	}
 	if al.syncUrgent && !al.lastSync.IsZero() {
@@ -95,6 +100,9 @@
 	case al.insufficient:
 		interval = min(interval, al.settings.InsufficientListEvery*time.Duration(factor*factor))
 	}
+	if al.eraKnown && !al.mayDraw() {
+		interval = min(interval, unsettledListEvery*time.Duration(factor))
+	}
 	if !al.allRead || now.Sub(al.allReadAt) >= interval || len(al.possibleStates) > 1 {
 		return ScopeAll
 	}
@@ -114,12 +122,14 @@
 	al.sequence++
 	p := SyncPlan{Drawn: map[string]int64{}, Returned: map[string]int64{}, Ungranted: map[string]int64{}, OthersUnspent: map[string]int64{}, workspaceRows: map[string]workspaceRow{}, requested: map[string]int64{}}
 	elapsed := now.Sub(al.storeTimeReadAt)
-	p.state = possibleState{preparedAt: now, row: holderRow{Incarnation: al.incarnation, Sequence: al.sequence,
+	p.state = possibleState{preparedAt: now, row: holderRow{Incarnation: al.incarnation, Sequence: al.sequence, Era: al.era, EraSinceMS: (al.storeTime + elapsed - now.Sub(al.eraSeenAt)).Milliseconds(),
 		RecordedAtMS: (al.storeTime + elapsed).Milliseconds(), Address: al.ownPeer.Address, Fingerprint: al.ownPeer.Fingerprint, Accounts: map[string]account{}}}
 	own, mine := al.holderRows[al.holder]
 	if mine && own.Incarnation != al.incarnation {
 		al.adopt(&p, own, elapsed)
 	}
+	al.planGranted(&p, al.holder, al.possibleStates[0].row.Accounts)
+	al.planRestoredRows(&p, now)
 	for _, name := range al.workspaceNames() {
 		al.planAccount(&p, name, now, closing)
 	}
@@ -140,6 +150,9 @@
 	accounts := make(map[string]account, len(old.Accounts))
 	for name, a := range old.Accounts {
 		spent := a.maxSpent(since)
+		if old.Era != al.era {
+			spent = a.Granted // the row may be older than the last one that was acknowledged
+		}
 		p.Adopted[name], p.Lost[name] = a.Granted-spent, spent-a.Spent
 		accounts[name] = account{Granted: a.Granted, Spent: spent}
 		al.localUsage(name).consumed += spent
@@ -202,6 +215,9 @@
 	case float64(balance) > al.settings.ReturnAbove*float64(wanted):
 		change = -max(min(balance-wanted, granted), 0)
 	}
+	if change > 0 && !al.mayDraw() {
+		change = 0
+	}
 	if change != 0 {
 		granted += change
 		w.Granted += change
@@ -260,6 +276,9 @@
 		p.Tx.Put = append(p.Tx.Put, rowstore.Row{Key: key, Value: data})
 	}
 	add(HolderTable, holderPrefix+al.holder, p.state.row)
+	for _, holder := range slices.Sorted(maps.Keys(p.restored)) {
+		add(HolderTable, holderPrefix+holder, p.restored[holder])
+	}
 	names := make([]string, 0, len(p.workspaceRows))
 	for name := range p.workspaceRows {
 		names = append(names, name)
@@ -291,7 +310,10 @@
 			l.requested = 0
 		}
 	}
-	al.holderRows[al.holder] = p.state.row
+	al.holderRows[al.holder], al.storedHolders[al.holder] = p.state.row, p.state.row
+	for holder, row := range p.restored {
+		al.holderRows[holder], al.storedHolders[holder] = row, row
+	}
 	al.storeTime, al.storeTimeReadAt = c.Time, now
 	al.possibleStates = []possibleState{p.state}
 	al.lastSync = now
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,9 +18,11 @@
 //     dead, and takes over the rest of the grant.
 //   - Responses of the store are lost, or transactions are applied late: of all
 //     states that the store may hold, the strictest is in force.
+//   - The store is restored from a copy and has lost grants that it had
+//     acknowledged: nothing is drawn until the holders have written them again.
 //
-// The tests "hundreds of holders", "partition", "kill of all processes" and
-// "lost answers" cover them.
+// The tests "hundreds of holders", "partition", "kill of all processes",
+// "lost answers" and "restored from a copy" cover them.
 package quota
 
 import (
@@ -54,6 +56,7 @@
 	holderRows       map[string]holderRow
 	allRead          bool
 	allReadAt        time.Time
+	allReadStoreTime time.Duration // store clock at allReadAt
 	workspacesReadAt time.Time
 	storeTime        time.Duration // store clock at storeTimeReadAt
 	storeTimeReadAt  time.Time
@@ -71,6 +74,13 @@
 	insufficient     bool // whether a request found too little granted since the rows were read
 	ownPeer          Peer
 	lenderBalances   map[string]lenderBalance
+	era              uint64 // of the store
+	eraKnown         bool
+	eraSeenAt        time.Time
+	restored         bool                 // whether the store was restored since the start
+	remembers        bool                 // whether all rows were read in an earlier, established era
+	storedHolders    map[string]holderRow // as read or written in the store's era; holderRows has the newest that are known
+	notices          map[string]holderRow // grants that holders have told, in rows newer than those in holderRows
 }
 
 // loweredLimit is what remains to be done after a quota was lowered: read the
@@ -113,7 +123,7 @@
 // table. Incarnation differs at each start of the process.
 func New(part, holder, incarnation string, s Settings, opts ...Option) *Allocator {
 	al := &Allocator{directory: NewDirectory(), settings: s, part: part, holder: holder, incarnation: incarnation, limits: make(map[string]int64),
-		rows: make(map[string]rowstore.Row), workspaceRows: make(map[string]workspaceRow), holderRows: make(map[string]holderRow),
+		rows: make(map[string]rowstore.Row), workspaceRows: make(map[string]workspaceRow), holderRows: make(map[string]holderRow), storedHolders: make(map[string]holderRow), notices: make(map[string]holderRow),
 		usage: make(map[string]*localUsage), lenderBalances: make(map[string]lenderBalance),
 		lowered: make(map[string]loweredLimit), possibleStates: []possibleState{{}}}
 	for _, opt := range opts {
--- a/quota/rows.go
+++ b/quota/rows.go
@@ -34,7 +34,9 @@
 type holderRow struct {
 	Incarnation  string             `json:"incarnation"`
 	Sequence     int64              `json:"sequence"`
-	RecordedAtMS int64              `json:"at_ms"` // reading of the store's monotonic clock, at or before the time that the accounts describe
+	Era          uint64             `json:"era,omitempty"`          // of the store when the row was written
+	EraSinceMS   int64              `json:"era_since_ms,omitempty"` // when the holder first saw the era, by the store's clock
+	RecordedAtMS int64              `json:"at_ms"`                  // reading of the store's monotonic clock, at or before the time that the accounts describe
 	Address      netip.AddrPort     `json:"address"`
 	Fingerprint  string             `json:"fingerprint"`
 	Accounts     map[string]account `json:"accounts"`
@@ -129,6 +131,7 @@
 			l.unverified = false
 			al.lowered[name] = l
 		}
+		al.allReadStoreTime = storeTime
 		al.allRead, al.allReadAt, al.unknownPeer, al.insufficient = true, now, false, false
 	}
 	al.resolveState()
@@ -149,6 +152,18 @@
 		if err := json.Unmarshal(r.Value, &w); err != nil {
 			return &RowError{Row: name, Err: err}
 		}
+		switch known := al.workspaceRows[workspace]; {
+		case known.ConfigVersion > w.ConfigVersion:
+			// The store has lost the row with the newer limit.
+			w.Limit, w.ConfigVersion = known.Limit, known.ConfigVersion
+			l := al.lowered[workspace]
+			l.unwritten = true
+			al.lowered[workspace] = l
+		case w.ConfigVersion >= al.configVersion:
+			if l, ok := al.lowered[workspace]; ok && !l.unverified {
+				delete(al.lowered, workspace)
+			}
+		}
 		al.workspaceRows[workspace] = w
 	}
 	if holder, ok := strings.CutPrefix(name, holderPrefix); ok {
@@ -156,7 +171,13 @@
 		if err := json.Unmarshal(r.Value, &h); err != nil {
 			return &RowError{Row: name, Err: err}
 		}
-		al.holderRows[holder] = h
+		al.storedHolders[holder] = h
+		if n, ok := al.notices[holder]; ok && !n.isNewer(h) {
+			delete(al.notices, holder)
+		}
+		if known, ok := al.holderRows[holder]; !ok || al.isCurrent(holder) && holder != al.holder || h.isNewer(known) {
+			al.holderRows[holder] = h
+		}
 		al.directory.add(h.peer(holder), time.Duration(h.RecordedAtMS)*time.Millisecond)
 	}
 	return nil
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -27,12 +27,15 @@
 	retryAfter       time.Duration
 	stepHook         func()
 	borrow           func(ctx context.Context, workspace string)
+	broadcast        func(quota.GrantNotice)
 	cancel           context.CancelFunc
 	done             chan struct{}
 	wake             chan struct{}
 	drawn            *metrics.Counter
 	returned         *metrics.Counter
 	insufficient     *metrics.Counter
+	eras             *metrics.Counter
+	enteredEra       bool // whether all rows must be read before the next transaction
 	unavailable      bool
 	unavailableSince time.Time
 
@@ -54,6 +57,7 @@
 	return func(s *Syncer) {
 		s.drawn = set.GetOrCreateCounter("briarreach_quota_drawn_tokens_total")
 		s.returned = set.GetOrCreateCounter("briarreach_quota_returned_tokens_total")
+		s.eras = set.GetOrCreateCounter("briarreach_quota_store_restored_total")
 		s.insufficient = set.GetOrCreateCounter("briarreach_quota_short_total")
 	}
 }
@@ -67,6 +71,12 @@
 	return func(s *Syncer) { s.borrow = borrow }
 }
 
+// WithGrantBroadcast sets the function that tells the other holders what this one
+// was granted. It must not block.
+func WithGrantBroadcast(f func(quota.GrantNotice)) Option {
+	return func(s *Syncer) { s.broadcast = f }
+}
+
 const (
 	// borrowDelay is how long a request waits for the store before it borrows from
 	// other holders again; doubled after each attempt.
@@ -88,7 +98,7 @@
 // New starts a syncer.
 func New(allocator *quota.Allocator, store rowstore.Store, retryAfter time.Duration, opts ...Option) *Syncer {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Syncer{allocator: allocator, store: store, clock: clockwork.NewRealClock(), log: log.Log, retryAfter: retryAfter, stepHook: func() {},
+	s := &Syncer{allocator: allocator, store: store, clock: clockwork.NewRealClock(), log: log.Log, retryAfter: retryAfter, stepHook: func() {}, broadcast: func(quota.GrantNotice) {},
 		cancel: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1), stepDone: make(chan struct{})}
 	WithMetrics(metrics.NewSet())(s)
 	for _, opt := range opts {
@@ -109,7 +119,9 @@
 	s.cancel()
 	select {
 	case <-s.done:
-		s.commit(ctx, true)
+		if !s.allocator.AwaitsPredecessor() {
+			s.commit(ctx, true)
+		}
 	case <-ctx.Done():
 	}
 }
@@ -164,18 +176,28 @@
 	}
 	var rows []rowstore.Row
 	var page rowstore.Page
-	for _, table := range tables {
+	for i, table := range tables {
+		era := page.Era
 		var err error
 		if page, err = s.store.List(ctx, table, s.allocator.Part()); err != nil {
 			s.storeFailed(ctx, "list", err)
 			return false
 		}
+		if i > 0 && page.Era != era {
+			return false // restored in between
+		}
 		rows = append(rows, page.Rows...)
 	}
 	s.storeAnswered()
+	if s.enterEra(page.Era) && scope < quota.ScopeAll {
+		return s.list(ctx, quota.ScopeAll)
+	}
 	if err := s.allocator.LoadRows(rows, scope, page.Time, s.clock.Now()); err != nil {
 		s.log.WithError(err).Error("quota row ignored")
 	}
+	if scope == quota.ScopeAll {
+		s.enteredEra = false
+	}
 	return true
 }
 
@@ -187,19 +209,30 @@
 		if n > 0 {
 			s.clock.Sleep(rand.N(time.Duration(n) * conflictBackoff))
 		}
+		if s.enteredEra && !s.list(ctx, quota.ScopeAll) {
+			return false
+		}
 		plan := s.allocator.PrepareSync(s.clock.Now(), closing)
 		committed, err := s.store.Commit(ctx, plan.Tx)
 		var conflict *rowstore.ConflictError
 		var refused *rowstore.RefusedError
 		switch {
+		case err == nil && s.enterEra(committed.Era):
+			// The versions that it expects are used again, by other rows.
 		case err == nil:
 			s.storeAnswered()
 			s.allocator.ConfirmSync(plan, committed, s.clock.Now())
+			for _, n := range s.allocator.Notices(plan) {
+				s.broadcast(n)
+			}
 			s.reportGrants(plan)
 			return true
 		case errors.As(err, &conflict):
 			s.storeAnswered()
 			s.allocator.DiscardSync(plan)
+			if s.enterEra(conflict.Era) {
+				continue
+			}
 			if err := s.allocator.LoadRows(conflict.Current, quota.ScopeNone, conflict.Time, s.clock.Now()); err != nil {
 				s.log.WithError(err).Error("quota row ignored")
 			}
@@ -215,6 +248,19 @@
 	return true
 }
 
+// enterEra notes the era of a response. It returns true if the store was restored
+// from a copy, after which all rows must be read.
+func (s *Syncer) enterEra(era uint64) bool {
+	known := s.allocator.Era()
+	if !s.allocator.EnterEra(era, s.clock.Now()) {
+		return false
+	}
+	s.enteredEra = true
+	s.eras.Inc()
+	s.log.WithFields(log.Fields{"part": s.allocator.Part(), "era": era, "known_era": known}).Warn("quota store restored from a copy; grants are written again")
+	return true
+}
+
 func (s *Syncer) reportGrants(p quota.SyncPlan) {
 	if len(p.Drawn)+len(p.Returned)+len(p.Adopted) == 0 {
 		return
--- a/quotastore/syncers.go
+++ b/quotastore/syncers.go
@@ -82,6 +82,25 @@
 // Peers returns the other live holders that have published a fingerprint.
 func (a Allocators) Peers() []quota.Peer { return a[0].Peers() }
 
+// HandleNotice remembers the grants of another holder.
+func (a Allocators) HandleNotice(n quota.GrantNotice) {
+	for _, allocator := range a {
+		if allocator.Part() == n.Part {
+			allocator.HandleNotice(n)
+		}
+	}
+}
+
+// Settled reports whether all parts are complete since the store was last restored.
+func (a Allocators) Settled() bool {
+	for _, allocator := range a {
+		if !allocator.Settled() {
+			return false
+		}
+	}
+	return true
+}
+
 // HolderCount returns the number of live holders.
 func (a Allocators) HolderCount() int {
 	n := 1
