Let each process wait for an era to be 3 s old before it draws quota

Cause: a process that had read the rows of an earlier era counted as one that knows all holders. After two restores in a row, or after a cut, there are holders that it has never read and that the copy lacks. And a process that remembers an earlier era, but has no row, waited for a predecessor and so did not write the rows that only it remembered. Change: nobody draws before the era is 3 s old, by the rows of others or by the own clock; a process that remembers writes at once.

--- a/quota/era.go
+++ b/quota/era.go
@@ -124,10 +124,10 @@
 }
 
 // isEstablished reports whether the era was old enough for each holder to have
-// written its row when all rows were read last. A process that remembers no earlier era can't know the holders
-// that the copy lacks.
+// written its row when all rows were read last. There may be holders that neither
+// the copy nor this process knows.
 func (al *Allocator) isEstablished() bool {
-	if al.remembers || al.era <= firstEra {
+	if al.era <= firstEra {
 		return true
 	}
 	if !al.allRead {
@@ -175,10 +175,11 @@
 
 // awaitsPredecessor reports whether this process must not write its row yet: the
 // row of the earlier process on this VM is missing or of an earlier era, and others
-// may remember a newer one.
+// may remember a newer one. A process that remembers an earlier era knows the last
+// one.
 func (al *Allocator) awaitsPredecessor() bool {
 	own, ok := al.holderRows[al.holder]
-	if ok && (own.Incarnation == al.incarnation || al.isCurrent(al.holder)) {
+	if al.remembers || ok && (own.Incarnation == al.incarnation || al.isCurrent(al.holder)) {
 		return false
 	}
 	return !al.isEstablished()
