Log the fingerprint of requests whose send broke, and the ends of plain replicas

Change: a request's content (caller, path, body) has a fingerprint, computed only for broken sends; crash detection covers requests to plain services.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -20,13 +20,14 @@
 	"briarreach/replica"
 )
 
-// BrokenSend is a model request whose connection to a replica broke, or ended with
-// the answer.
+// BrokenSend is a request whose connection to a replica broke, or ended with the
+// answer.
 type BrokenSend struct {
 	Replica replica.Replica
 	// SharedParts are the IDs of the parts of the request's prompt, without the
-	// last.
+	// last. A request to a plain service has none.
 	SharedParts []string
+	Fingerprint string    // of the request's content; the same when it is sent again
 	At          time.Time // when the connection broke
 	// AnswerTime is for how long the replica had been sending events; 0 if it had
 	// sent none.
@@ -161,7 +162,7 @@
 		}
 		known, checked = d.result(k)
 	}
-	fields := log.Fields{"replica": b.Replica.ID, "service": b.Replica.Service, "prompt_parts": b.SharedParts, "answering_ms": b.AnswerTime.Milliseconds()}
+	fields := log.Fields{"replica": b.Replica.ID, "service": b.Replica.Service, "prompt_parts": b.SharedParts, "fingerprint": b.Fingerprint, "answering_ms": b.AnswerTime.Milliseconds()}
 	switch {
 	case !known.ended && b.PossiblyComplete:
 		d.onComplete(b)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -29,6 +29,7 @@
 	reservation     Reservation
 	quotaErr        *QuotaError // why no quota was reserved
 	quarantinedPart string      // ID of the part of the prompt because of which it is not sent
+	contentHash     string      // as fingerprint returns it; empty before the first call
 	sends           []sendRecord
 	currentSend     *activeSend   // the last one that was started
 	eventsReceived  int           // complete events received from replicas
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,8 +145,8 @@
 	return func(g *Gateway) { g.configConfirmedAt = confirmedAt }
 }
 
-// WithBrokenSendHandler calls f, which must not block, for each model request
-// whose connection to a replica broke.
+// WithBrokenSendHandler calls f, which must not block, for each request whose
+// connection to a replica broke.
 func WithBrokenSendHandler(f func(crash.BrokenSend)) Option {
 	return func(g *Gateway) { g.onBrokenSend = f }
 }
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -71,6 +72,9 @@
 	if e.quarantinedPart != "" {
 		fields["quarantined_part"] = e.quarantinedPart
 	}
+	if slices.ContainsFunc(e.sends, func(s sendRecord) bool { return s.Outcome == sendBroken }) {
+		fields["fingerprint"] = e.fingerprint()
+	}
 	if p := e.request.Prompt; p != nil {
 		fields["prompt_tokens"], fields["events"], fields["prompt_parts"] = p.Tokens, e.eventsReceived, p.SharedPartIDs()
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -227,13 +227,13 @@
 	return &failure{refusal: refusal, possiblyExecuted: true}
 }
 
-// reportBroken reports a model request whose connection broke, or ended with the
-// answer.
+// reportBroken reports a request whose connection broke, or ended with the answer.
 func (e *exchange) reportBroken(a *activeSend, possiblyComplete bool) {
+	b := crash.BrokenSend{Replica: a.choice.Replica, Fingerprint: e.fingerprint(), At: e.gateway.clock.Now(), AnswerTime: a.answerTime(), PossiblyComplete: possiblyComplete}
 	if p := e.request.Prompt; p != nil {
-		e.gateway.onBrokenSend(crash.BrokenSend{Replica: a.choice.Replica, SharedParts: p.SharedPartIDs(), At: e.gateway.clock.Now(), AnswerTime: a.answerTime(),
-			PossiblyComplete: possiblyComplete})
+		b.SharedParts = p.SharedPartIDs()
 	}
+	e.gateway.onBrokenSend(b)
 }
 
 // ResponseTooLargeError reports a response that exceeds the buffer in which it
