Quarantine requests that crash the replicas that run them

Cause: what is learned from a crash is kept about shared parts of prompts. A plain request has none, and a model request may share its parts with sound ones, so each time it comes it is sent like a new one. Class: what is learned from a failure is kept about the server, or about too little of the request. Change: the fingerprint of a request's caller, path and body is one more part in the quarantine, in the same evidence, broadcast, rows, bounds and expiry. Crashes of one request count from 20 ms apart, as it crashes one replica after the other within the time of a run. It goes before a shared part that is suspect in the same crashes. Any complete answer clears it. Callers cannot name a part like a request.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -28,7 +28,7 @@
 	deadline        time.Time
 	reservation     Reservation
 	quotaErr        *QuotaError // why no quota was reserved
-	quarantinedPart string      // ID of the part of the prompt because of which it is not sent
+	quarantinedPart string      // ID of the request or the part of the prompt because of which it is not sent
 	contentHash     string      // as fingerprint returns it; empty before the first call
 	sends           []sendRecord
 	currentSend     *activeSend   // the last one that was started
@@ -154,12 +154,13 @@
 	return nil
 }
 
-// quarantined refuses a request with a part of the prompt that crashes replicas.
+// quarantined refuses a request that crashes replicas, or has a part of the prompt
+// that does.
 func (e *exchange) quarantined() *Refusal {
-	if e.request.Prompt == nil {
+	if e.gateway.quarantine.Empty() {
 		return nil
 	}
-	part, remaining, blocked := e.gateway.quarantine.Blocks(e.service, e.request.Prompt.SharedPartIDs())
+	part, remaining, blocked := e.gateway.quarantine.Blocks(e.service, e.contentIDs())
 	if !blocked {
 		return nil
 	}
--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -4,6 +4,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
+
+	"briarreach/quarantine"
 )
 
 // fingerprintBytes is the length of a fingerprint, which callers can't find another
@@ -26,3 +29,30 @@
 	}
 	return e.contentHash
 }
+
+// contentIDs returns the IDs by which the quarantine knows the request: its own, and
+// those of the shared parts of its prompt.
+func (e *exchange) contentIDs() []string {
+	return append(e.sharedPartIDs(), quarantine.RequestID(e.fingerprint()))
+}
+
+// sharedPartIDs returns the IDs of the shared parts of the prompt, if any. A part that
+// a caller has named like a request is left out.
+func (e *exchange) sharedPartIDs() []string {
+	if e.request.Prompt == nil {
+		return nil
+	}
+	return slices.DeleteFunc(e.request.Prompt.SharedPartIDs(), quarantine.IsRequestID)
+}
+
+// recordAnswer notes that the request was answered and does not crash replicas. An
+// error response speaks for the request only.
+func (e *exchange) recordAnswer(status int) {
+	switch {
+	case e.gateway.quarantine.Empty():
+	case status < 300:
+		e.gateway.quarantine.RecordAnswer(e.service, e.contentIDs())
+	default:
+		e.gateway.quarantine.RecordAnswer(e.service, []string{quarantine.RequestID(e.fingerprint())})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,8 +71,12 @@
 	return "not enough of the token quota is granted to this process"
 }
 
-// Quarantine knows the shared parts of prompts that crash replicas.
+// Quarantine knows the requests, and the shared parts of prompts, that crash
+// replicas. Requests have the IDs of quarantine.RequestID.
 type Quarantine interface {
+	// Empty reports whether nothing is known, so that no request is blocked and no
+	// answer matters.
+	Empty() bool
 	// Blocks reports whether a request with one of the parts must not be sent to a
 	// service, because of which part and for how long.
 	Blocks(service string, partIDs []string) (partID string, remaining time.Duration, blocked bool)
@@ -132,7 +136,7 @@
 // WithQuota sets what admits model requests; without it all are admitted.
 func WithQuota(q Quota) Option { return func(g *Gateway) { g.quota = q } }
 
-// WithQuarantine sets what blocks prompts that crash replicas; without it none
+// WithQuarantine sets what blocks requests that crash replicas; without it none
 // are.
 func WithQuarantine(q Quarantine) Option { return func(g *Gateway) { g.quarantine = q } }
 
@@ -180,6 +184,8 @@
 // noQuarantine blocks nothing.
 type noQuarantine struct{}
 
+func (noQuarantine) Empty() bool { return true }
+
 func (noQuarantine) Blocks(string, []string) (string, time.Duration, bool) { return "", 0, false }
 
 func (noQuarantine) ProvesSound(time.Duration) bool { return false }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -76,7 +76,7 @@
 	NoConfiguration    Reason = "no_configuration"
 	StaleConfig        Reason = "stale_configuration"
 	NoReplica          Reason = "no_replica"
-	Quarantined        Reason = "quarantined" // a part of the prompt crashes replicas
+	Quarantined        Reason = "quarantined" // the request, or a part of its prompt, crashes replicas
 	Overloaded         Reason = "overloaded"
 	Limited            Reason = "limited" // the replicas take no more requests per second
 	ReplicaFull        Reason = "replica_full"
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -183,14 +183,17 @@
 	}
 	relay := &RelayedResponse{Status: res.Status, Header: res.Header, BufferedBody: body}
 	if res.Status >= 500 {
+		if !res.CloseDelimited {
+			e.recordAnswer(res.Status)
+		}
 		a.end(placement.Failed, fmt.Sprint("status_", res.Status))
 		return nil, &failure{response: relay, possiblyExecuted: true, refusal: &Refusal{Execution: Executed, Reason: ReplicaFailed}}
 	}
 	a.end(placement.Served, sendServed)
 	if res.CloseDelimited {
 		e.reportBroken(a, true)
-	} else if e.request.Prompt != nil && res.Status < 300 {
-		e.gateway.quarantine.RecordAnswer(e.service, e.request.Prompt.SharedPartIDs())
+	} else {
+		e.recordAnswer(res.Status)
 	}
 	e.timeToFirstByte = e.gateway.clock.Since(e.started)
 	return relay, nil
@@ -229,11 +232,8 @@
 
 // reportBroken reports a request whose connection broke, or ended with the answer.
 func (e *exchange) reportBroken(a *activeSend, possiblyComplete bool) {
-	b := crash.BrokenSend{Replica: a.choice.Replica, Fingerprint: e.fingerprint(), At: e.gateway.clock.Now(), AnswerTime: a.answerTime(), PossiblyComplete: possiblyComplete}
-	if p := e.request.Prompt; p != nil {
-		b.SharedParts = p.SharedPartIDs()
-	}
-	e.gateway.onBrokenSend(b)
+	e.gateway.onBrokenSend(crash.BrokenSend{Replica: a.choice.Replica, SharedParts: e.sharedPartIDs(), Fingerprint: e.fingerprint(), At: e.gateway.clock.Now(),
+		AnswerTime: a.answerTime(), PossiblyComplete: possiblyComplete})
 }
 
 // ResponseTooLargeError reports a response that exceeds the buffer in which it
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -112,18 +113,11 @@
 	s.currentSend.received()
 	if !s.provedSound && s.exchange.gateway.quarantine.ProvesSound(s.currentSend.answerTime()) {
 		s.provedSound = true
-		s.recordAnswer()
+		s.exchange.recordAnswer(http.StatusOK)
 	}
 	return nil
 }
 
-// recordAnswer notes that the stream's prompt does not crash replicas.
-func (s *eventStream) recordAnswer() {
-	if p := s.exchange.request.Prompt; p != nil {
-		s.exchange.gateway.quarantine.RecordAnswer(s.exchange.service, p.SharedPartIDs())
-	}
-}
-
 // Read implements io.Reader. A panic ends the stream as broken, as nobody above
 // handles one while the response is written.
 func (s *eventStream) Read(p []byte) (n int, err error) {
@@ -157,7 +151,7 @@
 		if s.closeDelimited {
 			s.exchange.reportBroken(s.currentSend, true)
 		} else {
-			s.recordAnswer()
+			s.exchange.recordAnswer(http.StatusOK)
 		}
 		s.exchange.end(outcomeServed, "")
 		s.err = io.EOF
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -172,6 +172,8 @@
 // lateQuarantine blocks all prompts once it was asked a number of times.
 type lateQuarantine struct{ asked, free int }
 
+func (*lateQuarantine) Empty() bool { return false }
+
 func (q *lateQuarantine) Blocks(string, []string) (string, time.Duration, bool) {
 	q.asked++
 	return "a", time.Minute, q.asked > q.free
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -11,6 +11,13 @@
 // Processes exchange what they observe, so that crashes at different processes
 // count together. The spec "requests that crash one replica after the other"
 // replays it.
+//
+// Load pattern: one request that crashes each replica that runs it comes again, at
+// any gateway, to a service that may have prompts or not. The fingerprint of a
+// request counts as a part that only this request has. Since it is sent to one
+// replica after the other, its crashes may follow each other within the time of one
+// run, and since it blocks nothing else, it goes before a shared part that is suspect
+// in the same crashes. The spec "a request that comes again" replays it.
 package quarantine
 
 import (
@@ -18,6 +25,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,18 +35,20 @@
 
 // Settings are the parameters of the quarantine.
 type Settings struct {
-	Crashes     int           // after which a part is put into quarantine; those that coincide count as one
-	ManyCrashes int           // the same, counting each, where two or more don't coincide; also settles a tie of parts that are suspect in the same crashes
-	Coincidence time.Duration // crashes within this time count as one: they have a cause in common outside of the requests
-	Settle      time.Duration // from a crash until it counts, in which other processes report what they had in flight
-	SoundAfter  time.Duration // a stream that lasts this long beyond its first event shows that its parts are sound
-	EvidenceTTL time.Duration // how long a crash counts
-	Duration    time.Duration // of the quarantine
+	Crashes     int // after which a part is put into quarantine; those that coincide count as one
+	ManyCrashes int // the same, counting each, where two or more don't coincide; also settles a tie of parts that are suspect in the same crashes
+	// RequestCoincidence replaces Coincidence for a request.
+	RequestCoincidence time.Duration
+	Coincidence        time.Duration // crashes within this time count as one: they have a cause in common outside of the requests
+	Settle             time.Duration // from a crash until it counts, in which other processes report what they had in flight
+	SoundAfter         time.Duration // a stream that lasts this long beyond its first event shows that its parts are sound
+	EvidenceTTL        time.Duration // how long a crash counts
+	Duration           time.Duration // of the quarantine
 }
 
 // Defaults returns the default settings.
 func Defaults() Settings {
-	return Settings{Crashes: 3, ManyCrashes: 5, Coincidence: 100 * time.Millisecond, Settle: 80 * time.Millisecond, SoundAfter: 500 * time.Millisecond,
+	return Settings{Crashes: 3, ManyCrashes: 5, Coincidence: 100 * time.Millisecond, RequestCoincidence: 20 * time.Millisecond, Settle: 80 * time.Millisecond, SoundAfter: 500 * time.Millisecond,
 		EvidenceTTL: 10 * time.Minute, Duration: 30 * time.Minute}
 }
 
@@ -56,7 +66,7 @@
 		return &RangeError{Field: "Crashes", Accepted: "1 or more"}
 	case s.ManyCrashes < s.Crashes:
 		return &RangeError{Field: "ManyCrashes", Accepted: "Crashes or more"}
-	case s.Coincidence < 0 || s.Settle < 0 || s.SoundAfter <= 0 || s.EvidenceTTL <= 0 || s.Duration <= 0:
+	case s.Coincidence < 0 || s.RequestCoincidence < 0 || s.Settle < 0 || s.SoundAfter <= 0 || s.EvidenceTTL <= 0 || s.Duration <= 0:
 		return &RangeError{Field: "durations", Accepted: "more than 0"}
 	}
 	return nil
@@ -79,7 +89,16 @@
 	objectionInterval = 50 * time.Millisecond
 )
 
-// Part is a shared part of the prompts of a service.
+// Request IDs are the IDs of parts that stand for a whole request.
+const requestPrefix = "request-"
+
+// RequestID returns the ID that stands for the request with a fingerprint.
+func RequestID(fingerprint string) string { return requestPrefix + fingerprint }
+
+// IsRequestID reports whether an ID stands for a whole request.
+func IsRequestID(id string) bool { return strings.HasPrefix(id, requestPrefix) }
+
+// Part is a shared part of the prompts of a service, or one of its requests.
 type Part struct {
 	Service string `cbor:"1,keyasint"`
 	ID      string `cbor:"2,keyasint"`
@@ -92,7 +111,7 @@
 type Crash struct {
 	Service string              `cbor:"1,keyasint"`
 	Replica replica.Incarnation `cbor:"2,keyasint"`
-	PartIDs []string            `cbor:"3,keyasint"` // shared parts of the requests on which it may just have begun an answer
+	PartIDs []string            `cbor:"3,keyasint"` // fingerprints and shared parts of the requests on which it may just have begun an answer
 	Age     time.Duration       `cbor:"4,keyasint"` // time since the crash
 }
 
@@ -146,9 +165,14 @@
 	parts   map[string]bool
 }
 
-// explained reports whether a part in quarantine explains the crash.
-func (c *crashRecord) explained(quarantined map[Part]time.Time) bool {
+// explainedWithout reports whether another part in quarantine than the given one
+// explains the crash. A request in quarantine does not clear the shared parts of its
+// prompt, which may crash replicas in other requests too.
+func (c *crashRecord) explainedWithout(partID string, quarantined map[Part]time.Time) bool {
 	for id := range c.parts {
+		if id == partID || IsRequestID(id) && !IsRequestID(partID) {
+			continue
+		}
 		if _, ok := quarantined[Part{Service: c.service, ID: id}]; ok {
 			return true
 		}
@@ -366,7 +390,10 @@
 	var actions []Action
 	for {
 		suspects := l.suspects(now)
-		verdicts := slices.DeleteFunc(slices.Collect(maps.Keys(suspects)), func(p Part) bool { return !l.isCause(p, suspects) })
+		verdicts := slices.DeleteFunc(slices.Collect(maps.Keys(suspects)), func(p Part) bool {
+			_, known := l.quarantined[p]
+			return known || !l.isCause(p, suspects)
+		})
 		if len(verdicts) == 0 || len(l.quarantined) >= maxQuarantined {
 			return actions
 		}
@@ -379,8 +406,8 @@
 	}
 }
 
-// suspects returns the settled crashes of each part, without those that a part in
-// quarantine explains.
+// suspects returns the settled crashes of each part, without those that another part
+// in quarantine explains.
 func (l *List) suspects(now time.Time) map[Part][]*crashRecord {
 	suspects := make(map[Part][]*crashRecord)
 	for _, c := range l.crashes {
@@ -388,10 +415,10 @@
 			l.unjudged = true
 			continue
 		}
-		if c.explained(l.quarantined) {
-			continue
-		}
 		for id := range c.parts {
+			if c.explainedWithout(id, l.quarantined) {
+				continue
+			}
 			p := Part{Service: c.service, ID: id}
 			suspects[p] = append(suspects[p], c)
 		}
@@ -400,10 +427,15 @@
 }
 
 // isCause reports whether a part is the cause of its crashes: it has enough of
-// them, and no other part is suspect in all of these as well.
+// them, and no other part is suspect in all of these as well. Of a request and a
+// shared part that are, the request is the cause.
 func (l *List) isCause(p Part, suspects map[Part][]*crashRecord) bool {
 	crashes := suspects[p]
-	n := l.distinct(crashes)
+	isRequest, coincidence := IsRequestID(p.ID), l.settings.Coincidence
+	if isRequest {
+		coincidence = l.settings.RequestCoincidence
+	}
+	n := distinct(crashes, coincidence)
 	if n < l.settings.Crashes && (n < minDistinct || len(crashes) < l.settings.ManyCrashes) {
 		return false
 	}
@@ -411,6 +443,12 @@
 		if other == p || other.Service != p.Service || slices.ContainsFunc(crashes, func(c *crashRecord) bool { return !c.parts[other.ID] }) {
 			continue
 		}
+		if otherIsRequest := IsRequestID(other.ID); isRequest != otherIsRequest {
+			if otherIsRequest {
+				return false
+			}
+			continue
+		}
 		if len(otherCrashes) > len(crashes) || n < l.settings.ManyCrashes {
 			return false
 		}
@@ -419,7 +457,7 @@
 }
 
 // distinct counts the crashes that don't coincide.
-func (l *List) distinct(crashes []*crashRecord) int {
+func distinct(crashes []*crashRecord, coincidence time.Duration) int {
 	times := make([]time.Time, len(crashes))
 	for i, c := range crashes {
 		times[i] = c.at
@@ -428,7 +466,7 @@
 	n := 0
 	var last time.Time
 	for _, at := range times {
-		if n == 0 || at.Sub(last) >= l.settings.Coincidence {
+		if n == 0 || at.Sub(last) >= coincidence {
 			n, last = n+1, at
 		}
 	}
--- a/quarantinestore/quarantinestore.go
+++ b/quarantinestore/quarantinestore.go
@@ -1,4 +1,5 @@
-// Package quarantinestore shares the quarantine of prompt parts between processes:
+// Package quarantinestore shares the quarantine of requests and of prompt parts, both
+// called parts here, between processes:
 // it exchanges evidence with the other processes, and keeps a row in the shared
 // store for each part in quarantine, so that processes that start later know it
 // too. An operator lists the parts and releases one by deleting its row.
@@ -166,6 +167,9 @@
 	return ctx.Err() == nil
 }
 
+// Empty implements gateway.Quarantine.
+func (k *Keeper) Empty() bool { return k.list.Empty() }
+
 // Blocks implements gateway.Quarantine.
 func (k *Keeper) Blocks(service string, partIDs []string) (partID string, remaining time.Duration, blocked bool) {
 	part, remaining, blocked := k.list.Blocks(service, normalized(partIDs), k.clock.Now())
@@ -185,7 +189,7 @@
 
 // HandleEnd notes that a replica ended with a request in flight.
 func (k *Keeper) HandleEnd(e crash.End) {
-	now, ids := k.clock.Now(), normalized(e.SharedParts)
+	now, ids := k.clock.Now(), contentIDs(e.BrokenSend)
 	if k.list.ProvesSound(e.AnswerTime) {
 		k.do(k.list.RecordInterruptedAnswer(e.Replica.Service, ids, now))
 		return
@@ -197,7 +201,16 @@
 
 // HandleComplete notes that a request was answered.
 func (k *Keeper) HandleComplete(b crash.BrokenSend) {
-	k.RecordAnswer(b.Replica.Service, b.SharedParts)
+	k.RecordAnswer(b.Replica.Service, contentIDs(b))
+}
+
+// contentIDs returns the IDs of a request's shared parts and of the request itself.
+func contentIDs(b crash.BrokenSend) []string {
+	ids := slices.Clone(normalized(b.SharedParts))
+	if b.Fingerprint != "" {
+		ids = append(ids, quarantine.RequestID(b.Fingerprint))
+	}
+	return ids
 }
 
 // HandleEvidence takes evidence of another process.
