Count an era as old only by rows of holders that have seen it

Cause: a row that was written for another holder kept the time at which that holder had first seen an earlier era. A successor took the new era for old, adopted its predecessor's row of the copy and so hid the newer one that others remembered. Change: such a row has the time at which its writer has seen the era. Red before: "does not count as old because of rows that were written for other holders" (0 of 15 wait).

--- a/quota/era.go
+++ b/quota/era.go
@@ -193,6 +193,11 @@
 	return al.awaitsPredecessor()
 }
 
+// eraSinceMS returns when this process first saw the era, by the store's clock.
+func (al *Allocator) eraSinceMS(now time.Time) int64 {
+	return (al.storeTime + now.Sub(al.storeTimeReadAt) - now.Sub(al.eraSeenAt)).Milliseconds()
+}
+
 // rowsToRestore returns the other holders whose rows this one should write now.
 func (al *Allocator) rowsToRestore(now time.Time) []string {
 	var names []string
@@ -250,7 +255,7 @@
 	storeNow := al.storeTime + now.Sub(al.storeTimeReadAt)
 	for _, holder := range al.rowsToRestore(now) {
 		row := al.holderRows[holder]
-		row.Era = al.era
+		row.Era, row.EraSinceMS = al.era, al.eraSinceMS(now)
 		unknown := min(max(storeNow-time.Duration(row.RecordedAtMS)*time.Millisecond, 0), maxWriteOffTime)
 		accounts := make(map[string]account, len(row.Accounts))
 		for name, a := range row.Accounts {
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -122,7 +122,7 @@
 	al.sequence++
 	p := SyncPlan{Drawn: map[string]int64{}, Returned: map[string]int64{}, Ungranted: map[string]int64{}, OthersUnspent: map[string]int64{}, workspaceRows: map[string]workspaceRow{}, requested: map[string]int64{}}
 	elapsed := now.Sub(al.storeTimeReadAt)
-	p.state = possibleState{preparedAt: now, row: holderRow{Incarnation: al.incarnation, Sequence: al.sequence, Era: al.era, EraSinceMS: (al.storeTime + elapsed - now.Sub(al.eraSeenAt)).Milliseconds(),
+	p.state = possibleState{preparedAt: now, row: holderRow{Incarnation: al.incarnation, Sequence: al.sequence, Era: al.era, EraSinceMS: al.eraSinceMS(now),
 		RecordedAtMS: (al.storeTime + elapsed).Milliseconds(), Address: al.ownPeer.Address, Fingerprint: al.ownPeer.Fingerprint, Accounts: map[string]account{}}}
 	own, mine := al.holderRows[al.holder]
 	if mine && own.Incarnation != al.incarnation {
--- a/quota/restored_test.go
+++ b/quota/restored_test.go
@@ -126,6 +126,31 @@
 		Expect(f.totalSpent()).To(BeNumerically("<=", f.limit))
 	})
 
+	// Guards against a process that takes an era for old enough because of a row that
+	// was written for another holder, and takes over its predecessor's older row.
+	It("does not count as old because of rows that were written for other holders", func() {
+		f := newFleet(24, 100_000)
+		f.readEachOther()
+		f.store.keepCopy()
+		f.store.restore()
+		for _, h := range f.holders[1:] {
+			f.start(h)
+		}
+		witness := f.holders[0]
+		f.tick(witness)
+		f.advance(2300 * time.Millisecond)
+		f.tick(witness) // writes some of the rows
+		waiting := 0
+		for _, h := range f.holders[1:] {
+			f.enterEra(h)
+			f.read(h, quota.ScopeAll)
+			if h.allocator.AwaitsPredecessor() {
+				waiting++
+			}
+		}
+		Expect(waiting).To(Equal(23 - 8))
+	})
+
 	// Guards against a fleet that is killed with the store's last seconds lost, and
 	// spends again what the copy does not know.
 	It("lets a fleet that remembers nothing spend less than what the copy has left", func() {
