Keep sound requests out of the quarantine of requests, also where messages are lost

Cause: a sound request that comes again is in flight at several replicas that the bad one ends. Where the evidence about the bad one is lost, only the sound one is suspect; and unlike a shared part it is answered too seldom to be cleared. Change: a gateway remembers the requests that were answered (4,096, ten minutes). They are no suspects, and it says so when others suspect them. The crashes of a request are announced three times, 120 ms apart, to the peers of the one broadcast.

--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -48,11 +48,9 @@
 // recordAnswer notes that the request was answered and does not crash replicas. An
 // error response speaks for the request only.
 func (e *exchange) recordAnswer(status int) {
-	switch {
-	case e.gateway.quarantine.Empty():
-	case status < 300:
-		e.gateway.quarantine.RecordAnswer(e.service, e.contentIDs())
-	default:
-		e.gateway.quarantine.RecordAnswer(e.service, []string{quarantine.RequestID(e.fingerprint())})
+	ids := []string{quarantine.RequestID(e.fingerprint())}
+	if status < 300 {
+		ids = e.contentIDs()
 	}
+	e.gateway.quarantine.RecordAnswer(e.service, ids)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,8 +74,7 @@
 // Quarantine knows the requests, and the shared parts of prompts, that crash
 // replicas. Requests have the IDs of quarantine.RequestID.
 type Quarantine interface {
-	// Empty reports whether nothing is known, so that no request is blocked and no
-	// answer matters.
+	// Empty reports whether no request is blocked.
 	Empty() bool
 	// Blocks reports whether a request with one of the parts must not be sent to a
 	// service, because of which part and for how long.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -78,9 +78,18 @@
 	maxPartsPerCrash = 256
 	maxQuarantined   = 1024
 	maxAnswered      = 1024
+	maxSound         = 4096
 	// minDistinct is the least number of crashes that don't coincide, however many
 	// there are.
 	minDistinct = 2
+	// A crash is announced again crashRepeats times, as a request counts from few
+	// crashes on and messages are lost.
+	crashRepeats   = 2
+	repeatInterval = 120 * time.Millisecond
+	// soundSweepInterval is the time between two removals of old answered requests.
+	soundSweepInterval = 10 * time.Second
+	// maxRepeatedRequests keeps a message within a datagram.
+	maxRepeatedRequests = 16
 	// objectionTTL is how long an answer speaks against a quarantine that another
 	// process decides.
 	objectionTTL = 10 * time.Second
@@ -159,10 +168,12 @@
 
 // crashRecord is a crash and the parts that are still suspected of it.
 type crashRecord struct {
-	replica replica.Incarnation
-	service string
-	at      time.Time
-	parts   map[string]bool
+	replica  replica.Incarnation
+	service  string
+	at       time.Time
+	parts    map[string]bool
+	repeats  int       // announcements of the requests among the parts that are still to be made, if this process observed the crash
+	repeatAt time.Time // of the next one
 }
 
 // explainedWithout reports whether another part in quarantine than the given one
@@ -186,11 +197,13 @@
 	settings Settings
 	empty    atomic.Bool // whether nothing is remembered; saves most requests the lock
 
-	mu          sync.Mutex
-	unjudged    bool // whether what is known of the crashes has changed since the last Step
-	crashes     map[replica.Incarnation]*crashRecord
-	quarantined map[Part]time.Time // until then
-	answered    map[Part]answer    // of parts that were suspects
+	mu           sync.Mutex
+	unjudged     bool // whether what is known of the crashes has changed since the last Step
+	crashes      map[replica.Incarnation]*crashRecord
+	quarantined  map[Part]time.Time // until then
+	answered     map[Part]answer    // of parts that were suspects
+	sound        map[Part]time.Time // requests that were answered, and when; a crash while one runs again has another cause
+	soundSweptAt time.Time
 }
 
 type answer struct {
@@ -200,7 +213,7 @@
 
 // New returns an empty list.
 func New(s Settings) *List {
-	l := &List{settings: s, crashes: make(map[replica.Incarnation]*crashRecord), quarantined: make(map[Part]time.Time), answered: make(map[Part]answer)}
+	l := &List{settings: s, crashes: make(map[replica.Incarnation]*crashRecord), quarantined: make(map[Part]time.Time), answered: make(map[Part]answer), sound: make(map[Part]time.Time)}
 	l.empty.Store(true)
 	return l
 }
@@ -221,20 +234,71 @@
 		return nil
 	}
 	l.add(c, now)
+	if record := l.crashes[c.Replica]; record != nil && slices.ContainsFunc(c.PartIDs, IsRequestID) {
+		record.repeats, record.repeatAt = crashRepeats, now.Add(repeatInterval)
+	}
 	return []Action{Announce{Evidence: c}}
 }
 
+// repeat returns the announcements that are due again.
+func (l *List) repeat(now time.Time) []Action {
+	var actions []Action
+	for _, c := range l.crashes {
+		if c.repeats == 0 || now.Before(c.repeatAt) {
+			continue
+		}
+		c.repeats, c.repeatAt = c.repeats-1, now.Add(repeatInterval)
+		var requests []string
+		for id := range c.parts {
+			if IsRequestID(id) && len(requests) < maxRepeatedRequests {
+				requests = append(requests, id)
+			}
+		}
+		if len(requests) > 0 {
+			slices.Sort(requests)
+			actions = append(actions, Announce{Evidence: Crash{Service: c.service, Replica: c.replica, PartIDs: requests, Age: now.Sub(c.at)}})
+		}
+	}
+	return actions
+}
+
 // RecordAnswer adds an answer that this process received for a request with the
 // given shared parts.
 func (l *List) RecordAnswer(service string, partIDs []string, now time.Time) []Action {
+	l.mu.Lock()
+	defer l.unlock()
+	for _, id := range partIDs {
+		if IsRequestID(id) {
+			l.noteSound(Part{Service: service, ID: id}, now)
+		}
+	}
 	if l.empty.Load() {
 		return nil
 	}
-	l.mu.Lock()
-	defer l.unlock()
 	return l.clearAll(service, partIDs, now)
 }
 
+// noteSound remembers a request that was answered. Another one is forgotten if there
+// are too many.
+func (l *List) noteSound(p Part, now time.Time) {
+	if _, known := l.sound[p]; !known && len(l.sound) >= maxSound {
+		for other := range l.sound {
+			delete(l.sound, other)
+			break
+		}
+	}
+	l.sound[p] = now
+}
+
+// wasAnswered reports whether an answer clears a part of a crash.
+func (l *List) wasAnswered(p Part, crashedAt, now time.Time) bool {
+	if a, ok := l.answered[p]; ok && !a.at.Before(crashedAt.Add(-l.settings.Coincidence)) {
+		return true
+	}
+	at, ok := l.sound[p]
+	return ok && now.Sub(at) <= l.settings.EvidenceTTL
+}
+
 // RecordInterruptedAnswer adds a stream that a crash interrupted long after its
 // first event: its parts did not cause this crash or one at the same time.
 func (l *List) RecordInterruptedAnswer(service string, partIDs []string, now time.Time) []Action {
@@ -296,7 +360,7 @@
 	}
 	for _, id := range c.PartIDs {
 		p := Part{Service: c.Service, ID: id}
-		if a, ok := l.answered[p]; ok && !a.at.Before(crashedAt.Add(-l.settings.Coincidence)) {
+		if l.wasAnswered(p, crashedAt, now) {
 			answered = append(answered, p)
 		} else {
 			suspects = append(suspects, id)
@@ -495,7 +559,8 @@
 func (l *List) Add(p Part, now time.Time) []Action {
 	l.mu.Lock()
 	defer l.unlock()
-	if a, ok := l.answered[p]; ok && now.Sub(a.at) < objectionTTL {
+	soundAt, sound := l.sound[p]
+	if a, ok := l.answered[p]; sound && now.Sub(soundAt) <= l.settings.EvidenceTTL || ok && now.Sub(a.at) < objectionTTL {
 		return append(l.announce(p, now), Released{Part: p, Reason: Answered})
 	}
 	if _, ok := l.quarantined[p]; ok || len(l.quarantined) >= maxQuarantined {
@@ -532,7 +597,12 @@
 		}
 	}
 	maps.DeleteFunc(l.answered, func(_ Part, a answer) bool { return now.Sub(a.at) > objectionTTL })
+	if now.Sub(l.soundSweptAt) >= soundSweepInterval {
+		l.soundSweptAt = now
+		maps.DeleteFunc(l.sound, func(_ Part, at time.Time) bool { return now.Sub(at) > l.settings.EvidenceTTL })
+	}
 	maps.DeleteFunc(l.crashes, func(_ replica.Incarnation, c *crashRecord) bool { return now.Sub(c.at) > l.settings.EvidenceTTL })
+	actions = append(actions, l.repeat(now)...)
 	if l.unjudged {
 		l.unjudged = false
 		actions = append(actions, l.judge(now)...)
@@ -544,12 +614,27 @@
 func (l *List) Pending() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.unjudged
+	if l.unjudged {
+		return true
+	}
+	for _, c := range l.crashes {
+		if c.repeats > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // Empty reports whether nothing is remembered.
 func (l *List) Empty() bool { return l.empty.Load() }
 
+// SoundCount returns the number of answered requests that are remembered.
+func (l *List) SoundCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.sound)
+}
+
 // AnswerCount returns the number of answers that are remembered.
 func (l *List) AnswerCount() int {
 	l.mu.Lock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -167,3 +167,55 @@
 		Expect(l.AnswerCount()).To(BeZero())
 	})
 })
+
+// Guards against memory that grows with the requests that callers send.
+var _ = Describe("the requests that were answered", func() {
+	It("are remembered up to a bound, and forgotten after a time", func() {
+		l := quarantine.New(quarantine.Defaults())
+		now := time.Unix(1e9, 0)
+		for i := range 10_000 {
+			l.RecordAnswer("s", []string{quarantine.RequestID(fmt.Sprint(i))}, now)
+		}
+		Expect(l.SoundCount()).To(Equal(4096))
+		Expect(l.Empty()).To(BeTrue(), "no request takes a lock for it")
+		l.Step(now.Add(11 * time.Minute))
+		Expect(l.SoundCount()).To(BeZero())
+	})
+
+	// Guards against a sound request that is blocked because it ran at replicas that
+	// another request crashed.
+	It("are not suspect, wherever they were answered", func() {
+		a, b := quarantine.New(quarantine.Defaults()), quarantine.New(quarantine.Defaults())
+		now := time.Unix(1e9, 0)
+		id := quarantine.RequestID("sound")
+		a.RecordAnswer("s", []string{id}, now)
+		for i := range 3 {
+			now = now.Add(time.Second)
+			c := quarantine.Crash{Service: "s", Replica: replica.Incarnation{ID: fmt.Sprint(i)}, PartIDs: []string{id}}
+			b.RecordCrash(c, now)
+			for _, action := range a.HandleEvidence(c, now) {
+				b.HandleEvidence(action.(quarantine.Announce).Evidence, now)
+			}
+		}
+		b.Step(now.Add(time.Second))
+		_, _, blocked := b.Blocks("s", []string{id}, now.Add(time.Second))
+		Expect(blocked).To(BeFalse())
+	})
+})
+
+// Guards against a shared part that is blocked, and with it sound requests, because of
+// one request that has it.
+var _ = Describe("a request whose prompt shares a part with few others", func() {
+	It("is put into quarantine in place of the part", func() {
+		l := quarantine.New(quarantine.Defaults())
+		now := time.Unix(1e9, 0)
+		id := quarantine.RequestID("bad")
+		for i := range 6 {
+			now = now.Add(70 * time.Millisecond)
+			l.RecordCrash(quarantine.Crash{Service: "s", Replica: replica.Incarnation{ID: fmt.Sprint(i)}, PartIDs: []string{"part", id}}, now)
+			l.Step(now)
+		}
+		l.Step(now.Add(time.Second))
+		Expect(l.Parts()).To(Equal([]quarantine.Part{{Service: "s", ID: id}}))
+	})
+})
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,12 +24,13 @@
 	sessions           int           // number of second parts
 	loss               float64       // share of the messages between gateways that are lost
 	powerLoss          time.Duration // time between losses of power of a third of the replicas; 0 for none
+	returning          bool          // whether requests have no shared parts: one comes again and crashes replicas, sound ones come again too
 }
 
 // outcome is what happened in a simulation.
 type outcome struct {
 	crashes         int
-	badAfterWindow  int // requests with the part sent 3 s after the fifth crash or later
+	badAfterWindow  int // requests with the part sent 3 s after the fifth crash or later; after the third if it is one request
 	soundSent       int
 	soundBlocked    int
 	soundQuarantine []string // sound parts that are in quarantine at the end
@@ -49,6 +51,7 @@
 	gateway int
 	parts   []string
 	started time.Duration
+	retry   func(now time.Duration) // after a crash
 }
 
 type simulatedReplica struct {
@@ -63,9 +66,9 @@
 	rand     *rand.Rand
 	lists    []*quarantine.List
 	servers  []simulatedReplica
-	events   []event
+	events   eventQueue
 	sequence int
-	fifth    time.Duration // time of the fifth crash by the part
+	last     time.Duration // time of the crash by the part from which the window counts
 	outcome  outcome
 }
 
@@ -77,9 +80,27 @@
 
 func (s *simulation) after(at time.Duration, run func(time.Duration)) {
 	s.sequence++
-	e := event{at, s.sequence, run}
-	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.n, b.n)) })
-	s.events = slices.Insert(s.events, i, e)
+	heap.Push(&s.events, event{at, s.sequence, run})
+}
+
+// eventQueue is a heap of events, the next one first.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].n, q[j].n)) < 0
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
 }
 
 func clockAt(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
@@ -120,6 +141,9 @@
 		c := quarantine.Crash{Service: "s", Replica: replica.Incarnation{ID: fmt.Sprint(server, "-", r.incarnation)}, PartIDs: x.parts}
 		s.do(x.gateway, s.lists[x.gateway].RecordCrash(c, clockAt(now)), now)
 	}
+	for _, id := range sortedKeys(r.sends) {
+		s.after(now+messageDelay, r.sends[id].retry)
+	}
 	*r = simulatedReplica{incarnation: r.incarnation + 1, down: true, sends: map[int]send{}}
 	s.after(now+replicaRestart, func(time.Duration) { s.servers[server].down = false })
 }
@@ -136,11 +160,21 @@
 func (s *simulation) request(bad bool, now time.Duration) {
 	gateway := s.rand.IntN(s.gateways)
 	parts := []string{fmt.Sprint("first", s.rand.IntN(s.firstParts)), fmt.Sprint("session", s.rand.IntN(s.sessions))}
-	if bad {
+	switch {
+	case s.returning && bad:
+		parts = []string{quarantine.RequestID("bad")}
+	case s.returning:
+		parts = []string{quarantine.RequestID(fmt.Sprint(s.rand.IntN(s.sessions)))}
+	case bad:
 		parts = slices.Insert(parts, s.rand.IntN(2), "bad")
 	}
+	s.send(gateway, parts, bad, 1, now)
+}
+
+// send sends a request, and once more if its replica crashes and requests come again.
+func (s *simulation) send(gateway int, parts []string, bad bool, attempt int, now time.Duration) {
 	_, _, blocked := s.lists[gateway].Blocks("s", parts, clockAt(now))
-	if !bad {
+	if !bad && attempt == 1 {
 		s.outcome.soundSent++
 		if blocked {
 			s.outcome.soundBlocked++
@@ -156,27 +190,36 @@
 	if blocked || len(live) == 0 {
 		return
 	}
-	if bad && s.fifth > 0 && now > s.fifth+contactWindow {
+	if bad && s.last > 0 && now > s.last+contactWindow {
 		s.outcome.badAfterWindow++
 	}
 	server := live[s.rand.IntN(len(live))]
 	s.sequence++
 	id, incarnation := s.sequence, s.servers[server].incarnation
-	s.servers[server].sends[id] = send{gateway: gateway, parts: parts, started: now}
+	retry := func(now time.Duration) {
+		if s.returning && attempt < 2 {
+			s.send(gateway, parts, bad, attempt+1, now)
+		}
+	}
+	s.servers[server].sends[id] = send{gateway: gateway, parts: parts, started: now, retry: retry}
 	if bad {
 		s.after(now+prefillTime, func(now time.Duration) {
 			if s.servers[server].incarnation != incarnation {
 				return
 			}
 			s.outcome.crashes++
-			if s.outcome.crashes == 5 {
-				s.fifth = now
+			if s.returning && s.outcome.crashes == 3 || !s.returning && s.outcome.crashes == 5 {
+				s.last = now
 			}
 			s.crash(server, now)
 		})
 		return
 	}
-	s.after(now+prefillTime+answerDuration, func(now time.Duration) {
+	duration := prefillTime
+	if !s.returning {
+		duration += answerDuration
+	}
+	s.after(now+duration, func(now time.Duration) {
 		if s.servers[server].incarnation != incarnation {
 			return
 		}
@@ -220,13 +263,12 @@
 		})
 	}
 	for len(s.events) > 0 {
-		e := s.events[0]
-		s.events = s.events[1:]
+		e := heap.Pop(&s.events).(event)
 		e.run(e.at)
 	}
 	for i, l := range s.lists {
 		for _, p := range l.Parts() {
-			if p.ID != "bad" {
+			if p.ID != "bad" && p.ID != quarantine.RequestID("bad") {
 				s.outcome.soundQuarantine = append(s.outcome.soundQuarantine, fmt.Sprint(i, ":", p.ID))
 			}
 		}
@@ -259,3 +301,29 @@
 		Entry("a third of the replicas lose power every 5 s, with the part", scenario{gateways: 5, replicas: 9, badPerSecond: 4, soundPerSecond: 60, firstParts: 8, sessions: 140, powerLoss: 5 * time.Second}),
 	)
 })
+
+// Guards against one request that crashes all replicas of a service because it comes
+// again at any gateway, and against sound requests that are taken for it.
+var _ = Describe("a request that comes again", func() {
+	DescribeTable("is no longer sent after it has crashed three replicas, and sound ones are",
+		func(sc scenario) {
+			sc.returning = true
+			for seed := range uint64(12) {
+				o := simulate(sc, seed+1)
+				text := fmt.Sprintf("seed %d: %+v", seed+1, o)
+				GinkgoWriter.Println(text)
+				Expect(o.badAfterWindow).To(BeNumerically("<=", 3), text)
+				Expect(o.soundBlocked*100).To(BeNumerically("<=", o.soundSent), text)
+				Expect(o.soundQuarantine).To(BeEmpty(), text)
+			}
+		},
+		Entry("5 gateways, 3 replicas", scenario{gateways: 5, replicas: 3, badPerSecond: 4, soundPerSecond: 23, firstParts: 1, sessions: 10_000}),
+		Entry("sound requests that come again too", scenario{gateways: 5, replicas: 3, badPerSecond: 4, soundPerSecond: 23, firstParts: 1, sessions: 10}),
+		Entry("now and then", scenario{gateways: 5, replicas: 3, badPerSecond: 0.4, soundPerSecond: 23, firstParts: 1, sessions: 10}),
+		Entry("many times a second", scenario{gateways: 5, replicas: 9, badPerSecond: 40, soundPerSecond: 60, firstParts: 1, sessions: 100}),
+		Entry("half of the messages between gateways are lost", scenario{gateways: 5, replicas: 3, badPerSecond: 4, soundPerSecond: 23, firstParts: 1, sessions: 100, loss: 0.5}),
+		Entry("300 gateways", scenario{gateways: 300, replicas: 9, badPerSecond: 20, soundPerSecond: 100, firstParts: 1, sessions: 100, loss: 0.68}),
+		Entry("none, but a third of the replicas lose power every 5 s", scenario{gateways: 5, replicas: 3, soundPerSecond: 23, firstParts: 1, sessions: 10, powerLoss: 5 * time.Second}),
+		Entry("with power losses", scenario{gateways: 5, replicas: 9, badPerSecond: 4, soundPerSecond: 60, firstParts: 1, sessions: 10, powerLoss: 5 * time.Second}),
+	)
+})
