Settings, metrics and usage of eras and of the quarantine of requests

quarantine.request_coincidence; briarreach_store_era, briarreach_quota_settled, briarreach_replicas{state="unconfirmed"}; the command lists requests as well.

--- a/cmd/briarreach/quarantine.go
+++ b/cmd/briarreach/quarantine.go
@@ -10,8 +10,9 @@
 	"briarreach/quarantinestore"
 )
 
-const quarantineUsage = `Lists the parts of prompts that the gateways no longer send, because they crash
-replicas, or releases one at all gateways. The store is read and written directly,
+const quarantineUsage = `Lists the requests and the parts of prompts that the gateways no longer send,
+because they crash replicas, or releases one at all gateways. The part of a request
+begins with request-. The store is read and written directly,
 so that no gateway needs to run.
 
 Examples:
@@ -23,7 +24,7 @@
 
 func quarantineCommand() *cli.Command {
 	return &cli.Command{
-		Name: "quarantine", Usage: "list or release prompt parts that crash replicas", Description: quarantineUsage,
+		Name: "quarantine", Usage: "list or release requests and prompt parts that crash replicas", Description: quarantineUsage,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "platform", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
 			&cli.StringFlag{Name: "release", Usage: "release the part with this `NAME`"},
--- a/gatewaydaemon/gauges.go
+++ b/gatewaydaemon/gauges.go
@@ -27,6 +27,13 @@
 	set.NewGauge("briarreach_config_age_seconds", func() float64 { return age(d.configWatcher.Status()) })
 	set.NewGauge("briarreach_registry_version", func() float64 { return float64(d.replicaWatcher.Status().Version) })
 	set.NewGauge("briarreach_registry_age_seconds", func() float64 { return age(d.replicaWatcher.Status()) })
+	set.NewGauge("briarreach_store_era", func() float64 { return float64(d.configWatcher.Status().Era) })
+	set.NewGauge("briarreach_quota_settled", func() float64 {
+		if d.quotaAllocators.Settled() {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("briarreach_quota_holders", func() float64 { return float64(d.quotaAllocators.HolderCount()) })
 	set.NewGauge(`briarreach_replicas{state="registered"}`, func() float64 { return float64(len(d.gateway.Snapshot().Replicas.All())) })
 	set.NewGauge(`briarreach_replicas{state="ejected"}`, func() float64 { return float64(d.placer.EjectedCount(d.clock.Now())) })
@@ -35,6 +42,11 @@
 		defer d.mu.Unlock()
 		return float64(d.directory.MissingCount())
 	})
+	set.NewGauge(`briarreach_replicas{state="unconfirmed"}`, func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return float64(d.directory.UnconfirmedCount())
+	})
 	set.NewGauge(`briarreach_replicas{state="limited"}`, func() float64 {
 		n := 0
 		for _, r := range d.gateway.Snapshot().Replicas.All() {
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -54,9 +54,10 @@
 		Homes        *int               `toml:"homes_per_workspace"`
 	} `toml:"quota"`
 	Quarantine struct {
-		Crashes    *int               `toml:"crashes"`
-		SoundAfter *settings.Duration `toml:"sound_after"`
-		Duration   *settings.Duration `toml:"duration"`
+		Crashes            *int               `toml:"crashes"`
+		RequestCoincidence *settings.Duration `toml:"request_coincidence"`
+		SoundAfter         *settings.Duration `toml:"sound_after"`
+		Duration           *settings.Duration `toml:"duration"`
 	} `toml:"quarantine"`
 }
 
@@ -102,6 +103,7 @@
 	c.duration("quota.sync_every", f.Quota.SyncEvery, &t.Quota.SyncEvery)
 	c.integer("quota.homes_per_workspace", f.Quota.Homes, &t.Quota.HomesPerWorkspace, 1, 64)
 	c.integer("quarantine.crashes", f.Quarantine.Crashes, &t.Quarantine.Crashes, 2, t.Quarantine.ManyCrashes)
+	c.duration("quarantine.request_coincidence", f.Quarantine.RequestCoincidence, &t.Quarantine.RequestCoincidence)
 	c.duration("quarantine.sound_after", f.Quarantine.SoundAfter, &t.Quarantine.SoundAfter)
 	c.duration("quarantine.duration", f.Quarantine.Duration, &t.Quarantine.Duration)
 	return t, c.err
--- a/gatewaydaemon/tuning_test.go
+++ b/gatewaydaemon/tuning_test.go
@@ -48,6 +48,7 @@
 		Entry("too many bytes", "[gateway]\nmax_event_bytes = 2000000\n", "gateway.max_event_bytes: accepted is a whole number from 1024 to 1048576"),
 		Entry("no homes", "[quota]\nhomes_per_workspace = 0\n", "quota.homes_per_workspace: accepted is a whole number from 1 to 64"),
 		Entry("too few crashes", "[quarantine]\ncrashes = 1\n", "quarantine.crashes: accepted is a whole number from 2 to 5"),
+		Entry("crashes of a request that never coincide", "[quarantine]\nrequest_coincidence = \"0s\"\n", "quarantine.request_coincidence: accepted is a duration from 1ms to 1h"),
 		Entry("no duration of a quarantine", "[quarantine]\nduration = \"0s\"\n", "quarantine.duration: accepted is a duration from 1ms to 1h"),
 		Entry("out of range", "[quota]\ngranted_part = 1.5\n", "quota.granted_part: accepted is a number from 0.01 to 1"),
 		Entry("not TOML", "[placement", "gateway.toml"),
