Remember told grants of known workspaces only, so that they are bounded

A peer's notice could add any number of names to what a gateway remembers of it. Also a plainer order in the watcher; no other change of behaviour.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -147,10 +147,10 @@
 			return
 		case errors.As(err, &lost):
 			w.log.WithField("feed", w.name).WithField("after", lost.After).Info("history lost; listing again")
-			if listed = false; relisted {
+			if relisted {
 				wait = delay.NextBackOff() // the listing did not help
 			}
-			relisted = true
+			listed, relisted = false, true
 		default:
 			w.sourceFailed(err)
 			wait = delay.NextBackOff()
--- a/quota/era.go
+++ b/quota/era.go
@@ -330,7 +330,9 @@
 		maps.Copy(row.Accounts, known.Accounts)
 	}
 	for name, granted := range n.Granted {
-		row.Accounts[name] = account{Granted: granted}
+		if _, ok := al.limits[name]; ok {
+			row.Accounts[name] = account{Granted: granted}
+		}
 	}
 	al.notices[n.Holder] = row
 }
