--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -130,7 +130,7 @@
 
 	// Guards against a watcher that lists and asks for changes after a version of an
 	// earlier era by turns, and so asks the source without end and misses changes.
-	It("goes on from the version of a source that was restored from a copy", func() {
+	It("continues from the version of a source that was restored from a copy", func() {
 		s := &restoredSource{era: 1, version: 400}
 		handled := make(chan feed.Batch[int], 1000)
 		w := feed.New("test", s, func(b feed.Batch[int]) { handled <- b }, feed.WithWait(50*time.Millisecond, 500*time.Millisecond))
--- a/quota/era.go
+++ b/quota/era.go
@@ -271,8 +271,8 @@
 	}
 }
 
-// GrantNotice tells the other holders what a holder was granted. They remember it
-// in case the store loses the row, and drop it once they have read a row as new.
+// GrantNotice announces a holder's grants to the others. They remember it in
+// case the store loses the row, and drop it once they have read a row that is as new.
 type GrantNotice struct {
 	Part         string           `cbor:"1,keyasint"`
 	Holder       string           `cbor:"2,keyasint"`
@@ -337,7 +337,7 @@
 	al.notices[n.Holder] = row
 }
 
-// applyNotices adds what the holders have told to their rows, as the store has lost
+// applyNotices adds announced grants to the rows of their holders, as the store has lost
 // rows that were not read yet.
 func (al *Allocator) applyNotices() {
 	for holder, notice := range al.notices {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -80,7 +80,7 @@
 	restored         bool                 // whether the store was restored since the start
 	remembers        bool                 // whether all rows were read in an earlier, established era
 	storedHolders    map[string]holderRow // as read or written in the store's era; holderRows has the newest that are known
-	notices          map[string]holderRow // grants that holders have told, in rows newer than those in holderRows
+	notices          map[string]holderRow // grants that holders have announced, in rows newer than those in holderRows
 }
 
 // loweredLimit is what remains to be done after a quota was lowered: read the
--- a/quota/restored_test.go
+++ b/quota/restored_test.go
@@ -48,7 +48,7 @@
 				case 10:
 					f.store.keepCopy()
 				case 11:
-					// Lost responses leave grants of which nobody else was told.
+					// A lost response leaves a grant that was not announced.
 					f.enterEra(witness)
 					f.read(witness, quota.ScopeAll)
 					f.store.restore()
--- a/quotastore/quotastore.go
+++ b/quotastore/quotastore.go
@@ -71,8 +71,8 @@
 	return func(s *Syncer) { s.borrow = borrow }
 }
 
-// WithGrantBroadcast sets the function that tells the other holders what this one
-// was granted. It must not block.
+// WithGrantBroadcast sets the function that announces grants to the other holders.
+// It must not block.
 func WithGrantBroadcast(f func(quota.GrantNotice)) Option {
 	return func(s *Syncer) { s.broadcast = f }
 }
