Forget a canceled request that has been dropped for its deadline

Cause: a queued request that would miss its deadline is dropped while others are admitted, and reported by the next call of Expire. A cancellation in between did not find it in the queue, so it was reported after all, to nobody. Change: Cancel removes it from those to be reported. Agents use it, gateways do not.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -210,6 +210,7 @@
 	if e := c.queued[attempt]; e != nil {
 		c.remove(e)
 	}
+	c.expired = slices.DeleteFunc(c.expired, func(r Request) bool { return r.AttemptID == attempt })
 	return c.admit(now)
 }
 
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -46,6 +46,18 @@
 }
 
 var _ = Describe("Controller", func() {
+	// Guards against a request that is reported as expired although it was canceled
+	// after it had been dropped for its deadline.
+	It("does not report a canceled request as expired", func() {
+		c := admission.New(admission.Capacity{MaxConcurrent: 1})
+		Expect(c.Offer(admission.Request{AttemptID: "a"}, start)).To(BeAssignableToTypeOf(admission.Admitted{}))
+		Expect(c.Offer(admission.Request{AttemptID: "b", Deadline: start.Add(time.Second)}, start)).To(BeAssignableToTypeOf(admission.Queued{}))
+		Expect(c.Offer(admission.Request{AttemptID: "c", Priority: 1}, start)).To(BeAssignableToTypeOf(admission.Queued{}))
+		Expect(c.Done("a", 1001*time.Millisecond, false, start)).To(HaveLen(1), "c runs, and b would be late")
+		Expect(c.Cancel("b", start)).To(BeEmpty())
+		Expect(c.Expire(start)).To(BeEmpty())
+	})
+
 	// Guards against more work at a target than its capacity when several
 	// uncoordinated entries send to it, and against requests that are lost or
 	// run twice on their way through the queue.
