--- a/review/_driver/client.go
+++ b/review/_driver/client.go
@@ -58,6 +58,7 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.body))
 	}
 	b.WriteString("\r\n" + r.body)
+	w.record("%s %s %s sent to %s", r.id, r.method, r.path, gateway)
 	_ = c.SetDeadline(a.sent.Add(r.timeout + time.Second))
 	if _, a.err = io.WriteString(c, b.String()); a.err == nil {
 		var res *http.Response
--- a/review/_driver/stray.go
+++ b/review/_driver/stray.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"briarreach/platform/standin"
@@ -29,10 +30,11 @@
 	}
 	sound := answering(strayWork)
 	began := time.Now()
+	var count atomic.Int64 // of the faulty replica's answers
 	faulty := func(r *replica, c net.Conn, req *http.Request, body []byte) bool {
 		open := sound(r, c, req, body)
 		since := time.Since(began)
-		if trouble && since >= strayBefore && since < strayBefore+strayFor && len(r.runs())%strayEvery == 0 {
+		if trouble && since >= strayBefore && since < strayBefore+strayFor && count.Add(1)%strayEvery == 0 {
 			id := req.Header.Get("Attempt-Id")
 			time.AfterFunc(strayDelay, func() {
 				w.record("%s sends additional bytes after its answer to %s", r.id, id)
