--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 # readiness checks of its own.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-CGO_ENABLED=1 go build -o target/review-driver ./review/_driver
+CGO_ENABLED=1 go build -o target/review-driver ./review/_driver/platform
