Answer all requests that a stopping gateway passes on

Cause: fasthttp's Shutdown clears its stop flag when its context ends, so connections that are left are read again; nothing refused their requests, checked a request's time limit against the end of the process, or ended requests in progress before it.

Now requests that may outlast the drain are refused as not run, and what is in progress at its end gets an answer before the process ends: no request is passed on whose answer could come too late.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -99,9 +99,6 @@
 	e.route = r
 	if _, e.streaming = r.Kind.(route.Streaming); e.streaming {
 		e.gateway.openStreams.Add(1)
-		if e.gateway.refuseStreams.Load() {
-			return &Refusal{Execution: NotExecuted, Reason: Stopping, RetryAfter: defaultRetryAfter}
-		}
 	}
 	priority := 0
 	if t.RequiresKey() {
@@ -119,6 +116,9 @@
 		timeout = e.request.Timeout
 	}
 	e.deadline = e.started.Add(timeout)
+	if e.gateway.refusesForDrain(e.streaming, e.deadline) {
+		return &Refusal{Execution: NotExecuted, Reason: Stopping, RetryAfter: defaultRetryAfter}
+	}
 	service, ok := r.PickService(e.rand.Float64())
 	if !ok {
 		return &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: defaultRetryAfter}
@@ -291,18 +291,24 @@
 }
 
 // contextRefusal returns the refusal of a request whose context has ended:
-// because the deadline passed, or else because the caller disconnected. Of
-// sendRefusal only Execution is used: it says whether the send can have been
-// executed when the deadline passes; nil means unknown. After a disconnect,
-// Execution is always reported as unknown.
+// because the deadline passed, the process is about to end, or else because the
+// caller disconnected. Of sendRefusal only Execution is used: it says whether the
+// send can have been executed when the context ends; nil means unknown. After a
+// disconnect, Execution is always reported as unknown.
 func (e *exchange) contextRefusal(ctx context.Context, sendRefusal *Refusal) *Refusal {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		if sendRefusal != nil && sendRefusal.Execution == NotExecuted {
-			return &Refusal{Execution: NotExecuted, Reason: TimedOut}
-		}
-		return &Refusal{Execution: ExecutionUnknown, Reason: TimedOut}
+	execution := ExecutionUnknown
+	if sendRefusal != nil && sendRefusal.Execution == NotExecuted {
+		execution = NotExecuted
+	}
+	var stopping *StoppingError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &Refusal{Execution: execution, Reason: TimedOut}
+	case errors.As(context.Cause(ctx), &stopping):
+		return &Refusal{Execution: execution, Reason: Stopping}
+	default:
+		return &Refusal{Execution: ExecutionUnknown, Reason: CallerDisconnected}
 	}
-	return &Refusal{Execution: ExecutionUnknown, Reason: CallerDisconnected}
 }
 
 // replicaFullRetryAfter returns a random Retry-After, so that callers refused by
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,7 +117,7 @@
 	onBrokenSend      func(crash.BrokenSend)
 	onLimit           func(r replica.Replica, stated replicalimit.Limit, sentAt time.Time)
 	openStreams       atomic.Int64
-	refuseStreams     atomic.Bool
+	drainEnd          atomic.Pointer[time.Time] // nil until the process stops
 }
 
 // Option changes a default of New.
@@ -201,14 +201,22 @@
 // Snapshot returns the current snapshot.
 func (g *Gateway) Snapshot() Snapshot { return *g.snapshot.Load() }
 
-// RefuseNewStreams makes the gateway refuse new streams, which could outlast the
-// process. Other requests are still served.
-func (g *Gateway) RefuseNewStreams() { g.refuseStreams.Store(true) }
+// Drain makes the gateway refuse new streams, and other requests whose time limit
+// is after end: their answers could come after the process has ended.
+func (g *Gateway) Drain(end time.Time) { g.drainEnd.Store(&end) }
+
+// refusesForDrain reports whether a new request is refused because the process
+// stops.
+func (g *Gateway) refusesForDrain(streaming bool, deadline time.Time) bool {
+	end := g.drainEnd.Load()
+	return end != nil && (streaming || deadline.After(*end))
+}
 
 // OpenStreams returns the number of open streams.
 func (g *Gateway) OpenStreams() int { return int(g.openStreams.Load()) }
 
-// Serve serves a request. ctx must end when the caller disconnects.
+// Serve serves a request. ctx must end when the caller disconnects, or with the
+// cause *StoppingError when the process is about to end.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
 	e := &exchange{gateway: g, request: r, snapshot: g.Snapshot(), started: g.clock.Now(), configAge: g.clock.Since(g.configConfirmedAt()), rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	return e.serve(ctx)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -216,10 +216,10 @@
 	switch {
 	case ctx.Err() != nil:
 		refusal = e.contextRefusal(ctx, &Refusal{Execution: ExecutionUnknown, Reason: TimedOut})
-		if refusal.Reason == CallerDisconnected {
-			a.end(placement.Canceled, string(CallerDisconnected))
-		} else {
+		if refusal.Reason == TimedOut {
 			a.end(placement.ReplicaTimedOut, string(TimedOut))
+		} else {
+			a.end(placement.Canceled, string(refusal.Reason))
 		}
 	case errors.Is(context.Cause(a.ctx), errSilenceTimeout):
 		a.end(placement.ReplicaTimedOut, sendSilent)
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -407,16 +407,18 @@
 }
 
 // Close fails the readiness check and serves as before until the platform has
-// noticed. It then refuses new streams, serves other requests until the open
-// streams have ended or the grace period is nearly over, finishes the requests in
-// progress and returns unused quota grants. It accepts connections for as long as
-// possible: the platform may have no other gateway to send them to.
+// noticed. It then refuses new streams and requests that may outlast the process,
+// serves other requests until the open streams have ended or the grace period is
+// nearly over, finishes the requests in progress and returns unused quota grants.
+// Requests that last longer are answered, as of unknown execution, and streams
+// broken off. It accepts connections for as long as possible: the platform may
+// have no other gateway to send them to.
 func (d *Daemon) Close() error {
 	d.log.Info("stopping")
 	d.stopping.Store(true)
 	end := d.clock.Now().Add(d.settings.Limits.GracePeriod - sigkillMargin)
 	d.clock.Sleep(min(announceDuration, d.settings.Limits.GracePeriod/3))
-	d.gateway.RefuseNewStreams()
+	d.gateway.Drain(end)
 	d.callers.DisableKeepAlives()
 	for d.gateway.OpenStreams() > 0 && d.clock.Until(end) > drainReserve {
 		d.clock.Sleep(drainPollInterval)
