--- a/caller/server.go
+++ b/caller/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,6 +58,7 @@
 	http     *fasthttp.Server
 	listener net.Listener
 	done     chan struct{}
+	closed   atomic.Bool // whether Close gave up waiting for open requests
 }
 
 type options struct {
@@ -182,10 +184,12 @@
 }
 
 // Close stops accepting connections and waits until open requests have ended or
-// the context is done.
+// the context is done. Requests that are read after that, on the connections that
+// are left, are refused.
 func (s *Server) Close(ctx context.Context) error {
 	err := s.http.ShutdownWithContext(ctx)
 	if err != nil {
+		s.closed.Store(true)
 		return fmt.Errorf("caller.Close: %w", err)
 	}
 	<-s.done
@@ -201,7 +205,7 @@
 }
 
 func (s *Server) serveChat(ctx *fasthttp.RequestCtx) {
-	envelope, fault := readEnvelope(ctx)
+	envelope, fault := s.readEnvelope(ctx)
 	if fault != nil {
 		s.write(ctx, &envelope, fault)
 		return
@@ -215,7 +219,7 @@
 }
 
 func (s *Server) serveService(ctx *fasthttp.RequestCtx) {
-	envelope, fault := readEnvelope(ctx)
+	envelope, fault := s.readEnvelope(ctx)
 	if fault != nil {
 		s.write(ctx, &envelope, fault)
 		return
@@ -233,8 +237,11 @@
 
 // readEnvelope reads the common parts of a request. It copies them, since
 // fasthttp reuses its buffers.
-func readEnvelope(ctx *fasthttp.RequestCtx) (Envelope, *Error) {
+func (s *Server) readEnvelope(ctx *fasthttp.RequestCtx) (Envelope, *Error) {
 	e := Envelope{RequestID: ulid.Make().String()}
+	if s.closed.Load() {
+		return e, NewRefusal(http.StatusServiceUnavailable, NotReady, "shutting down")
+	}
 	bearer, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
 	if !ok || bearer == "" {
 		return e, NewRefusal(http.StatusUnauthorized, Unauthorized, "the Authorization header has no bearer key")
@@ -270,6 +277,9 @@
 		ctx.Response.Header.Set("Cache-Control", "no-store")
 		ctx.SetBodyStream(r.Body, -1)
 	}
+	if s.closed.Load() {
+		ctx.SetConnectionClose()
+	}
 	ctx.Response.Header.Set("X-Request-Id", envelope.RequestID)
 	if envelope.IdempotencyKey != "" {
 		ctx.Response.Header.Set("Idempotency-Key", envelope.IdempotencyKey)
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -1,12 +1,15 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -119,6 +122,52 @@
 	})
 })
 
+// Guards against requests that a stopping entry runs and does not answer: they
+// arrive on connections that are still open when the time for its shutdown is up.
+var _ = Describe("HTTP server for callers whose shutdown takes too long", func() {
+	It("refuses the requests that arrive later", func() {
+		var handled atomic.Int64
+		endless, write := io.Pipe()
+		server, err := caller.New(func(context.Context, caller.Request) caller.Reply {
+			if handled.Add(1) > 1 {
+				return &caller.FullReply{Status: http.StatusOK, ContentType: "application/json", Body: []byte("{}")}
+			}
+			return &caller.StreamReply{Status: http.StatusOK, ContentType: "text/event-stream", Body: endless}
+		}, func() error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+		c, err := net.Dial("tcp", server.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Close() })
+		Expect(c.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		reader := bufio.NewReader(c)
+		send := func() *http.Response {
+			_, err := io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 42\r\n\r\n"+`{"model":"m","messages":[{"content":"x"}]}`)
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			return response
+		}
+		go func() { _, _ = io.WriteString(write, "data: 1\n\n") }()
+		stream := send()
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		Expect(server.Close(ctx)).To(MatchError(context.DeadlineExceeded))
+		Expect(write.Close()).To(Succeed())
+		_, err = io.ReadAll(stream.Body)
+		Expect(err).NotTo(HaveOccurred())
+		refusal := send()
+		data, err := io.ReadAll(refusal.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refusal.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refusal.Close).To(BeTrue())
+		var fault errorBody
+		Expect(json.Unmarshal(data, &fault)).To(Succeed(), string(data))
+		Expect(fault.Error.Type).To(Equal(caller.NotReady))
+		Expect(fault.Error.Execution).To(Equal(peer.ExecutionNotRun))
+		Expect(handled.Load()).To(BeEquivalentTo(1))
+	})
+})
+
 // Guards against a panic on any body that callers can send.
 func FuzzParseChat(f *testing.F) {
 	for _, seed := range []string{`{}`, `{"model":"m","messages":[{"role":"user"}],"max_tokens":-1}`, `{"messages":null,"n":1}`, `[`} {
