Pass the bodies of forms on as received

Cause: fasthttp's server parses multipart forms while it reads a request, and Request.Body writes them again from maps.

--- a/caller/server.go
+++ b/caller/server.go
@@ -134,21 +134,22 @@
 		metrics.WriteProcessMetrics(ctx)
 	})
 	s.http = &fasthttp.Server{
-		Name:                  "briarreach",
-		Handler:               routes.Handler,
-		ErrorHandler:          serveProtocolError,
-		MaxRequestBodySize:    o.maxBodyBytes,
-		ReadBufferSize:        o.maxHeaderBytes,
-		ReadTimeout:           o.readTimeout,
-		WriteTimeout:          o.writeTimeout,
-		WriteBufferSize:       2 << 10,
-		IdleTimeout:           2 * time.Minute,
-		Concurrency:           o.maxConnections,
-		MaxConnsPerIP:         o.maxPerAddress,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		ReduceMemoryUsage:     true, // releases the read buffer while a response is written
-		Logger:                discardLogger{},
+		Name:                         "briarreach",
+		Handler:                      routes.Handler,
+		ErrorHandler:                 serveProtocolError,
+		MaxRequestBodySize:           o.maxBodyBytes,
+		ReadBufferSize:               o.maxHeaderBytes,
+		ReadTimeout:                  o.readTimeout,
+		WriteTimeout:                 o.writeTimeout,
+		WriteBufferSize:              2 << 10,
+		IdleTimeout:                  2 * time.Minute,
+		Concurrency:                  o.maxConnections,
+		MaxConnsPerIP:                o.maxPerAddress,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true, // bodies are passed on as received
+		ReduceMemoryUsage:            true, // releases the read buffer while a response is written
+		Logger:                       discardLogger{},
 	}
 	go func() {
 		defer close(s.done)
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -106,6 +106,15 @@
 		Entry("wrong method", "GET", chat, "", 405, caller.UnknownRoute),
 	)
 
+	// Guards against a body that the HTTP server parses and writes again.
+	It("takes the body of a form as it was sent", func() {
+		const form = "--b\r\nContent-Disposition: form-data; name=\"z\"; filename=\"f\"\r\n\r\n1\r\n--b\r\nContent-Disposition: form-data; name=\"a\"\r\n\r\n2\r\n--b--\r\nend"
+		response, _, err := sendRequest("POST", "/v1/services/s/book", form, "Content-Type", "multipart/form-data; boundary=b")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(string(caller.EnvelopeOf(handled[0]).Body)).To(Equal(form))
+	})
+
 	// Guards against an incomplete answer that looks complete to the caller.
 	It("ends a broken answer without the end of the chunked body", func() {
 		reply = &caller.StreamReply{Status: 200, ContentType: "text/event-stream", Body: brokenBody{strings.NewReader("data: 1\n\n")}}
--- a/standin/target_fault.go
+++ b/standin/target_fault.go
@@ -117,15 +117,16 @@
 	}
 	s := &targetServer{
 		server: &fasthttp.Server{
-			Name:                  name,
-			Handler:               handler,
-			NoDefaultServerHeader: true,
-			ReadTimeout:           time.Minute,
-			IdleTimeout:           time.Minute,
-			ReadBufferSize:        16 << 10,
-			MaxRequestBodySize:    16 << 20,
-			MaxIdleWorkerDuration: 50 * time.Millisecond,
-			Logger:                targetLogger{},
+			Name:                         name,
+			Handler:                      handler,
+			NoDefaultServerHeader:        true,
+			ReadTimeout:                  time.Minute,
+			IdleTimeout:                  time.Minute,
+			ReadBufferSize:               16 << 10,
+			MaxRequestBodySize:           16 << 20,
+			DisablePreParseMultipartForm: true, // bodies are recorded as received
+			MaxIdleWorkerDuration:        50 * time.Millisecond,
+			Logger:                       targetLogger{},
 		},
 		listener: &targetListener{TCPListener: l, conns: map[net.Conn]struct{}{}},
 		closed:   make(chan struct{}),
