Ignore registry entries with values that no replica can have

An operator of a similar system reported machines that ended, or stopped following the list, over one odd entry. Here no process ended, but entries with 2^62 slots, port 0, no host, warm-up times beyond all durations, deep nesting or a line break in the name were taken for replicas: callers got 503, and the name added header fields to requests.

In a store that is restored from a copy an unreadable entry ends the use of its replica too.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -19,6 +19,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/dig"
+	"golang.org/x/time/rate"
 
 	"briarreach/crash"
 	"briarreach/feed"
@@ -199,6 +200,13 @@
 	return 3*s.HeartbeatInterval + registryGrace
 }
 
+// Rate of the log lines about registry entries that are ignored: another writer may
+// change one at any rate.
+const (
+	ignoredEntryLinesPerSecond = 1
+	ignoredEntryBurstLines     = 20
+)
+
 // Daemon is a running gateway with its servers and watchers.
 type Daemon struct {
 	settings        *platform.Settings
@@ -218,6 +226,9 @@
 	limits          *replicalimit.Limits
 	stopping        atomic.Bool
 
+	ignoredEntries    *metrics.Counter
+	ignoredEntryLines *rate.Limiter
+
 	mu          sync.Mutex
 	directory   *replica.Directory
 	expiryTimer clockwork.Timer // of the next entry in directory; nil before the first
@@ -226,7 +237,8 @@
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
 	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits}
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits,
+		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
@@ -335,7 +347,10 @@
 	}
 	for _, event := range b.Events {
 		if e, ok := event.(replica.Unreadable); ok {
-			d.log.WithField("replica", e.ID).WithError(e.Err).Warn("registry entry ignored")
+			d.ignoredEntries.Inc()
+			if d.ignoredEntryLines.AllowN(now, 1) {
+				d.log.WithField("replica", e.ID).WithError(e.Err).Warn("registry entry ignored")
+			}
 		}
 	}
 	d.publishReplicas(now)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -166,6 +166,9 @@
 	listed := make(map[string]bool, len(events))
 	clear(d.unconfirmed)
 	for _, e := range events {
+		if u, ok := e.(Unreadable); ok {
+			d.drop(u.ID)
+		}
 		r, ok := e.(Registered)
 		if !ok {
 			continue
@@ -207,6 +210,11 @@
 	if r, ok := d.entries[id]; ok {
 		d.noteDeparture(r.Incarnation(), true, now)
 	}
+	d.drop(id)
+}
+
+// drop ends the use of an entry.
+func (d *Directory) drop(id string) {
 	delete(d.entries, id)
 	delete(d.missing, id)
 	delete(d.unconfirmed, id)
@@ -251,9 +259,7 @@
 				removed = append(removed, r)
 			}
 		case Unreadable:
-			delete(d.entries, e.ID)
-			delete(d.missing, e.ID)
-			delete(d.unconfirmed, e.ID)
+			d.drop(e.ID)
 		}
 	}
 	readyRemoved := make(map[string]int)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -118,6 +119,17 @@
 		})
 	})
 
+	// Guards against an entry of another writer that names no replica, and keeps the
+	// one of that name in use for the grace period.
+	It("does not use an entry that can't be read in a restored copy", func() {
+		d := replica.New(2 * time.Second)
+		now := time.Unix(100, 0)
+		address := netip.MustParseAddrPort("10.0.0.1:80")
+		d.Replace([]replica.Event{replica.Registered{Replica: replica.Replica{ID: "i-1", Service: "s", Address: address}}}, 5, now)
+		d.ReplaceRestored([]replica.Event{replica.Unreadable{ID: "i-1"}}, 3, now)
+		Expect(d.Snapshot(now).ForService("s")).To(BeEmpty())
+	})
+
 	It("does not keep draining entries that are removed", func() {
 		d := replica.New(grace)
 		d.Replace(register(4, replica.Draining), 1, now)
