Take no response without an ID for the answer on a connection in use

Cause: a response without an ID counted as the answer. It can't be told from bytes of an earlier request, but on a connection that has carried no other request. Only there it is taken now, and the connection ends with it; elsewhere it is skipped and the answer waited for.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -103,19 +103,30 @@
 	delete(p.idle, address)
 }
 
-// Do sends a request and reads the response header. It skips responses that
-// accept rejects, which belong to earlier requests on the connection. When ctx
-// ends the connection is closed, also while the body is read. The response's
-// body must be closed; if it was not read to its end, this closes the
-// connection.
-func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request, accept func(*http.Response) bool) (*http.Response, error) {
+// Owner says for which request a response is.
+type Owner int
+
+// Owners.
+const (
+	OwnRequest   Owner = iota // the one that was sent
+	OtherRequest              // an earlier one on the connection
+	UnknownOwner              // the response does not say
+)
+
+// Do sends a request and reads the response header. It skips responses to earlier
+// requests on the connection. One that does not say for which request it is counts
+// as the response on a connection that has carried no other request, and is skipped
+// on the others. When ctx ends the connection is closed, also while the body is
+// read. The response's body must be closed; if it was not read to its end, this
+// closes the connection.
+func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request, ownerOf func(*http.Response) Owner) (*http.Response, error) {
 	c, err := p.acquire(ctx, address)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := c.write(r)
-	res, err := c.read(r.Method, accept)
+	res, err := c.read(r.Method, ownerOf)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -209,6 +220,7 @@
 	address   netip.AddrPort
 	limited   *limitedReader
 	reader    *bufio.Reader // reads from limited
+	used      bool          // whether a request was sent before the current one
 	idleSince time.Time
 	idleLimit time.Duration
 }
@@ -243,7 +255,7 @@
 
 const (
 	// maxResponses bounds the responses read for one request, including the skipped
-	// informational responses and responses to earlier requests.
+	// informational responses, responses to earlier requests and those without an owner.
 	maxResponses = 4
 	// maxResponseHeaderBytes bounds the header of a response: a faulty replica may
 	// send bytes without end.
@@ -287,7 +299,7 @@
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
-func (c *conn) read(method string, accept func(*http.Response) bool) (*http.Response, error) {
+func (c *conn) read(method string, ownerOf func(*http.Response) Owner) (*http.Response, error) {
 	for range maxResponses {
 		res, err := c.readHeader(method)
 		if err != nil {
@@ -296,7 +308,12 @@
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
 		}
-		if accept(res) {
+		switch owner := ownerOf(res); {
+		case owner == OwnRequest:
+			return res, nil
+		case owner == UnknownOwner && !c.used:
+			// A later response without an owner could be a copy of this one.
+			res.Close = true
 			return res, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBodyBytes+1))
@@ -372,7 +389,7 @@
 		}
 		return err
 	}
-	b.conn.idleLimit = idleLimit(b.res.Header.Get("Keep-Alive"))
+	b.conn.used, b.conn.idleLimit = true, idleLimit(b.res.Header.Get("Keep-Alive"))
 	b.pool.putIdle(b.conn)
 	return nil
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -64,7 +64,12 @@
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func ownResponse(res *http.Response) bool { return res.Header.Get("Id") == "own" }
+func ownResponse(res *http.Response) upstream.Owner {
+	if res.Header.Get("Id") == "own" {
+		return upstream.OwnRequest
+	}
+	return upstream.OtherRequest
+}
 
 var _ = Describe("a replica that sends bytes that are no response, without end", func() {
 	request := upstream.Request{Method: "GET", RequestTarget: "/"}
