Break a stream off at what is no event of it

Cause: a stream was cut at empty lines and each piece taken for its next event; a second response was checked for its status class only. Now it has to have the status and the media type of the first, and events consist of fields with rising IDs. What does not is a broken stream, which may be sent to another replica as before.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"time"
 
 	"briarreach/replica"
@@ -138,6 +139,17 @@
 	Body           io.ReadCloser
 }
 
+// contentType returns the media type of the response, without parameters.
+func (r *Response) contentType() string {
+	for _, f := range r.Header {
+		if strings.EqualFold(f.Name, "Content-Type") {
+			mediaType, _, _ := strings.Cut(f.Value, ";")
+			return strings.ToLower(strings.TrimSpace(mediaType))
+		}
+	}
+	return ""
+}
+
 // Sender sends requests to replicas. It never retries a request. Its errors
 // are *upstream.NotSentError and *upstream.IncompleteResponseError.
 type Sender interface {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,9 @@
 	currentSend        *activeSend
 	reader             *bufio.Reader
 	unread             []byte // received from the replica, not yet read by the caller
+	order              eventOrder
+	status             int // of the first replica's response, as the content type
+	contentType        string
 	lastEventID        string // of the last received event that has one
 	exclude            map[string]bool
 	possibleExecutions int // sends that may have been executed, the current one included
@@ -50,7 +53,8 @@
 // relayStream waits for the first event: a stream that breaks before it can
 // still be refused or retried.
 func (e *exchange) relayStream(ctx context.Context, a *activeSend, res *Response, exclude map[string]bool, possibleExecutions int) (*RelayedResponse, *failure) {
-	s := &eventStream{exchange: e, ctx: ctx, exclude: exclude, possibleExecutions: possibleExecutions}
+	s := &eventStream{exchange: e, ctx: ctx, exclude: exclude, possibleExecutions: possibleExecutions,
+		order: eventOrder{lastID: e.request.LastEventID}, status: res.Status, contentType: res.contentType()}
 	s.open(a, res)
 	if err := s.next(); err != nil && !errors.Is(err, io.EOF) {
 		return nil, e.failSend(ctx, a, &upstream.IncompleteResponseError{Err: err})
@@ -96,6 +100,9 @@
 			break
 		}
 	}
+	if err := s.order.check(event); err != nil {
+		return err
+	}
 	if id != "" {
 		s.lastEventID = id
 	}
@@ -206,7 +213,7 @@
 		}
 		return false, true
 	}
-	if res.Status >= 300 {
+	if res.Status != s.status || res.contentType() != s.contentType {
 		_ = res.Body.Close()
 		a.end(placement.Failed, sendResumeFailed)
 		s.possibleExecutions++
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -21,6 +21,7 @@
 	"briarreach/replicalimit"
 	"briarreach/retrybudget"
 	"briarreach/route"
+	"briarreach/upstream"
 )
 
 func TestGateway(t *testing.T) {
@@ -201,3 +202,80 @@
 		Expect(sends("id: 1\ndata: a\n\nid: 2\ndata: half")).To(Equal(1))
 	})
 })
+
+// answerSender responds with one response per send.
+type answerSender struct{ responses []*gateway.Response }
+
+func (s *answerSender) Send(context.Context, gateway.SendRequest) (*gateway.Response, error) {
+	res := s.responses[0]
+	s.responses = s.responses[1:]
+	return res, nil
+}
+
+func (*answerSender) CloseIdleConnections(replica.Replica) {}
+
+func streamResponse(status int, contentType, body string) *gateway.Response {
+	return &gateway.Response{Status: status, ContentLength: -1, Header: []upstream.HeaderField{{Name: "Content-Type", Value: contentType}}, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+var _ = Describe("a stream that broke off and is sent to another replica", func() {
+	const (
+		events = "text/event-stream"
+		first  = "id: 1\ndata: a\n\n"
+		broken = first + "id: 2\nda"
+		second = "id: 2\ndata: b\n\n"
+	)
+	serve := func(responses ...*gateway.Response) (string, error) {
+		g, _ := newGateway(&answerSender{responses: responses}, clockwork.NewFakeClock(), placement.New(placement.Defaults(), nil))
+		relay, ok := serveStream(g).(*gateway.RelayedResponse)
+		Expect(ok).To(BeTrue())
+		data, err := io.ReadAll(relay.Body)
+		Expect(relay.Body.Close()).To(Succeed())
+		return string(data), err
+	}
+
+	// Guards against an error of the next replica in the middle of a stream, against
+	// events that come twice, and against a stream that looks complete without its end.
+	DescribeTable("does not go on with what is not its rest",
+		func(status int, contentType, body string) {
+			data, err := serve(streamResponse(200, events, broken), streamResponse(status, contentType, body))
+			Expect(err).To(HaveOccurred())
+			Expect(data).To(Equal(first))
+		},
+		Entry("a failure", 500, "text/plain", "failed\n\n"),
+		Entry("a failure in the form of an event", 500, events, second),
+		Entry("a success without a body", 204, events, ""),
+		Entry("a part", 206, events, second),
+		Entry("an error as JSON", 200, "application/json", "{\"error\":\"x\"}\n\n"),
+		Entry("an error without a body", 200, "text/plain", ""),
+		Entry("text that is no event", 200, events, "failed\n\n"),
+		Entry("an event without an ID", 200, events, "data: failed\n\n"),
+		Entry("a head", 200, events, "HTTP/1.1 500 X\r\nContent-Length: 6\r\n\r\nfailed"),
+		Entry("a head after a comment", 200, events, ": ping\nHTTP/1.1 500 X\nid: 2\n\n"),
+		Entry("the stream from its start", 200, events, first+second),
+		Entry("an earlier event", 200, events, "id: 0\ndata: z\n\n"),
+	)
+
+	DescribeTable("goes on with its rest",
+		func(rest, want string) {
+			data, err := serve(streamResponse(200, events, broken), streamResponse(200, events, rest))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(data).To(Equal(want))
+		},
+		Entry("events", second+"id: 5\ndata: c\n\n", first+second+"id: 5\ndata: c\n\n"),
+		Entry("comments and other fields", ": ping\n\nweight-versions: 7\nid: 2\ndata: b\n\nretry: 5\nid: 3\n\n", first+": ping\n\nweight-versions: 7\nid: 2\ndata: b\n\nretry: 5\nid: 3\n\n"),
+		Entry("nothing, as only the end was missing", "", first),
+	)
+
+	// Guards against the same from the replica that began the stream.
+	DescribeTable("is broken off at what is no event of it",
+		func(body string) {
+			data, err := serve(streamResponse(200, events, body), streamResponse(500, "text/plain", "failed"))
+			Expect(err).To(HaveOccurred())
+			Expect(data).To(Equal(first))
+		},
+		Entry("a head", first+"HTTP/1.1 500 X\r\nContent-Length: 6\r\n\r\nfailed\n\n"),
+		Entry("text", first+"failed\n\n"),
+		Entry("the same event again", first+first),
+	)
+})
