Keep away from replicas that say that they leave or want a pause

Nothing read what replicas say of themselves: a replica that leaves got requests until the registry said so, also from a gateway that is cut from the store, and one that had asked for a pause with its 503 was tried again after 100 ms.

New: replicanotice keeps the marks for each start of a replica, placement asks it for each send (first ones, repeats, resumed streams). From the drain timeout after the first such answer nothing is sent to a replica that leaves; one that pauses gets nothing until the end, then a rising share. If all pause, requests are refused at once.

Red without the marks: 5 of 6 specs of platform/acceptance ("cut from the store", "until the bound", "resumes no stream", "200 requests in flight", "if all pause"). "replicas that pause together" (68 gateways, 4 of 12 replicas) is red without the slow start, "moves the prompts that it has cached one after the other" without the pacing.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -218,12 +218,18 @@
 			break
 		}
 		if choice.Refused {
-			outcome, reason := sendOverloaded, Overloaded
-			if choice.Reason == placement.LimitedReason {
+			outcome, reason, retryAfter := sendOverloaded, Overloaded, choice.RetryAfter
+			switch choice.Reason {
+			case placement.LimitedReason:
 				outcome, reason = sendLimited, Limited
+			case placement.PausedReason:
+				outcome, reason = sendPaused, Paused
+				if usable := e.deadline.Sub(now) / usableRetryDivisor; choice.ExpectedWait <= usable {
+					retryAfter = min(retryAfter, usable)
+				}
 			}
 			e.recordSend(choice, outcome, choice.ExpectedWait)
-			return nil, &Refusal{Execution: NotExecuted, Reason: reason, RetryAfter: choice.RetryAfter}
+			return nil, &Refusal{Execution: NotExecuted, Reason: reason, RetryAfter: retryAfter}
 		}
 		exclude[choice.Replica.ID] = true
 		relay, failed := e.send(ctx, choice, exclude, possibleExecutions)
@@ -251,6 +257,9 @@
 	// maxSends bounds the sends of one request, including refused ones and
 	// excluding those that resume a stream.
 	maxSends = 3
+	// usableRetryDivisor divides the time that a request has left into the longest
+	// Retry-After after which its caller returns.
+	usableRetryDivisor = 3
 	// noReplicaRetryAfter is the Retry-After when no replica of a service could be
 	// reached.
 	noReplicaRetryAfter = 300 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"briarreach/placement"
 	"briarreach/replica"
 	"briarreach/replicalimit"
+	"briarreach/replicanotice"
 	"briarreach/retrybudget"
 	"briarreach/route"
 )
@@ -116,6 +117,7 @@
 	configConfirmedAt func() time.Time // when the configuration was last confirmed
 	onBrokenSend      func(crash.BrokenSend)
 	onLimit           func(r replica.Replica, stated replicalimit.Limit, sentAt time.Time)
+	onNotice          func(r replica.Replica, n replicanotice.Notice)
 	openStreams       atomic.Int64
 	drainEnd          atomic.Pointer[time.Time] // nil until the process stops
 }
@@ -160,11 +162,16 @@
 	return func(g *Gateway) { g.onLimit = f }
 }
 
+// WithNoticeHandler calls f with what a replica says of itself in an answer.
+func WithNoticeHandler(f func(r replica.Replica, n replicanotice.Notice)) Option {
+	return func(g *Gateway) { g.onNotice = f }
+}
+
 // New returns a gateway.
 func New(sender Sender, placer *placement.Placer, retries *retrybudget.Budget, opts ...Option) *Gateway {
 	g := &Gateway{clock: clockwork.NewRealClock(), log: log.Log, sender: sender, quota: noQuota{}, quarantine: noQuarantine{}, placer: placer,
 		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {},
-		onLimit: func(replica.Replica, replicalimit.Limit, time.Time) {}}
+		onLimit: func(replica.Replica, replicalimit.Limit, time.Time) {}, onNotice: func(replica.Replica, replicanotice.Notice) {}}
 	g.configConfirmedAt = g.clock.Now
 	for _, opt := range opts {
 		opt(g)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -8,6 +8,7 @@
 
 	"briarreach/replica"
 	"briarreach/replicalimit"
+	"briarreach/replicanotice"
 	"briarreach/upstream"
 )
 
@@ -80,6 +81,7 @@
 	Quarantined        Reason = "quarantined" // the request, or a part of its prompt, crashes replicas
 	Overloaded         Reason = "overloaded"
 	Limited            Reason = "limited" // the replicas take no more requests per second
+	Paused             Reason = "paused"  // the replicas want no requests for some time
 	ReplicaFull        Reason = "replica_full"
 	ReplicaFailed      Reason = "replica_failed"
 	TimedOut           Reason = "timed_out" // the request's deadline passed, or was too close to send it
@@ -136,6 +138,7 @@
 	// that ends early can look the same.
 	CloseDelimited bool
 	Limit          replicalimit.Limit // as the replica states it
+	Notice         replicanotice.Notice
 	Body           io.ReadCloser
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -38,6 +38,7 @@
 	sendNotSent      = "not_sent"      // no byte left this process
 	sendOverloaded   = "overloaded"    // not sent, because the expected wait, logged as ms, was too long
 	sendLimited      = "limited"       // not sent, because no replica takes one before the wait logged as ms
+	sendPaused       = "paused"        // not sent, because the replicas pause for the time logged as ms
 	sendCanceled     = "canceled"      // the caller disconnected, or the deadline passed, before it was sent
 	sendSilent       = "silent"
 	sendBroken       = "broken"
@@ -47,7 +48,7 @@
 // possiblyExecuted reports whether the replica may have executed the request.
 func (s sendRecord) possiblyExecuted() bool {
 	switch s.Outcome {
-	case sendRefused, sendWrongReplica, sendNotSent, sendCanceled, sendOverloaded, sendLimited:
+	case sendRefused, sendWrongReplica, sendNotSent, sendCanceled, sendOverloaded, sendLimited, sendPaused:
 		return false
 	default:
 		return true
@@ -143,6 +144,7 @@
 		a.end(placement.ConnectionBroken, sendWrongReplica)
 		return nil, nil, &failure{refusal: &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: noReplicaRetryAfter}}
 	}
+	g.onNotice(choice.Replica, res.Notice)
 	a.limit = res.Limit
 	if failed := res.NotExecuted || res.Status >= 500; res.Limit.Stated || !failed {
 		g.onLimit(choice.Replica, res.Limit, a.started)
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -33,6 +33,7 @@
 	"briarreach/quotastore"
 	"briarreach/replica"
 	"briarreach/replicalimit"
+	"briarreach/replicanotice"
 	"briarreach/retrybudget"
 	"briarreach/route"
 	"briarreach/rowstore"
@@ -88,6 +89,8 @@
 		newQuotaSyncers,
 		newLimits,
 		newLimitExchange,
+		newNotices,
+		newNoticeExchange,
 		newPlacer,
 		newRetryBudget,
 		newReplicaPool,
@@ -158,8 +161,8 @@
 		}))
 }
 
-func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, clock clockwork.Clock) *placement.Placer {
-	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, placement.WithLimiter(limits))
+func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, notices *replicanotice.Notices, clock clockwork.Clock) *placement.Placer {
+	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, placement.WithLimiter(limits), placement.WithNotices(notices))
 	peers.OnPlacement(func(p placement.Announcement) { placer.HandleAnnouncement(p, clock.Now()) })
 	return placer
 }
@@ -177,7 +180,9 @@
 	return upstream.New(upstream.WithClock(clock), upstream.WithDialHook(set.NewCounter("briarreach_replica_connections_total").Inc))
 }
 
-func newSender(pool *upstream.Pool) gateway.Sender { return platform.NewReplicaSender(pool) }
+func newSender(pool *upstream.Pool, notices *noticeExchange) gateway.Sender {
+	return platform.NewReplicaSender(pool, platform.WithUnreadablePauseHandler(notices.recordUnreadable))
+}
 
 func newQuarantine(store rowstore.Store, peers *mesh.Mesh, clock clockwork.Clock, l log.Interface, set *metrics.Set, t Tuning) *quarantinestore.Keeper {
 	k := quarantinestore.New(quarantine.New(t.Quarantine), store, quarantinestore.WithClock(clock), quarantinestore.WithLog(l),
@@ -224,6 +229,7 @@
 	crashes         *crash.Detector
 	quarantine      *quarantinestore.Keeper
 	limits          *replicalimit.Limits
+	notices         *replicanotice.Notices
 	stopping        atomic.Bool
 
 	ignoredEntries    *metrics.Counter
@@ -236,11 +242,11 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits,
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
+		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
@@ -364,6 +370,7 @@
 	d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot { snapshot.Replicas = set; return snapshot })
 	d.placer.SetReplicas(all)
 	d.limits.DropOld(now)
+	d.notices.SetReplicas(all, now)
 	if d.expiryTimer != nil {
 		d.expiryTimer.Stop()
 	}
--- a/mesh/datagrams.go
+++ b/mesh/datagrams.go
@@ -10,6 +10,7 @@
 	"briarreach/quarantine"
 	"briarreach/quota"
 	"briarreach/replicalimit"
+	"briarreach/replicanotice"
 )
 
 const (
@@ -25,14 +26,15 @@
 )
 
 // datagram is a message to all peers: a placement, evidence about prompt parts that
-// crash replicas, the limit of a replica, or a holder's grants. Earlier versions know the fields of a
-// placement only.
+// crash replicas, the limit of a replica, a holder's grants, or a replica that leaves.
+// Earlier versions know the fields of a placement only.
 type datagram struct {
 	placement.Announcement
-	Crash  *quarantine.Crash    `cbor:"4,keyasint,omitempty"`
-	Answer *quarantine.Answer   `cbor:"5,keyasint,omitempty"`
-	Limit  *replicalimit.Notice `cbor:"6,keyasint,omitempty"`
-	Grants *quota.GrantNotice   `cbor:"7,keyasint,omitempty"`
+	Crash   *quarantine.Crash      `cbor:"4,keyasint,omitempty"`
+	Answer  *quarantine.Answer     `cbor:"5,keyasint,omitempty"`
+	Limit   *replicalimit.Notice   `cbor:"6,keyasint,omitempty"`
+	Grants  *quota.GrantNotice     `cbor:"7,keyasint,omitempty"`
+	Leaving *replicanotice.Leaving `cbor:"8,keyasint,omitempty"`
 }
 
 // evidence returns the evidence in a datagram, or nil for another message.
@@ -79,6 +81,17 @@
 // blocks: if the queue is full, the notice is dropped.
 func (m *Mesh) BroadcastGrants(n quota.GrantNotice) { m.broadcast(datagram{Grants: &n}) }
 
+// OnLeaving sets the handler of replicas that leave, as other gateways broadcast.
+func (m *Mesh) OnLeaving(f func(replicanotice.Leaving)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onLeaving = f
+}
+
+// BroadcastLeaving tells the other gateways that a replica leaves. It never blocks:
+// if the queue is full, the notice is dropped.
+func (m *Mesh) BroadcastLeaving(l replicanotice.Leaving) { m.broadcast(datagram{Leaving: &l}) }
+
 // BroadcastLimit sends a replica's limit to the other gateways. It never blocks: if
 // the queue is full, the limit is dropped.
 func (m *Mesh) BroadcastLimit(n replicalimit.Notice) { m.broadcast(datagram{Limit: &n}) }
@@ -183,7 +196,7 @@
 			continue
 		}
 		m.mu.Lock()
-		onPlacement, onEvidence, onLimit, onGrants := m.onPlacement, m.onEvidence, m.onLimit, m.onGrants
+		onPlacement, onEvidence, onLimit, onGrants, onLeaving := m.onPlacement, m.onEvidence, m.onLimit, m.onGrants, m.onLeaving
 		m.mu.Unlock()
 		if e := d.evidence(); e != nil {
 			onEvidence(e)
@@ -191,6 +204,8 @@
 			onLimit(*d.Limit)
 		} else if d.Grants != nil {
 			onGrants(*d.Grants)
+		} else if d.Leaving != nil {
+			onLeaving(*d.Leaving)
 		} else {
 			onPlacement(d.Announcement)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -23,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"briarreach/replica"
+	"briarreach/replicanotice"
 )
 
 // Settings are the parameters of the placement.
@@ -92,6 +94,7 @@
 //   - least_waiting: another replica has the least cost
 //   - all_over_bound: no load is within the bound; the least loaded replica
 //   - limited: none, as the replicas take no more requests per second for now
+//   - paused: none, as the replicas have asked for a pause
 //   - soonest: the replica with the least cost would be too late; this one is
 //     expected to finish the prefill first
 //
@@ -110,9 +113,16 @@
 	waiter          *waiter
 }
 
-// LimitedReason is the reason of a choice that is refused because of the limits
-// that replicas state.
-const LimitedReason = "limited"
+// Reasons of a choice that is refused because of what replicas state: their limits,
+// or that they want no requests for some time.
+const (
+	LimitedReason = "limited"
+	PausedReason  = "paused"
+)
+
+// pausedRetrySpread spreads the returns of callers that were refused during a pause
+// over the time in which the replicas take more and more requests again.
+const pausedRetrySpread = time.Second
 
 // Outcome is the result of sending a request to a replica.
 type Outcome int
@@ -136,6 +146,7 @@
 	cache         prefixCache
 	announce      func(Announcement)
 	limiter       Limiter
+	notices       Notices
 }
 
 // Limiter bounds the requests per second that this process sends to a replica.
@@ -154,9 +165,29 @@
 
 func (noLimiter) Take(replica.Incarnation, time.Time) bool { return true }
 
+// Notices knows what replicas say of themselves.
+type Notices interface {
+	State(r replica.Incarnation, now time.Time) replicanotice.State
+	// DrainTimeout is the time after its first notice in which a replica that leaves
+	// still takes requests.
+	DrainTimeout() time.Duration
+}
+
+// noNotices is for replicas that say nothing.
+type noNotices struct{}
+
+func (noNotices) State(replica.Incarnation, time.Time) replicanotice.State {
+	return replicanotice.State{Share: 1}
+}
+
+func (noNotices) DrainTimeout() time.Duration { return 0 }
+
 // Option changes a default of New.
 type Option func(*Placer)
 
+// WithNotices sets what knows the replicas that leave or pause; without it none do.
+func WithNotices(n Notices) Option { return func(p *Placer) { p.notices = n } }
+
 // WithLimiter sets what bounds the requests to a replica; without it nothing does.
 func WithLimiter(l Limiter) Option { return func(p *Placer) { p.limiter = l } }
 
@@ -196,7 +227,7 @@
 // New returns a placer. It calls announce with each placement that other
 // processes should know.
 func New(s Settings, announce func(Announcement), opts ...Option) *Placer {
-	p := &Placer{settings: s, announce: announce, cache: newPrefixCache(s.CacheTTL), limiter: noLimiter{}}
+	p := &Placer{settings: s, announce: announce, cache: newPrefixCache(s.CacheTTL), limiter: noLimiter{}, notices: noNotices{}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -257,13 +288,18 @@
 
 // Choose returns the replica for a request, and counts the request as in flight
 // until Done. It returns false if there is no candidate. If there are some but their
-// limits are exhausted, the choice is refused with LimitedReason.
+// limits are exhausted, or they pause, the choice is refused with LimitedReason or
+// PausedReason.
 func (p *Placer) Choose(req Request, replicas []replica.Replica, now time.Time, rnd *rand.Rand) (Choice, bool) {
 	for {
-		candidates, includesEjected, limitWait := p.candidates(req, replicas, now)
+		candidates, includesEjected, wait := p.candidates(req, replicas, now, rnd)
 		if len(candidates) == 0 {
 			// The jitter keeps callers from returning all at once.
-			return Choice{Refused: true, Reason: LimitedReason, ExpectedWait: limitWait, RetryAfter: limitWait + time.Duration(rnd.Float64()*float64(limitWait))}, limitWait > 0
+			spread := wait.duration
+			if wait.reason == PausedReason {
+				spread = pausedRetrySpread
+			}
+			return Choice{Refused: true, Reason: wait.reason, ExpectedWait: wait.duration, RetryAfter: wait.duration + time.Duration(rnd.Float64()*float64(spread))}, wait.duration > 0
 		}
 		// Another request may have taken the last one that the replica takes for now.
 		if choice, ok := p.chooseFrom(req, candidates, includesEjected, now, rnd); ok {
@@ -350,24 +386,51 @@
 	cachedTokens  int
 }
 
-// candidates returns the replicas that may be chosen. If more than
-// MaxEjectedShare of them are ejected or silent, or all are, it returns all of
-// them, and includesEjected is true. If the limits of some replicas are exhausted,
-// limitWait is the shortest time until one takes another request.
-func (p *Placer) candidates(req Request, replicas []replica.Replica, now time.Time) (list []candidate, includesEjected bool, limitWait time.Duration) {
+// unavailability is the shortest time until a replica takes another request, and
+// why it takes none now.
+type unavailability struct {
+	duration time.Duration
+	reason   string
+}
+
+func (u *unavailability) add(d time.Duration, reason string) {
+	if u.duration == 0 || d < u.duration {
+		u.duration, u.reason = d, reason
+	}
+}
+
+// candidates returns the replicas that may be chosen. Those that leave, or take only
+// a share of their requests after a pause, are candidates if there are no others. If
+// more than MaxEjectedShare of the replicas are ejected or silent, or all are, it
+// returns all of them, and includesEjected is true.
+func (p *Placer) candidates(req Request, replicas []replica.Replica, now time.Time, rnd *rand.Rand) (list []candidate, includesEjected bool, wait unavailability) {
 	all := make([]candidate, 0, len(replicas))
+	var reserve []candidate
+	// The least loaded replica would get each request that it is a candidate for.
+	fairShare := p.settings.LoadFactor / float64(len(replicas))
 	for _, r := range replicas {
 		if req.Exclude[r.ID] {
 			continue
 		}
-		if wait, allowed := p.limiter.Allows(r.Incarnation(), now); !allowed {
-			if limitWait == 0 || wait < limitWait {
-				limitWait = wait
-			}
+		state := p.notices.State(r.Incarnation(), now)
+		if state.Gone {
+			continue
+		}
+		if state.PausedFor > 0 {
+			wait.add(state.PausedFor, PausedReason)
+			continue
+		}
+		if d, allowed := p.limiter.Allows(r.Incarnation(), now); !allowed {
+			wait.add(d, LimitedReason)
 			continue
 		}
 		s := p.stats(r)
-		all = append(all, candidate{replica: r, stats: s, load: s.inFlight.Load()})
+		c := candidate{replica: r, stats: s, load: s.inFlight.Load()}
+		if state.Leaving && !p.keepsParts(req, r, state.LeavingFor, now) || state.Share < 1 && rnd.Float64() >= state.Share*fairShare {
+			reserve = append(reserve, c)
+			continue
+		}
+		all = append(all, c)
 	}
 	list = make([]candidate, 0, len(all))
 	for _, c := range all {
@@ -375,10 +438,26 @@
 			list = append(list, c)
 		}
 	}
+	if len(list) == 0 && len(reserve) > 0 {
+		return reserve, false, wait
+	}
 	if float64(len(all)-len(list)) > p.settings.MaxEjectedShare*float64(len(all)) || len(list) == 0 {
-		return all, len(list) < len(all), limitWait
+		return all, len(list) < len(all), wait
+	}
+	return list, false, wait
+}
+
+// keepsParts reports whether a request goes on to be placed on a replica that leaves,
+// because that has all its shared parts cached. Each prefix moves to another replica
+// at a moment of its own in the first half of the drain, so that the others do not
+// have to read all of them at once.
+func (p *Placer) keepsParts(req Request, r replica.Replica, leavingFor time.Duration, now time.Time) bool {
+	n := len(req.SharedParts)
+	if n == 0 || p.cache.cachedTokens(req.SharedParts, r.ID, now) < req.promptTokens()-req.UniqueTokens {
+		return false
 	}
-	return list, false, limitWait
+	moment := float64(rendezvousWeight(req.SharedParts[n-1].PrefixHash, r.ID)) / math.MaxUint64
+	return leavingFor < time.Duration(moment*float64(p.notices.DrainTimeout()/2))
 }
 
 // leastWaiting fills in the estimates of the candidates, and returns the one
