Go on to accept connections after a gateway has run out of descriptors

Cause: the HTTP server stops for good after one failed accept; idle connections to replicas that had left were never closed; nothing bounded connections. Now a failed accept is tried again and readiness says so meanwhile, the descriptors of the settings are divided among callers and replicas, and connections to replicas that have left are closed.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -93,6 +93,7 @@
 		newNoticeExchange,
 		newPlacer,
 		newRetryBudget,
+		newDescriptors,
 		newReplicaPool,
 		newSender,
 		newQuarantine,
@@ -176,8 +177,8 @@
 		assumedGateways)
 }
 
-func newReplicaPool(clock clockwork.Clock, set *metrics.Set) *upstream.Pool {
-	return upstream.New(upstream.WithClock(clock), upstream.WithDialHook(set.NewCounter("briarreach_replica_connections_total").Inc))
+func newReplicaPool(clock clockwork.Clock, set *metrics.Set, fds descriptors) *upstream.Pool {
+	return upstream.New(upstream.WithClock(clock), upstream.WithMaxIdleConnections(fds.idleReplicas), upstream.WithDialHook(set.NewCounter("briarreach_replica_connections_total").Inc))
 }
 
 func newSender(pool *upstream.Pool, notices *noticeExchange) gateway.Sender {
@@ -230,6 +231,7 @@
 	quarantine      *quarantinestore.Keeper
 	limits          *replicalimit.Limits
 	notices         *replicanotice.Notices
+	pool            *upstream.Pool
 	stopping        atomic.Bool
 
 	ignoredEntries    *metrics.Counter
@@ -242,8 +244,8 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices,
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
@@ -251,17 +253,19 @@
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
 	var err error
+	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, platform.WithMaxConnections(fds.callers)); err != nil {
+		return nil, err
+	}
 	if d.readiness, err = platform.NewReadinessServer(s.ReadinessAddress, d.ready, set, l); err != nil {
 		return nil, err
 	}
-	d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l)
-	d.log.Info("started")
-	return d, err
+	d.log.WithFields(log.Fields{"descriptors": fds.limit, "caller_connections": fds.callers, "idle_replica_connections": fds.idleReplicas}).Info("started")
+	return d, nil
 }
 
 func (d *Daemon) ready() bool {
 	snapshot := d.gateway.Snapshot()
-	return !d.stopping.Load() && snapshot.RouteTable != nil && snapshot.Replicas.ServiceCount() > 0
+	return !d.stopping.Load() && d.callers.Accepting() && snapshot.RouteTable != nil && snapshot.Replicas.ServiceCount() > 0
 }
 
 func (d *Daemon) applyConfigEvents(b feed.Batch[platform.OperatorEvent]) {
@@ -371,6 +375,11 @@
 	d.placer.SetReplicas(all)
 	d.limits.DropOld(now)
 	d.notices.SetReplicas(all, now)
+	addresses := make(map[netip.AddrPort]bool, len(all))
+	for _, r := range all {
+		addresses[r.Address] = true
+	}
+	d.pool.RetainIdleConnections(addresses)
 	if d.expiryTimer != nil {
 		d.expiryTimer.Stop()
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,6 +58,8 @@
 
 	mu       sync.Mutex
 	idle     map[netip.AddrPort][]*conn
+	retained map[netip.AddrPort]bool // addresses whose connections are kept; nil for all
+	maxIdle  int                     // idle connections to all addresses; 0 for no bound
 	closed   bool
 	dialHook func()
 }
@@ -70,6 +73,9 @@
 // WithDialHook calls f before each dial, also if the dial then fails.
 func WithDialHook(f func()) Option { return func(p *Pool) { p.dialHook = f } }
 
+// WithMaxIdleConnections bounds the idle connections to all addresses together.
+func WithMaxIdleConnections(n int) Option { return func(p *Pool) { p.maxIdle = n } }
+
 // New returns an empty pool.
 func New(opts ...Option) *Pool {
 	p := &Pool{clock: clockwork.NewRealClock(), idle: make(map[netip.AddrPort][]*conn), dialHook: func() {}}
@@ -113,6 +119,27 @@
 	UnknownOwner              // the response does not say
 )
 
+// RetainIdleConnections closes the idle connections to all addresses but the given
+// ones, now and after later requests, and those that have been idle for too long.
+func (p *Pool) RetainIdleConnections(addresses map[netip.AddrPort]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.retained = addresses
+	for address, list := range p.idle {
+		list = slices.DeleteFunc(list, func(c *conn) bool {
+			if addresses[address] && now.Sub(c.idleSince) < c.idleLimit {
+				return false
+			}
+			_ = c.Close()
+			return true
+		})
+		if p.idle[address] = list; len(list) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
 // Do sends a request and reads the response header. It skips responses to earlier
 // requests on the connection. One that does not say for which request it is counts
 // as the response on a connection that has carried no other request, and is skipped
@@ -195,13 +222,22 @@
 	c.idleSince = p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.address]) >= maxIdlePerReplica {
+	if p.closed || len(p.idle[c.address]) >= maxIdlePerReplica || p.retained != nil && !p.retained[c.address] || p.maxIdle > 0 && p.idleCount() >= p.maxIdle {
 		_ = c.Close()
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// idleCount returns the number of idle connections. mu must be held.
+func (p *Pool) idleCount() int {
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
 const (
 	dialTimeout       = 300 * time.Millisecond
 	idleTimeout       = 30 * time.Second
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -71,6 +71,87 @@
 	return upstream.OtherRequest
 }
 
+// Guards against connections to replicas that have left, which stay open for the life
+// of the process until it has no descriptors left.
+var _ = Describe("the idle connections of a pool", func() {
+	newServer := func() (address netip.AddrPort, open *atomic.Int64) {
+		GinkgoHelper()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		open = &atomic.Int64{}
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				open.Add(1)
+				go func() {
+					defer open.Add(-1)
+					defer func() { _ = c.Close() }()
+					for {
+						if _, err := c.Read(make([]byte, 4096)); err != nil {
+							return
+						}
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 0\r\n\r\n")
+					}
+				}()
+			}
+		}()
+		return listener.Addr().(*net.TCPAddr).AddrPort(), open
+	}
+	request := upstream.Request{Method: "GET", RequestTarget: "/"}
+	begin := func(p *upstream.Pool, address netip.AddrPort) *http.Response {
+		GinkgoHelper()
+		res, err := p.Do(context.Background(), address, request, ownResponse)
+		Expect(err).NotTo(HaveOccurred())
+		return res
+	}
+	end := func(res *http.Response) {
+		GinkgoHelper()
+		_, err := io.ReadAll(res.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Body.Close()).To(Succeed())
+	}
+
+	It("to replicas that have left are closed, also after requests in progress", func() {
+		p := upstream.New()
+		DeferCleanup(p.Close)
+		left, openLeft := newServer()
+		kept, openKept := newServer()
+		end(begin(p, left))
+		end(begin(p, kept))
+		inProgress := begin(p, left)
+		Consistently(openLeft.Load, "50ms").Should(BeEquivalentTo(1))
+		p.RetainIdleConnections(map[netip.AddrPort]bool{kept: true})
+		end(inProgress)
+		Eventually(openLeft.Load, "2s", "5ms").Should(BeZero())
+		Consistently(openKept.Load, "50ms").Should(BeEquivalentTo(1))
+	})
+
+	It("are bounded over all addresses", func() {
+		p := upstream.New(upstream.WithMaxIdleConnections(3))
+		DeferCleanup(p.Close)
+		var counts []*atomic.Int64
+		var responses []*http.Response
+		for range 6 {
+			address, open := newServer()
+			counts = append(counts, open)
+			responses = append(responses, begin(p, address))
+		}
+		for _, res := range responses {
+			end(res)
+		}
+		Eventually(func() (n int64) {
+			for _, open := range counts {
+				n += open.Load()
+			}
+			return n
+		}, "2s", "5ms").Should(BeEquivalentTo(3))
+	})
+})
+
 var _ = Describe("a replica that sends bytes that are no response, without end", func() {
 	request := upstream.Request{Method: "GET", RequestTarget: "/"}
 
