Give a silent replica up only with a retry in hand

Now the retry is taken before; without one the answer is waited for.

Red before: "goes on with it if no retry is left".

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"briarreach/placement"
@@ -35,6 +36,7 @@
 	eventsReceived  int           // complete events received from replicas
 	timeToFirstByte time.Duration // until the first event of a stream, or until a buffered response was complete
 	streaming       bool
+	retryReserved   atomic.Bool // whether a retry was taken from the budget before it is sent
 	endOnce         sync.Once
 }
 
@@ -212,7 +214,7 @@
 		if n > 0 && choice.Refused {
 			break
 		}
-		if n > 0 && !e.gateway.retries.AllowRetry(e.service, now) {
+		if n > 0 && !e.allowRetry(now) {
 			e.gateway.placer.Done(choice, placement.Canceled, now)
 			e.gateway.metrics.retryBudgetExhausted.Inc()
 			break
@@ -275,6 +277,21 @@
 	return possibleExecutions < e.route.MaxRuns && (route.Retryable(e.route.Kind) || route.Resumable(e.route.Kind))
 }
 
+// reserveRetry takes the next retry from the budget, or returns false if none is left.
+func (e *exchange) reserveRetry(now time.Time) bool {
+	if !e.gateway.retries.AllowRetry(e.service, now) {
+		return false
+	}
+	e.retryReserved.Store(true)
+	return true
+}
+
+// allowRetry reports whether a retry may be sent: one that was reserved, or else one of
+// the budget.
+func (e *exchange) allowRetry(now time.Time) bool {
+	return e.retryReserved.Swap(false) || e.gateway.retries.AllowRetry(e.service, now)
+}
+
 func (e *exchange) placementRequest(exclude map[string]bool) placement.Request {
 	n := placement.Request{Exclude: exclude, Priority: e.priority}
 	if p := e.request.Prompt; p != nil {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -157,14 +157,20 @@
 	return a, res, nil
 }
 
-// checkSilence cancels the send. It waits up to another silence timeout while the
-// replica sends data for other requests.
+// checkSilence cancels the send, if the request may be sent to another replica
+// instead. It waits up to another silence timeout while the replica sends data for
+// other requests, and longer while no retry is left: silence alone is no reason to end
+// an answer.
 func (a *activeSend) checkSilence() {
 	now := a.exchange.gateway.clock.Now()
 	if silence := now.Sub(a.exchange.gateway.placer.LastActivity(a.choice)); silence < a.silenceTimeout/2 && now.Sub(a.started) < 2*a.silenceTimeout {
 		a.silenceTimer.Reset(a.silenceTimeout / 2)
 		return
 	}
+	if !a.exchange.reserveRetry(now) {
+		a.silenceTimer.Reset(a.silenceTimeout / 2)
+		return
+	}
 	a.cancel(errSilenceTimeout)
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -200,7 +200,7 @@
 	if !ok || choice.Refused {
 		return false, false
 	}
-	if !e.gateway.retries.AllowRetry(e.service, now) {
+	if !e.allowRetry(now) {
 		e.gateway.placer.Done(choice, placement.Canceled, now)
 		e.gateway.metrics.retryBudgetExhausted.Inc()
 		return false, false
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,8 +44,12 @@
 // newGateway returns a gateway with two replicas of one service, whose streams may
 // be resumed, and the replicas.
 func newGateway(s gateway.Sender, clock clockwork.Clock, placer *placement.Placer, opts ...gateway.Option) (*gateway.Gateway, *replica.Set) {
+	return newGatewayWithRetries(s, clock, placer, retrybudget.Limit{RetriesPerRequest: 1, ExtraRetries: 100, Window: 10 * time.Second}, opts...)
+}
+
+func newGatewayWithRetries(s gateway.Sender, clock clockwork.Clock, placer *placement.Placer, retries retrybudget.Limit, opts ...gateway.Option) (*gateway.Gateway, *replica.Set) {
 	opts = append(opts, gateway.WithClock(clock), gateway.WithLog(&log.Logger{Handler: discard.Default}))
-	g := gateway.New(s, placer, retrybudget.New(retrybudget.Limit{RetriesPerRequest: 1, ExtraRetries: 100, Window: 10 * time.Second}, 1), opts...)
+	g := gateway.New(s, placer, retrybudget.New(retries, 1), opts...)
 	var events []replica.Event
 	for i, id := range []string{"r0", "r1"} {
 		events = append(events, replica.Registered{Replica: replica.Replica{ID: id, Service: "engine", Slots: 8,
@@ -203,6 +208,92 @@
 	})
 })
 
+// pausingBody sends its events, but for the last one, and that when it is released. It
+// fails when its context ends, as a connection does.
+type pausingBody struct {
+	ctx     context.Context
+	events  []string
+	release chan struct{}
+}
+
+func (b *pausingBody) Read(p []byte) (int, error) {
+	if len(b.events) == 0 {
+		return 0, io.EOF
+	}
+	if len(b.events) == 1 {
+		select {
+		case <-b.release:
+		case <-b.ctx.Done():
+			return 0, b.ctx.Err()
+		}
+	}
+	n := copy(p, b.events[0])
+	b.events = b.events[1:]
+	return n, nil
+}
+
+func (*pausingBody) Close() error { return nil }
+
+// pausingSender responds with the same pausing stream to each send.
+type pausingSender struct {
+	release chan struct{}
+	sends   atomic.Int64
+}
+
+func (s *pausingSender) Send(ctx context.Context, r gateway.SendRequest) (*gateway.Response, error) {
+	events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}
+	if r.AfterEventID == "1" {
+		events = events[1:]
+	}
+	if s.sends.Add(1) > 1 {
+		return &gateway.Response{Status: 200, ContentLength: -1, Body: io.NopCloser(strings.NewReader(strings.Join(events, "")))}, nil
+	}
+	return &gateway.Response{Status: 200, ContentLength: -1, Body: &pausingBody{ctx: ctx, events: events, release: s.release}}, nil
+}
+
+func (*pausingSender) CloseIdleConnections(replica.Replica) {}
+
+// Guards against sound streams that are cut because their replica pauses, where no
+// other may be asked.
+var _ = Describe("a stream whose replica pauses for longer than the silence timeout", func() {
+	serve := func(extraRetries float64) (data string, err error, sends int64) {
+		clock, s := clockwork.NewFakeClock(), &pausingSender{release: make(chan struct{})}
+		g, _ := newGatewayWithRetries(s, clock, placement.New(placement.Defaults(), nil), retrybudget.Limit{ExtraRetries: extraRetries, Window: 10 * time.Second})
+		relay, ok := serveStream(g).(*gateway.RelayedResponse)
+		Expect(ok).To(BeTrue())
+		read := make(chan struct{})
+		var body []byte
+		go func() {
+			defer close(read)
+			body, err = io.ReadAll(relay.Body)
+		}()
+		for range 6 {
+			time.Sleep(5 * time.Millisecond) // until the reader waits for the last event
+			clock.Advance(500 * time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		close(s.release)
+		Eventually(read, "2s").Should(BeClosed())
+		Expect(relay.Body.Close()).To(Succeed())
+		return string(body), err, s.sends.Load()
+	}
+	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+	It("goes on with it if no retry is left", func() {
+		data, err, sends := serve(0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(data).To(Equal(whole))
+		Expect(sends).To(BeEquivalentTo(1))
+	})
+
+	It("is resumed at another one if a retry is left", func() {
+		data, err, sends := serve(100)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(data).To(Equal(whole))
+		Expect(sends).To(BeEquivalentTo(2))
+	})
+})
+
 // answerSender responds with one response per send.
 type answerSender struct{ responses []*gateway.Response }
 
