Announce grants to gateways that connect later

A gateway told the others of its grants when it drew them, to those that were connected. Now it tells each peer of its grants when it connects to it.

Red before: "are announced to gateways that it connects to later".

--- a/mesh/datagram_test.go
+++ b/mesh/datagram_test.go
@@ -8,7 +8,9 @@
 	"briarreach/placement"
 	"briarreach/quarantine"
 	"briarreach/quota"
+	"briarreach/replica"
 	"briarreach/replicalimit"
+	"briarreach/replicanotice"
 )
 
 // Guards against gateways of two versions, as during a deployment, that misread each
@@ -37,6 +39,7 @@
 		Entry("a crash", datagram{Crash: &quarantine.Crash{Service: "s", PartIDs: []string{"a"}}}),
 		Entry("an answer", datagram{Answer: &quarantine.Answer{Part: quarantine.Part{Service: "s", ID: "a"}}}),
 		Entry("grants", datagram{Grants: &quota.GrantNotice{Holder: "h", Granted: map[string]int64{"w": 1}}}),
+		Entry("a replica that leaves", datagram{Leaving: &replicanotice.Leaving{Replica: replica.Incarnation{ID: "r"}}}),
 		Entry("a limit", datagram{Limit: &replicalimit.Notice{Stated: true, PerSecond: 2}}),
 	)
 })
--- a/mesh/datagrams.go
+++ b/mesh/datagrams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
 
 	"briarreach/placement"
 	"briarreach/quarantine"
@@ -147,6 +148,19 @@
 	}
 }
 
+// announceGrants tells a new peer of the grants that this gateway has, as it may not
+// have been connected when they were drawn.
+func (m *Mesh) announceGrants(conn *quic.Conn) {
+	for _, n := range m.allocators.GrantNotices() {
+		data, err := cbor.Marshal(datagram{Grants: &n})
+		if err != nil {
+			m.log.WithError(err).Error("failed to encode a datagram")
+			return
+		}
+		_ = conn.SendDatagram(data) // a lost one is announced with the next change
+	}
+}
+
 // connectLoop opens missing connections, so that a request that needs a loan
 // does not wait for a handshake.
 func (m *Mesh) connectLoop(ctx context.Context) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -92,6 +92,8 @@
 // QuotaAllocators hold the quota that is lent and borrowed, and the known
 // peers.
 type QuotaAllocators interface {
+	// GrantNotices returns what a peer should know of this gateway's grants.
+	GrantNotices() []quota.GrantNotice
 	// ForWorkspace returns the allocator that holds a workspace's quota.
 	ForWorkspace(workspace string) *quota.Allocator
 	// KnowsPeer reports whether a gateway has published the fingerprint.
@@ -498,6 +500,7 @@
 		m.mu.Lock()
 		m.conns[peer.Fingerprint] = conn
 		m.mu.Unlock()
+		m.announceGrants(conn)
 		return conn, nil
 	})
 	select {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -150,3 +150,21 @@
 		}
 	})
 })
+
+// Guards against grants that nobody else knows: drawn before another gateway was
+// connected, and lost by a store that is restored from a copy.
+var _ = Describe("grants of a gateway", func() {
+	It("are announced to gateways that it connects to later", func() {
+		a, b := start("a"), start("b")
+		notices := make(chan quota.GrantNotice, 10)
+		b.mesh.OnGrants(func(n quota.GrantNotice) { notices <- n })
+		rows := grant(a, 1, nil)
+		Expect(b.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		rows = grant(b, 2, rows)
+		Expect(a.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		var n quota.GrantNotice
+		Eventually(notices, "3s").Should(Receive(&n))
+		Expect(n.Holder).To(Equal("a"))
+		Expect(n.Granted["w"]).To(BeNumerically(">", 0))
+	})
+})
--- a/quota/era.go
+++ b/quota/era.go
@@ -307,6 +307,29 @@
 			names = append(names, name)
 		}
 	}
+	return al.noticesOf(row, names)
+}
+
+// GrantNotices returns what a holder that has just connected should know of this
+// one's grants.
+func (al *Allocator) GrantNotices() []GrantNotice {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	row := al.possibleStates[0].row
+	if row.Incarnation != al.incarnation {
+		return nil // nothing is confirmed yet
+	}
+	var names []string
+	for name, a := range row.Accounts {
+		if a.Granted > 0 {
+			names = append(names, name)
+		}
+	}
+	return al.noticesOf(row, names)
+}
+
+// noticesOf returns the notices about some workspaces of a row of this holder.
+func (al *Allocator) noticesOf(row holderRow, names []string) []GrantNotice {
 	slices.Sort(names)
 	var notices []GrantNotice
 	for chunk := range slices.Chunk(names, maxNoticeWorkspaces) {
--- a/quotastore/syncers.go
+++ b/quotastore/syncers.go
@@ -82,6 +82,15 @@
 // Peers returns the other live holders that have published a fingerprint.
 func (a Allocators) Peers() []quota.Peer { return a[0].Peers() }
 
+// GrantNotices returns what the other holders should know of this one's grants.
+func (a Allocators) GrantNotices() []quota.GrantNotice {
+	var notices []quota.GrantNotice
+	for _, allocator := range a {
+		notices = append(notices, allocator.GrantNotices()...)
+	}
+	return notices
+}
+
 // HandleNotice remembers the grants of another holder.
 func (a Allocators) HandleNotice(n quota.GrantNotice) {
 	for _, allocator := range a {
