--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -278,11 +278,12 @@
 				continue
 			}
 			table := route.New(event.Config)
+			limits := quotaLimits(table)
+			// No request may be served by routes whose quotas are not in force.
+			d.quotaAllocators.SetLimits(table.Version(), limits)
 			d.mu.Lock()
 			d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot { snapshot.RouteTable = table; return snapshot })
 			d.mu.Unlock()
-			limits := quotaLimits(table)
-			d.quotaAllocators.SetLimits(table.Version(), limits)
 			d.quotaSyncers.Wake()
 			fields := log.Fields{"config_version": table.Version(), "routes": len(event.Config.Routes)}
 			for _, l := range limits {
