--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -256,7 +256,7 @@
 // Guards against sound streams that are cut because their replica pauses, where no
 // other may be asked.
 var _ = Describe("a stream whose replica pauses for longer than the silence timeout", func() {
-	serve := func(extraRetries float64) (data string, err error, sends int64) {
+	serve := func(extraRetries float64) (data string, sends int64, err error) {
 		clock, s := clockwork.NewFakeClock(), &pausingSender{release: make(chan struct{})}
 		g, _ := newGatewayWithRetries(s, clock, placement.New(placement.Defaults(), nil), retrybudget.Limit{ExtraRetries: extraRetries, Window: 10 * time.Second})
 		relay, ok := serveStream(g).(*gateway.RelayedResponse)
@@ -275,19 +275,19 @@
 		close(s.release)
 		Eventually(read, "2s").Should(BeClosed())
 		Expect(relay.Body.Close()).To(Succeed())
-		return string(body), err, s.sends.Load()
+		return string(body), s.sends.Load(), err
 	}
 	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 	It("goes on with it if no retry is left", func() {
-		data, err, sends := serve(0)
+		data, sends, err := serve(0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(data).To(Equal(whole))
 		Expect(sends).To(BeEquivalentTo(1))
 	})
 
 	It("is resumed at another one if a retry is left", func() {
-		data, err, sends := serve(100)
+		data, sends, err := serve(100)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(data).To(Equal(whole))
 		Expect(sends).To(BeEquivalentTo(2))
