--- a/gateway/event.go
+++ b/gateway/event.go
@@ -10,8 +10,8 @@
 
 func (e *InvalidEventError) Error() string { return "invalid event in a stream: " + e.Problem }
 
-// eventOrder checks the events of a stream, also where another replica goes on with
-// it. A faulty replica may write an error into the stream, at times with its HTTP
+// eventOrder checks the events of a stream, also where another replica resumes it. A
+// faulty replica may write an error into the stream, at times with its HTTP
 // header, or begin anew.
 type eventOrder struct {
 	lastID string // of the last event that has one
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -447,7 +447,7 @@
 	return list, false, wait
 }
 
-// keepsParts reports whether a request goes on to be placed on a replica that leaves,
+// keepsParts reports whether a request is still placed on a replica that leaves,
 // because that has all its shared parts cached. Each prefix moves to another replica
 // at a moment of its own in the first half of the drain, so that the others do not
 // have to read all of them at once.
