Replay loads with replicas that pause or leave

loadreplay's model of the replicas lacked both. New patterns pause and departure (a quarter of the replicas for 5 s), a policy that ignores what replicas say, and the number of requests that reach a replica later than half a second after it has asked for a pause.

No code of the gateway has changed.

--- a/loadreplay/engine.go
+++ b/loadreplay/engine.go
@@ -44,6 +44,8 @@
 	lastUse      map[string]time.Duration // of a subject's cached shared part
 	cachedTokens map[string]int           // by subject
 	down         bool
+	leaving      bool
+	pausedUntil  time.Duration
 	prefilled    float64 // tokens
 	recomputed   float64 // tokens of shared parts that had been sent to some replica before
 }
--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -5,9 +5,11 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"briarreach/placement"
+	"briarreach/replicanotice"
 )
 
 const (
@@ -20,6 +22,9 @@
 	gapPatienceFactor = 8
 	// drainTime is simulated after the last request.
 	drainTime = 16 * time.Second
+	// pauseSlack is how long after the first answer that asks for a pause requests
+	// may still arrive.
+	pauseSlack = 500 * time.Millisecond
 )
 
 // requestState is the state of a request and its caller.
@@ -81,11 +86,20 @@
 	inFlight         map[*requestState]bool
 	sentBefore       map[string]bool // subjects whose shared part was sent to some replica
 	needlessRefusals int             // while a replica had a free slot
+	sentInPause      int             // requests that reached a replica too late in its pause
+	firstPauses      map[pauseOf]time.Duration
+}
+
+// pauseOf identifies a pause of a replica, as answered to a gateway.
+type pauseOf struct {
+	gateway *gateway
+	replica int
+	until   time.Duration
 }
 
 // Replay simulates a pattern with a policy.
 func Replay(p *Pattern, policy Policy, model EngineModel, seed uint64) Result {
-	r := &simulation{pattern: p, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), inFlight: make(map[*requestState]bool), sentBefore: make(map[string]bool)}
+	r := &simulation{pattern: p, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), inFlight: make(map[*requestState]bool), sentBefore: make(map[string]bool), firstPauses: make(map[pauseOf]time.Duration)}
 	r.gateways = newGateways(policy, gatewayCount, model, r.clock, r.rnd)
 	for range model.Replicas {
 		r.engines = append(r.engines, newEngine(model))
@@ -101,6 +115,8 @@
 	}
 	for ; r.now < end; r.now += tick {
 		r.applyOutages()
+		r.applyPauses()
+		r.applyDepartures()
 		for len(r.pending) > 0 && r.pending[0].at <= r.now {
 			r.arrive(heap.Pop(&r.pending).(arrival).request)
 		}
@@ -114,24 +130,82 @@
 
 func (r *simulation) clock() time.Time { return r.epoch.Add(r.now) }
 
+// share returns that part of the engines.
+func (r *simulation) share(part float64) []*engine {
+	return r.engines[:int(part*float64(len(r.engines))+0.5)]
+}
+
 func (r *simulation) applyOutages() {
 	for _, o := range r.pattern.Outages {
-		n := int(o.ReplicaShare*float64(len(r.engines)) + 0.5)
 		switch r.now {
 		case o.At:
-			for _, e := range r.engines[:n] {
-				for _, j := range e.crash() {
-					r.end(j.state, placement.ConnectionBroken, failed)
-				}
-			}
+			r.crash(r.share(o.ReplicaShare))
 		case o.At + o.Duration:
-			for _, e := range r.engines[:n] {
+			for _, e := range r.share(o.ReplicaShare) {
 				e.down = false
 			}
 		}
 	}
 }
 
+func (r *simulation) crash(engines []*engine) {
+	for _, e := range engines {
+		for _, j := range e.crash() {
+			r.end(j.state, placement.ConnectionBroken, failed)
+		}
+	}
+}
+
+func (r *simulation) applyPauses() {
+	for _, p := range r.pattern.Pauses {
+		if r.now == p.At {
+			for _, e := range r.share(p.ReplicaShare) {
+				e.pausedUntil = p.At + p.Duration
+			}
+		}
+	}
+}
+
+func (r *simulation) applyDepartures() {
+	for _, d := range r.pattern.Departures {
+		leaving := r.share(d.ReplicaShare)
+		switch r.now {
+		case d.At:
+			for _, e := range leaving {
+				e.leaving = true
+			}
+		case d.At + d.ServeFor:
+			r.crash(leaving)
+		case d.At + d.ServeFor + d.Duration:
+			list := slices.Clone(r.gateways[0].replicas)
+			for i, e := range leaving {
+				e.down, list[i].Started = false, r.clock()
+			}
+			for _, g := range r.gateways {
+				g.setReplicas(list, r.clock())
+			}
+		}
+	}
+}
+
+// rejectedInPause reports whether a replica turns the request away that it was sent,
+// as it pauses.
+func (r *simulation) rejectedInPause(rs *requestState) bool {
+	until := r.engines[rs.replicaIndex].pausedUntil
+	if r.now >= until {
+		return false
+	}
+	key := pauseOf{gateway: rs.gateway, replica: rs.replicaIndex, until: until}
+	if first, ok := r.firstPauses[key]; !ok {
+		r.firstPauses[key] = r.now
+	} else if r.now > first+pauseSlack {
+		r.sentInPause++
+	}
+	rs.gateway.notices.Record(rs.gateway.replicas[rs.replicaIndex].Incarnation(), replicanotice.Notice{Pause: until - r.now}, r.clock())
+	rs.gateway.done(rs.replicaIndex, rs.choice, placement.ReplicaRefused, r.clock())
+	return true
+}
+
 func (r *simulation) arrive(rs *requestState) {
 	rs.gateway = r.gateways[r.rnd.IntN(len(r.gateways))]
 	for range len(r.engines) {
@@ -140,6 +214,9 @@
 			r.refuse(rs)
 			return
 		}
+		if r.rejectedInPause(rs) {
+			continue
+		}
 		if !r.engines[rs.replicaIndex].down {
 			rs.job = &job{state: rs}
 			r.engines[rs.replicaIndex].add(rs.job, r.now, r.sentBefore)
@@ -178,6 +255,9 @@
 	rs := j.state
 	if j.events == 1 {
 		rs.firstEventLatency = r.now - rs.firstArrival
+		if r.engines[rs.replicaIndex].leaving {
+			rs.gateway.notices.Record(rs.gateway.replicas[rs.replicaIndex].Incarnation(), replicanotice.Notice{Leaving: true}, r.clock())
+		}
 		if p := rs.gateway.placer; p != nil {
 			p.RecordFirstEvent(rs.choice)
 		}
--- a/loadreplay/loadreplay_test.go
+++ b/loadreplay/loadreplay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -50,8 +51,34 @@
 		},
 		Entry(nil, "calm"), Entry(nil, "burst"), Entry(nil, "hot_key"), Entry(nil, "hot_tenant"),
 		Entry(nil, "quarter_gone"), Entry(nil, "retry_storm"), Entry(nil, "long_prompts"),
+		Entry(nil, "departure"),
 	)
 
+	// Guards against requests at replicas that have asked for a pause, and against
+	// fewer requests on time because of them.
+	It("send nothing to replicas while they pause", func() {
+		for seed := range uint64(3) {
+			baselines, product := replays("pause", seed+1)
+			for _, b := range baselines {
+				if b.Policy == "without_notices" {
+					Expect(b.SentInPause).To(BeNumerically(">", 0))
+					continue
+				}
+				Expect(onTime(product)).To(BeNumerically(">=", onTime(b)-0.02), b.Policy)
+			}
+			Expect(product.SentInPause).To(BeZero())
+		}
+	})
+
+	// Guards against requests that are lost at replicas that had said that they leave.
+	It("move away from replicas before they have left", func() {
+		for seed := range uint64(3) {
+			baselines, product := replays("departure", seed+1)
+			i := slices.IndexFunc(baselines, func(b loadreplay.Result) bool { return b.Policy == "without_notices" })
+			Expect(product.Overall.Failed).To(BeNumerically("<=", baselines[i].Overall.Failed/2))
+		}
+	})
+
 	// Guards against queues that grow until callers disconnect: without refusals,
 	// most of the prefill was wasted.
 	It("refuse in time what the replicas can't start, in overload", func() {
--- a/loadreplay/pattern.go
+++ b/loadreplay/pattern.go
@@ -34,11 +34,27 @@
 	ReplicaShare float64
 }
 
-// Pattern is a load, with the outages of replicas during it.
+// Pause makes a share of the replicas reject requests, with the time that is left of
+// the pause.
+type Pause struct {
+	At, Duration time.Duration
+	ReplicaShare float64
+}
+
+// Departure makes a share of the replicas say in their answers that they leave, from
+// At on. They end after ServeFor, and others take their places after Duration.
+type Departure struct {
+	At, ServeFor, Duration time.Duration
+	ReplicaShare           float64
+}
+
+// Pattern is a load, with what replicas do during it.
 type Pattern struct {
 	Name             string
 	Requests         []Request
 	Outages          []Outage
+	Pauses           []Pause
+	Departures       []Departure
 	ImmediateRetries int // how often a refused caller retries at once instead of after the given delay
 }
 
@@ -67,10 +83,12 @@
 	workspaceCount    = 10
 	disturbanceStart  = 8 * time.Second
 	disturbanceLength = 5 * time.Second
+	// departureServeTime is how long a replica that leaves still serves.
+	departureServeTime = 3 * time.Second
 )
 
 // PatternNames are the names that Generate accepts.
-var PatternNames = []string{"calm", "burst", "hot_key", "hot_tenant", "quarter_gone", "retry_storm", "long_prompts", "overload"}
+var PatternNames = []string{"calm", "burst", "hot_key", "hot_tenant", "quarter_gone", "retry_storm", "long_prompts", "overload", "pause", "departure"}
 
 // UnknownPatternError reports a name that Generate does not know.
 type UnknownPatternError struct{ Name string }
@@ -122,6 +140,10 @@
 		p.Outages = []Outage{{At: disturbanceStart + time.Second, Duration: disturbanceLength - time.Second, ReplicaShare: 0.3}}
 	case "retry_storm":
 		p.ImmediateRetries = 4
+	case "pause":
+		p.Pauses = []Pause{{At: disturbanceStart, Duration: disturbanceLength, ReplicaShare: 0.25}}
+	case "departure":
+		p.Departures = []Departure{{At: disturbanceStart, ServeFor: departureServeTime, Duration: disturbanceLength, ReplicaShare: 0.25}}
 	}
 	slices.SortFunc(p.Requests, func(a, b Request) int { return cmp.Compare(a.Arrival, b.Arrival) })
 	return p, nil
--- a/loadreplay/policy.go
+++ b/loadreplay/policy.go
@@ -10,6 +10,15 @@
 
 	"briarreach/placement"
 	"briarreach/replica"
+	"briarreach/replicanotice"
+)
+
+const (
+	// replicaDrainTimeout is the time after its notice in which a replica that leaves
+	// still takes requests.
+	replicaDrainTimeout = 2 * time.Second
+	// noReplicaRetryAfter is the Retry-After when no replica takes requests.
+	noReplicaRetryAfter = 300 * time.Millisecond
 )
 
 // Policy chooses replicas. It is one of Random, LeastLoaded, PrefixHash and
@@ -28,8 +37,9 @@
 
 // Placement is package placement with the given settings.
 type Placement struct {
-	Name     string
-	Settings placement.Settings
+	Name          string
+	Settings      placement.Settings
+	IgnoreNotices bool // what replicas say of themselves
 }
 
 func (Random) policy()      {}
@@ -52,13 +62,14 @@
 	}
 }
 
-// Policies returns the baselines, package placement without refusals, and last
-// the same with them, as the gateway uses it.
+// Policies returns the baselines, package placement without regard to what replicas
+// say of themselves, the same without refusals, and last with both, as the gateway
+// uses it.
 func Policies() []Policy {
 	product := placement.Defaults()
 	accepting := product
 	accepting.Overload = placement.OverloadPolicy{}
-	return []Policy{Random{}, LeastLoaded{}, PrefixHash{}, Placement{Name: "without_refusals", Settings: accepting}, Placement{Name: "product", Settings: product}}
+	return []Policy{Random{}, LeastLoaded{}, PrefixHash{}, Placement{Name: "without_notices", Settings: product, IgnoreNotices: true}, Placement{Name: "without_refusals", Settings: accepting}, Placement{Name: "product", Settings: product}}
 }
 
 // gateway is a gateway process with its policy and its requests in flight by
@@ -66,6 +77,7 @@
 type gateway struct {
 	policy   Policy
 	placer   *placement.Placer
+	notices  *replicanotice.Notices
 	replicas []replica.Replica
 	inFlight []int
 	rnd      *rand.Rand
@@ -80,15 +92,19 @@
 	}
 	gateways := make([]*gateway, n)
 	for i := range gateways {
-		g := &gateway{policy: p, replicas: list, inFlight: make([]int, len(list)), rnd: rnd}
+		g := &gateway{policy: p, notices: replicanotice.New(replicaDrainTimeout, rnd), replicas: list, inFlight: make([]int, len(list)), rnd: rnd}
 		if p, ok := p.(Placement); ok {
+			var opts []placement.Option
+			if !p.IgnoreNotices {
+				opts = append(opts, placement.WithNotices(g.notices))
+			}
 			g.placer = placement.New(p.Settings, func(a placement.Announcement) {
 				for _, other := range gateways {
 					if other != g {
 						other.placer.HandleAnnouncement(a, now())
 					}
 				}
-			})
+			}, opts...)
 			g.placer.SetReplicas(list)
 		}
 		gateways[i] = g
@@ -102,7 +118,10 @@
 	switch g.policy.(type) {
 	case Placement:
 		req := placement.Request{SharedParts: placement.HashParts([]string{r.Subject}, []int{r.SharedTokens}), UniqueTokens: r.UniqueTokens, Priority: r.Priority, TargetLatency: r.TargetLatency}
-		choice, _ := g.placer.Choose(req, g.replicas, now, g.rnd)
+		choice, ok := g.placer.Choose(req, g.replicas, now, g.rnd)
+		if !ok {
+			choice = placement.Choice{Refused: true, RetryAfter: noReplicaRetryAfter}
+		}
 		for i := range g.replicas {
 			if g.replicas[i].ID == choice.Replica.ID {
 				best = i
@@ -137,6 +156,15 @@
 	return best, placement.Choice{}
 }
 
+// setReplicas replaces the replicas, as after a change of the registry.
+func (g *gateway) setReplicas(list []replica.Replica, now time.Time) {
+	g.replicas = list
+	g.notices.SetReplicas(list, now)
+	if g.placer != nil {
+		g.placer.SetReplicas(list)
+	}
+}
+
 func (g *gateway) leastLoaded() int {
 	best, ties := 0, 0
 	for i, n := range g.inFlight {
--- a/loadreplay/result.go
+++ b/loadreplay/result.go
@@ -24,6 +24,7 @@
 	FirstEvent          [3]time.Duration // time to the first event at p50, p95 and p99
 	RecomputedShare     float64          // tokens of shared parts that had been sent to some replica before, relative to the prefilled tokens
 	NeedlessRefusals    int              // refusals while a replica had a free slot
+	SentInPause         int              // requests that reached a replica later than 0.5 s after it had asked their gateway for a pause
 	WorstWorkspaceRatio float64          // lowest served share of a workspace's requests, relative to the mean
 	OnTimeBySecond      []float64        // on-time share of the requests of each second
 }
@@ -49,7 +50,7 @@
 }
 
 func (r *simulation) result(policy string) Result {
-	res := Result{Pattern: r.pattern.Name, Policy: policy, ByKind: make(map[string]OutcomeCounts), NeedlessRefusals: r.needlessRefusals, WorstWorkspaceRatio: 1}
+	res := Result{Pattern: r.pattern.Name, Policy: policy, ByKind: make(map[string]OutcomeCounts), NeedlessRefusals: r.needlessRefusals, SentInPause: r.sentInPause, WorstWorkspaceRatio: 1}
 	byWorkspace := make(map[string]OutcomeCounts)
 	var seconds []OutcomeCounts
 	var firsts []time.Duration
@@ -101,7 +102,7 @@
 // Write prints a table of results, with the on-time share of each second.
 func Write(w io.Writer, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "pattern\tpolicy\ton time\tserved\trefused\tfailed\tfirst event p50\tp95\tp99\trecomputed\trefused though free\tworst workspace\ton time by kind\tby second")
+	_, _ = fmt.Fprintln(t, "pattern\tpolicy\ton time\tserved\trefused\tfailed\tfirst event p50\tp95\tp99\trecomputed\trefused though free\tsent in pause\tworst workspace\ton time by kind\tby second")
 	for _, r := range results {
 		onTime, served := r.Overall.Shares()
 		n := float64(max(r.Overall.Total, 1))
@@ -110,9 +111,9 @@
 			p, _ := r.ByKind[name].Shares()
 			kinds = append(kinds, fmt.Sprintf("%s %.2f", name, p))
 		}
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%d ms\t%d ms\t%d ms\t%.3f\t%d\t%.2f\t%s\t%s\n", r.Pattern, r.Policy, onTime, served,
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%d ms\t%d ms\t%d ms\t%.3f\t%d\t%d\t%.2f\t%s\t%s\n", r.Pattern, r.Policy, onTime, served,
 			float64(r.Overall.Refused)/n, float64(r.Overall.Failed)/n, r.FirstEvent[0].Milliseconds(), r.FirstEvent[1].Milliseconds(), r.FirstEvent[2].Milliseconds(),
-			r.RecomputedShare, r.NeedlessRefusals, r.WorstWorkspaceRatio, strings.Join(kinds, ", "), bars(r.OnTimeBySecond))
+			r.RecomputedShare, r.NeedlessRefusals, r.SentInPause, r.WorstWorkspaceRatio, strings.Join(kinds, ", "), bars(r.OnTimeBySecond))
 	}
 	return t.Flush()
 }
