Charge the output of prompts on routes without streams

Cause: output is counted by events, and such a response has none. A success counts as the longest output that the request allows now, which is what was reserved; a failure of the replica as before.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,6 +36,7 @@
 	eventsReceived  int           // complete events received from replicas
 	timeToFirstByte time.Duration // until the first event of a stream, or until a buffered response was complete
 	streaming       bool
+	outputDelivered bool        // whether a whole response with output was passed on, which is no stream
 	retryReserved   atomic.Bool // whether a retry was taken from the budget before it is sent
 	endOnce         sync.Once
 }
@@ -53,6 +54,7 @@
 	}
 	if answer.Body == nil {
 		cancel()
+		e.outputDelivered = !e.streaming && answer.Status < 300
 		e.end(outcomeServed, "")
 		return answer
 	}
@@ -372,7 +374,8 @@
 }
 
 // consumedTokens returns the tokens to charge: the prompt and the received
-// output, or nothing if no send can have been executed.
+// output, or nothing if no send can have been executed. The output of a response that
+// is no stream counts as the longest, since its tokens are not seen.
 func (e *exchange) consumedTokens() int64 {
 	possiblyExecuted := slices.ContainsFunc(e.sends, sendRecord.possiblyExecuted)
 	if !possiblyExecuted {
@@ -383,5 +386,8 @@
 		tokensPerEvent = s.Engine.TokensPerEvent
 	}
 	p := e.request.Prompt
+	if e.outputDelivered {
+		return int64(p.Tokens + p.MaxOutputTokens)
+	}
 	return int64(p.Tokens + min(p.MaxOutputTokens, e.eventsReceived*tokensPerEvent))
 }
