Release more of a home's balance while the store is away

Cause: a home released 1.25 times its own demand, and a thirtieth of its balance in a second.

Red before: "suffice for a burst at a home while the store is away".

--- a/quota/reclaim_test.go
+++ b/quota/reclaim_test.go
@@ -147,4 +147,27 @@
 		Expect(f.totalSpent()).To(BeNumerically("<=", f.limit))
 		Expect(float64(f.totalSpent())).To(BeNumerically(">=", 0.97*float64(f.limit)-mayHaveConsumed))
 	})
+
+	// Guards against refusals while all holders are cut from the store: a workspace has
+	// few requests, and more of them come just then.
+	It("suffice for a burst at a home while the store is away", func() {
+		const requestTokens = 9_000
+		f := newFleet(3, 900_000)
+		f.readEachOther()
+		home := f.holders[0]
+		for range 20 {
+			Expect(f.reserve(home, 100, true)).To(Equal(quota.Reserved))
+			f.finish(home, 100)
+			for _, h := range f.holders {
+				f.tick(h)
+			}
+			f.advance(500 * time.Millisecond)
+		}
+		f.advance(1500 * time.Millisecond)
+		for range 6 {
+			f.advance(time.Second)
+			Expect(f.reserve(home, requestTokens, false)).To(Equal(quota.Reserved))
+			f.finish(home, requestTokens)
+		}
+	})
 })
--- a/quota/settings.go
+++ b/quota/settings.go
@@ -40,7 +40,7 @@
 // Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{Parts: 4, Horizon: 15 * time.Second, DemandTimeConstant: 6 * time.Second, WindowTime: 1500 * time.Millisecond, AmpleTime: time.Minute, MinAmpleWindowShare: 0.08, MinWindowShare: 0.05, MinBalanceShare: 0.5, HomesPerWorkspace: 3,
-		ReleaseDelay: 1500 * time.Millisecond, ReleaseFactor: 1.25, ReleaseTime: 30 * time.Second, ReleaseFor: 6 * time.Second, GrantedShare: 0.9, RefillBelow: 0.8, ReturnAbove: 1.5,
+		ReleaseDelay: 1500 * time.Millisecond, ReleaseFactor: 1.5, ReleaseTime: 12 * time.Second, ReleaseFor: 6 * time.Second, GrantedShare: 0.9, RefillBelow: 0.8, ReturnAbove: 1.5,
 		MinBalance: 100_000, LiveFor: 15 * time.Second, FreshFor: 3 * time.Second, ExhaustedFreshFor: 2 * time.Second, SyncEvery: 700 * time.Millisecond, IdleEvery: 4 * time.Second,
 		UrgentEvery: 30 * time.Millisecond, TxInterval: 3 * time.Millisecond, ListEvery: 2 * time.Second, HoldersPerListFactor: 20, InsufficientListEvery: 200 * time.Millisecond, UnknownPeerEvery: 100 * time.Millisecond, RetryAfter: 500 * time.Millisecond}
 }
