--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,7 +36,7 @@
 	eventsReceived  int           // complete events received from replicas
 	timeToFirstByte time.Duration // until the first event of a stream, or until a buffered response was complete
 	streaming       bool
-	outputDelivered bool        // whether a whole response with output was passed on, which is no stream
+	outputDelivered bool        // whether a whole response that is no stream was passed on
 	retryReserved   atomic.Bool // whether a retry was taken from the budget before it is sent
 	endOnce         sync.Once
 }
