Tell a slow response of the store from none

A feed whose responses arrive and are cut by their time limit could not be told from one whose store is silent. The line of a lost feed has the call and its duration, and a metric counts the bytes received from the store, those of responses that are given up included. No change of logic.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -126,6 +126,7 @@
 	delay.InitialInterval, delay.MaxInterval = minRetryDelay, maxRetryDelay
 	listed, relisted := false, false
 	for ctx.Err() == nil {
+		started := w.clock.Now()
 		batch, err := w.listOrWait(ctx, listed)
 		var lost *rowstore.HistoryLostError
 		wait := time.Duration(0)
@@ -152,7 +153,7 @@
 			}
 			listed, relisted = false, true
 		default:
-			w.sourceFailed(err)
+			w.sourceFailed(err, listed, w.clock.Since(started))
 			wait = delay.NextBackOff()
 		}
 		if wait > 0 {
@@ -194,11 +195,17 @@
 	return restored
 }
 
-func (w *Watcher[E]) sourceFailed(err error) {
+// sourceFailed notes a call that failed after some time. listed says whether it waited
+// for changes.
+func (w *Watcher[E]) sourceFailed(err error, listed bool, took time.Duration) {
+	call := "list"
+	if listed {
+		call = "changes"
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.status.Failing {
-		w.log.WithField("feed", w.name).WithField("version", w.status.Version).WithError(err).Warn("feed lost")
+		w.log.WithFields(log.Fields{"feed": w.name, "version": w.status.Version, "call": call, "took_ms": took.Milliseconds()}).WithError(err).Warn("feed lost")
 	}
 	w.status.Failing = true
 }
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -113,7 +113,8 @@
 }
 
 func newStore(s *platform.Settings, set *metrics.Set) rowstore.Store {
-	return platform.NewStore(s.Store, platform.WithStoreObserver(func(call string, err error, took time.Duration) {
+	received := set.NewCounter("briarreach_store_received_bytes_total")
+	return platform.NewStore(s.Store, platform.WithStoreReceiveHook(func(bytes int) { received.Add(bytes) }), platform.WithStoreObserver(func(call string, err error, took time.Duration) {
 		set.GetOrCreateCounter(fmt.Sprintf("briarreach_store_calls_total{call=%q,outcome=%q}", call, storeOutcome(err))).Inc()
 		set.GetOrCreateHistogram(fmt.Sprintf("briarreach_store_call_seconds{call=%q}", call)).Update(took.Seconds())
 	}))
