Read responses of the store to their end while they keep arriving

What callers saw: gateways on links of 10 Mbit/s served routes as an older version of the configuration says, later than the time for a new version; after a start with a larger configuration they never became ready.

Cause: each read of the store had a time limit for the whole response, 0.7 s for a listing and 1.5 s for a wait for changes. A configuration with 1,400 routes more takes 0.45 s on such a link. What takes longer than the limit is cut at the same place each time and read again from its start, without end.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -16,7 +16,8 @@
 	"briarreach/rowstore"
 )
 
-// Source provides a state and its changes, as events of type E.
+// Source provides a state and its changes, as events of type E. Its calls fail when the
+// source falls silent; how long a response takes that keeps arriving depends on its size.
 type Source[E any] interface {
 	// List returns the complete state.
 	List(ctx context.Context) (Batch[E], error)
@@ -77,7 +78,7 @@
 func WithLog(l log.Interface) Option { return func(o *options) { o.log = l } }
 
 // WithWait sets how long one call waits for changes, and the margin beyond it
-// after which the call times out.
+// after which the call times out also while its response arrives.
 func WithWait(wait, margin time.Duration) Option {
 	return func(o *options) { o.wait, o.timeout = wait, wait+margin }
 }
@@ -88,9 +89,14 @@
 	maxRetryDelay = 300 * time.Millisecond
 )
 
+const (
+	defaultWait   = time.Second
+	defaultMargin = 12 * time.Second
+)
+
 // New starts a watcher.
 func New[E any](name string, source Source[E], handler func(Batch[E]), opts ...Option) *Watcher[E] {
-	o := options{clock: clockwork.NewRealClock(), log: log.Log, wait: time.Second, timeout: 1500 * time.Millisecond}
+	o := options{clock: clockwork.NewRealClock(), log: log.Log, wait: defaultWait, timeout: defaultWait + defaultMargin}
 	for _, opt := range opts {
 		opt(&o)
 	}
