List the state after a gap instead of reading its changes

What callers saw: after a gateway on a narrow link had been frozen or cut off, it served routes as an older version of the configuration says, later than the time for a new version, while the configuration kept changing.

Cause: after a gap the feed asked for the changes since the last known version, and the store answers with each version of the configuration in between. Of 0.5 MB each, they arrive more slowly on a link of 10 Mbit/s than new ones are written, so that the gateway stays behind for as long as changes come.

Change: a feed whose last state is older than a wait and half a second lists the state, which is bounded; so does one whose response was late because the process stood still. A listing is never followed by another one that has not failed, so that a state that takes long to read isn't read without end.

Evidence: "lists instead of reading the changes of a gap" and "lists after a response that arrived late" fail without the change.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -34,6 +34,8 @@
 	Version  uint64
 	Complete bool // whether the events are the complete state
 	Restored bool // set by the watcher: the first complete state of a new era, which may lack what was written last
+
+	AnsweredAt time.Time // when the response began to arrive; it has nothing that is newer. Zero if not known
 }
 
 // Status tells how fresh a watcher's state is.
@@ -92,6 +94,10 @@
 const (
 	defaultWait   = time.Second
 	defaultMargin = 12 * time.Second
+	// maxGap is the time beyond a wait without a response after which the state is
+	// listed: it is bounded, what changed in a gap is not, as each row may have changed
+	// many times.
+	maxGap = 500 * time.Millisecond
 )
 
 // New starts a watcher.
@@ -131,8 +137,14 @@
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRetryDelay, maxRetryDelay
 	listed, relisted := false, false
+	var currentAt time.Time // the state is not older
+	justListed := false
 	for ctx.Err() == nil {
 		started := w.clock.Now()
+		if gap := started.Sub(currentAt); listed && !justListed && gap > w.wait+maxGap {
+			w.log.WithField("feed", w.name).WithField("gap_ms", gap.Milliseconds()).Info("changes not followed for some time; listing again")
+			listed = false
+		}
 		batch, err := w.listOrWait(ctx, listed)
 		var lost *rowstore.HistoryLostError
 		wait := time.Duration(0)
@@ -146,6 +158,7 @@
 				relisted = false
 				delay.Reset()
 			}
+			currentAt, justListed = w.currentAt(batch, started), batch.Complete
 			batch.Restored = w.sourceAnswered(batch.Era, batch.Version, batch.Complete)
 			if batch.Complete || len(batch.Events) > 0 {
 				w.handler(batch)
@@ -160,7 +173,7 @@
 			listed, relisted = false, true
 		default:
 			w.sourceFailed(err, listed, w.clock.Since(started))
-			wait = delay.NextBackOff()
+			wait, justListed = delay.NextBackOff(), false
 		}
 		if wait > 0 {
 			select {
@@ -172,6 +185,15 @@
 	}
 }
 
+// currentAt returns a time at which the state of a response was current, for a call that
+// was sent at the given time. A process that stood still sees an old response arrive late.
+func (w *Watcher[E]) currentAt(b Batch[E], sent time.Time) time.Time {
+	if b.Complete || b.AnsweredAt.Before(sent) || b.AnsweredAt.Sub(sent) > w.wait+maxGap {
+		return sent
+	}
+	return b.AnsweredAt
+}
+
 func (w *Watcher[E]) listOrWait(ctx context.Context, listed bool) (Batch[E], error) {
 	ctx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
@@ -99,6 +100,34 @@
 	return feed.Batch[int]{Events: s.events[len(s.events)-1:], Era: s.era, Version: s.version}, nil
 }
 
+// steppedSource announces each call and answers it with the next batch.
+type steppedSource struct {
+	calls   chan string
+	batches chan feed.Batch[int]
+}
+
+func (s *steppedSource) answer(ctx context.Context, call string) (feed.Batch[int], error) {
+	select {
+	case s.calls <- call:
+	case <-ctx.Done():
+		return feed.Batch[int]{}, ctx.Err()
+	}
+	select {
+	case b := <-s.batches:
+		return b, nil
+	case <-ctx.Done():
+		return feed.Batch[int]{}, ctx.Err()
+	}
+}
+
+func (s *steppedSource) List(ctx context.Context) (feed.Batch[int], error) {
+	return s.answer(ctx, "list")
+}
+
+func (s *steppedSource) Next(ctx context.Context, _ uint64, _ time.Duration) (feed.Batch[int], error) {
+	return s.answer(ctx, "changes")
+}
+
 var _ = Describe("a watcher", func() {
 	start := func() (*fakeSource, chan feed.Batch[int], *feed.Watcher[int]) {
 		s := &fakeSource{lists: make(chan feed.Batch[int], 4), nexts: make(chan any, 4)}
@@ -179,6 +208,50 @@
 		Expect(w.Status().Failing).To(BeFalse())
 	})
 
+	// Guards against a gap whose changes take longer to read than new ones take to come.
+	It("lists instead of reading the changes of a gap", func() {
+		s, handled, _ := start()
+		s.lists <- feed.Batch[int]{Events: []int{1}, Version: 5, Complete: true}
+		Eventually(handled).Should(Receive())
+		s.lists <- feed.Batch[int]{Events: []int{9}, Version: 9, Complete: true}
+		Eventually(handled, "2s").Should(Receive(And(HaveField("Events", []int{9}), HaveField("Restored", false))), "no call has been answered for longer than a wait")
+		s.nexts <- feed.Batch[int]{Events: []int{10}, Version: 10}
+		Eventually(handled).Should(Receive(HaveField("Events", []int{10})))
+	})
+
+	// Guards against a process that stood still and takes the response that waited for
+	// it as the newest state.
+	It("lists after a response that arrived late", func() {
+		clock := clockwork.NewFakeClock()
+		s := &steppedSource{calls: make(chan string), batches: make(chan feed.Batch[int])}
+		handled := make(chan feed.Batch[int], 8)
+		w := feed.New("test", s, func(b feed.Batch[int]) { handled <- b }, feed.WithClock(clock))
+		DeferCleanup(func(ctx context.Context) { w.Close(ctx) })
+		Eventually(s.calls).Should(Receive(Equal("list")))
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Version: 5, Complete: true}))
+		Eventually(s.calls).Should(Receive(Equal("changes")))
+		clock.Advance(4 * time.Second)
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Events: []int{6}, Version: 6, AnsweredAt: clock.Now()}))
+		Eventually(s.calls).Should(Receive(Equal("list")))
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Events: []int{9}, Version: 9, Complete: true}))
+		Eventually(s.calls).Should(Receive(Equal("changes")))
+		Eventually(handled).Should(Receive(HaveField("Complete", true)))
+		Eventually(handled).Should(Receive(HaveField("Events", []int{6})))
+		Eventually(handled).Should(Receive(HaveField("Events", []int{9})))
+	})
+
+	// Guards against listings without end of a state that takes long to read.
+	It("waits for changes after a listing that took long", func() {
+		clock := clockwork.NewFakeClock()
+		s := &steppedSource{calls: make(chan string), batches: make(chan feed.Batch[int])}
+		w := feed.New("test", s, func(feed.Batch[int]) {}, feed.WithClock(clock))
+		DeferCleanup(func(ctx context.Context) { w.Close(ctx) })
+		Eventually(s.calls).Should(Receive(Equal("list")))
+		clock.Advance(5 * time.Second)
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Version: 5, Complete: true}))
+		Eventually(s.calls).Should(Receive(Equal("changes")))
+	})
+
 	It("leaves no goroutine behind", func() {
 		before := goleak.IgnoreCurrent()
 		s := &fakeSource{lists: make(chan feed.Batch[int]), nexts: make(chan any)}
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -25,10 +25,11 @@
 
 // Page is the response to a read: a consistent snapshot of rows.
 type Page struct {
-	Rows    []Row
-	Era     uint64        // of the store
-	Version uint64        // newest version in the store
-	Time    time.Duration // of the store's monotonic clock
+	Rows       []Row
+	Era        uint64        // of the store
+	Version    uint64        // newest version in the store
+	Time       time.Duration // of the store's monotonic clock
+	AnsweredAt time.Time     // when the response, or the first of several, began to arrive
 }
 
 // Tx is a transaction on rows of one part. Expect holds the versions that rows
