Count the age of a configuration from when its response began

Cause: the age of the configuration counted from the end of the last response, before its handler had run. What the response holds is as old as its first byte; on a narrow link that is seconds. So the age said "confirmed just now", and the gateway denied routes and keys instead of refusing them as not run.

Change: a feed states the time at which what its handler has taken was current, from the arrival of the response's head, or from the sending of a call in which the process stood still. It counts as outdated after the platform's time for a new version, if that is less than the setting.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -38,12 +38,12 @@
 	AnsweredAt time.Time // when the response began to arrive; it has nothing that is newer. Zero if not known
 }
 
-// Status tells how fresh a watcher's state is.
+// Status tells how fresh the state is that a watcher's handler has taken.
 type Status struct {
-	Era          uint64
-	Version      uint64
-	LastResponse time.Time // when a call last succeeded
-	Failing      bool      // whether the last call failed; lost history does not change it
+	Era       uint64
+	Version   uint64
+	CurrentAt time.Time // the state was current then; zero before the first
+	Failing   bool      // whether the last call failed; lost history does not change it
 }
 
 // Watcher watches a source, and calls a handler from one goroutine with each
@@ -137,11 +137,10 @@
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRetryDelay, maxRetryDelay
 	listed, relisted := false, false
-	var currentAt time.Time // the state is not older
 	justListed := false
 	for ctx.Err() == nil {
 		started := w.clock.Now()
-		if gap := started.Sub(currentAt); listed && !justListed && gap > w.wait+maxGap {
+		if gap := started.Sub(w.Status().CurrentAt); listed && !justListed && gap > w.wait+maxGap {
 			w.log.WithField("feed", w.name).WithField("gap_ms", gap.Milliseconds()).Info("changes not followed for some time; listing again")
 			listed = false
 		}
@@ -158,11 +157,12 @@
 				relisted = false
 				delay.Reset()
 			}
-			currentAt, justListed = w.currentAt(batch, started), batch.Complete
+			justListed = batch.Complete
 			batch.Restored = w.sourceAnswered(batch.Era, batch.Version, batch.Complete)
 			if batch.Complete || len(batch.Events) > 0 {
 				w.handler(batch)
 			}
+			w.stateTaken(batch, w.currentAt(batch, started))
 		case ctx.Err() != nil:
 			return
 		case errors.As(err, &lost):
@@ -212,17 +212,25 @@
 	defer w.mu.Unlock()
 	if w.status.Failing {
 		w.log.WithField("feed", w.name).WithField("version", version).
-			WithField("away_ms", w.clock.Since(w.status.LastResponse).Milliseconds()).Info("feed regained")
+			WithField("away_ms", w.clock.Since(w.status.CurrentAt).Milliseconds()).Info("feed regained")
 	}
-	known := !w.status.LastResponse.IsZero()
+	w.status.Failing = false
+	known := !w.status.CurrentAt.IsZero()
 	if restored = complete && known && (era != w.status.Era || version < w.status.Version); restored {
 		w.log.WithFields(log.Fields{"feed": w.name, "era": era, "version": version, "known_era": w.status.Era, "known_version": w.status.Version}).
 			Warn("source restored from a copy")
 	}
-	w.status = Status{Era: era, Version: version, LastResponse: w.clock.Now()}
 	return restored
 }
 
+// stateTaken notes that the handler has taken a response whose state was current at a
+// time.
+func (w *Watcher[E]) stateTaken(b Batch[E], currentAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.status = Status{Era: b.Era, Version: b.Version, CurrentAt: currentAt}
+}
+
 // sourceFailed notes a call that failed after some time. listed says whether it waited
 // for changes.
 func (w *Watcher[E]) sourceFailed(err error, listed bool, took time.Duration) {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -240,6 +240,32 @@
 		Eventually(handled).Should(Receive(HaveField("Events", []int{9})))
 	})
 
+	// Guards against an age that counts from the end of a response that took long, or from
+	// one that is not in force yet.
+	It("counts the age of its state from the time at which the response began", func() {
+		clock := clockwork.NewFakeClock()
+		s := &steppedSource{calls: make(chan string), batches: make(chan feed.Batch[int])}
+		handling, handled := make(chan int), make(chan bool)
+		w := feed.New("test", s, func(b feed.Batch[int]) { handling <- len(b.Events); <-handled }, feed.WithClock(clock))
+		DeferCleanup(func(ctx context.Context) { w.Close(ctx) })
+		listedAt := clock.Now()
+		Eventually(s.calls).Should(Receive(Equal("list")))
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Version: 5, Complete: true}))
+		Eventually(handling).Should(Receive())
+		Expect(w.Status().CurrentAt).To(BeZero())
+		Eventually(handled).Should(BeSent(true))
+		Eventually(s.calls).Should(Receive(Equal("changes")))
+		Expect(w.Status().CurrentAt).To(Equal(listedAt))
+		clock.Advance(900 * time.Millisecond)
+		answeredAt := clock.Now()
+		clock.Advance(2 * time.Second)
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Events: []int{6}, Version: 6, AnsweredAt: answeredAt}))
+		Eventually(handling).Should(Receive())
+		Expect(w.Status()).To(And(HaveField("CurrentAt", listedAt), HaveField("Version", BeEquivalentTo(5))))
+		Eventually(handled).Should(BeSent(true))
+		Eventually(func() time.Time { return w.Status().CurrentAt }).Should(Equal(answeredAt))
+	})
+
 	// Guards against listings without end of a state that takes long to read.
 	It("waits for changes after a listing that took long", func() {
 		clock := clockwork.NewFakeClock()
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -249,7 +249,7 @@
 	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithSettings(t.Gateway), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().LastResponse }))
+		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
@@ -264,6 +264,16 @@
 	return d, nil
 }
 
+// gatewaySettings returns the settings of the gateway. A configuration counts as outdated
+// when a newer one may have to be in force, at the latest.
+func gatewaySettings(s *platform.Settings, t Tuning) gateway.Settings {
+	settings := t.Gateway
+	if apply := s.Limits.ConfigApplyTimeout; apply > 0 {
+		settings.StaleAfter = min(settings.StaleAfter, apply)
+	}
+	return settings
+}
+
 func (d *Daemon) ready() bool {
 	snapshot := d.gateway.Snapshot()
 	return !d.stopping.Load() && d.callers.Accepting() && snapshot.RouteTable != nil && snapshot.Replicas.ServiceCount() > 0
--- a/gatewaydaemon/gauges.go
+++ b/gatewaydaemon/gauges.go
@@ -8,15 +8,15 @@
 )
 
 // addGauges adds gauges of the daemon's state and the age of its data. Ages
-// count from the last response of the source, or from the start if there was
-// none.
+// count from the time at which what is in force was current at its source, or from the
+// start if nothing is.
 func (d *Daemon) addGauges(set *metrics.Set, retries *retrybudget.Budget, droppedLines func() int64) {
 	started := d.clock.Now()
 	age := func(s feed.Status) float64 {
-		if s.LastResponse.IsZero() {
+		if s.CurrentAt.IsZero() {
 			return d.clock.Since(started).Seconds()
 		}
-		return d.clock.Since(s.LastResponse).Seconds()
+		return d.clock.Since(s.CurrentAt).Seconds()
 	}
 	set.NewGauge("briarreach_config_version", func() float64 {
 		if t := d.gateway.Snapshot().RouteTable; t != nil {
