Agent: end an answer of a service that was given up as incomplete

What callers saw: a call to a plain service through entry and agent got a 200 with a short body, framed as whole, when the caller read nothing for the agent's stall_timeout in the middle of a large body. In the spec the caller got 49,152 of 786,432 bytes and the end of the chunked body.

Cause: runServiceCall put the error of passing the body on into the reason of the final message and left its outcome "complete". Length and checksum of that message are of the bytes that were passed on, so the entry's check of both held. The same error on the way of a model's answer has always ended it as cancelled.

Evidence: both specs fail on the code before, with go test ./fleet -ginkgo.focus "stops passing on" ("49152 of 786432 bytes, expected an error") and go test ./agent ("complete", expected "cancelled"). The entry of the fleet's table for the deadline passes before as well: the entry's own write timeout ends the connection first.

Both ways now take the final message from endOfAnswer, so an error can't leave the outcome complete. The call is charged as before. Of a call that may not be repeated the agent keeps the whole answer, and a repeat with the same key gets it. As read in the code, not shown by a run: such a call that ended at its deadline, or with the agent, could be stored in the claim with a part of its body, and replayed. The service has answered in full, so the call counts as its success for the agent's concurrency limit, as before.

Both specs pass with the change.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -24,6 +24,10 @@
 
 	spaceFreed chan struct{} // signals the writer that the send buffer has room
 
+	// targetAnswered is set, by the goroutine that runs the attempt, when the whole
+	// answer has arrived from the target.
+	targetAnswered bool
+
 	mu              sync.Mutex
 	sender          *stream.Sender
 	head            *peer.Head
--- a/agent/run.go
+++ b/agent/run.go
@@ -78,6 +78,12 @@
 	at.dispatch.Body = nil
 	usage, err := a.relay(at, body.renderer(d.RequestID), response)
 	usage.Cost = usage.PromptTokens*d.PromptPrice + usage.CompletionTokens*d.CompletionPrice
+	a.finish(at, endOfAnswer(at, usage, err))
+}
+
+// endOfAnswer returns the final message of a request that has run. If err is set, the
+// answer that was passed on is incomplete.
+func endOfAnswer(at *attempt, usage peer.Usage, err error) peer.Final {
 	final := peer.Final{Usage: usage, Outcome: peer.OutcomeComplete, Execution: peer.ExecutionRan}
 	if err != nil {
 		final.Outcome, final.Reason = peer.OutcomeFailed, reasonOf(err)
@@ -86,7 +92,7 @@
 			final.Outcome = peer.OutcomeCancelled
 		}
 	}
-	a.finish(at, final)
+	return final
 }
 
 // startFailure returns the final message of a request that the engine did not
@@ -202,11 +208,9 @@
 		a.mu.Unlock()
 	}
 	at.setHead(peer.Head{AttemptID: d.AttemptID, Status: response.Status, ContentType: response.ContentType, Timestamp: a.events.Clock().Now()})
-	final := peer.Final{Usage: peer.Usage{Cost: d.ReservedCost}, Outcome: peer.OutcomeComplete, Execution: peer.ExecutionRan}
-	if err := at.write(response.Body, a.settings.Agent.StallTimeout.Duration, func() { a.flush(at) }); err != nil {
-		final.Reason = reasonOf(err)
-	}
-	a.finish(at, final)
+	at.targetAnswered = true
+	err = at.write(response.Body, a.settings.Agent.StallTimeout.Duration, func() { a.flush(at) })
+	a.finish(at, endOfAnswer(at, peer.Usage{Cost: d.ReservedCost}, err))
 }
 
 // finish records the usage of an attempt that ran, frees its slot and ends its
@@ -229,7 +233,8 @@
 			a.nonRepeatable.Fail(now, d.AttemptID)
 		}
 	}
-	for _, admitted := range a.admission.Done(d.AttemptID, now.Sub(at.acceptedAt), final.Outcome == peer.OutcomeComplete, now) {
+	ok := at.targetAnswered || final.Outcome == peer.OutcomeComplete
+	for _, admitted := range a.admission.Done(d.AttemptID, now.Sub(at.acceptedAt), ok, now) {
 		a.startAdmitted(admitted)
 	}
 	final.Load = a.loadReportLocked()
