Refuse a response header into which another response runs

What callers saw: nothing so far; it was found while the headers of answers were cut after each byte. If a replica writes a part of a header on a kept connection, as of the late copy of an earlier answer, and goes on with the next answer, both were read as one header. Through a gateway, a booking that had run got the 503 of the earlier answer, which promises that it had not (REFUSED), and a failure the 200 of the earlier one (MIXED). The other way round, the header of the own answer that was cut got the body of an earlier one's copy.

Cause: bytes up to the next line end belong to the line that was cut. The reason phrase and values of fields may hold any text, so a second status line in them is no syntax error; ID, status and body could be of two responses. In the name of a field it is one.

A response whose reason phrase, field or trailer name holds a status line is no response now: the request may have run, and the connection ends.

--- a/upstream/cut_response_test.go
+++ b/upstream/cut_response_test.go
@@ -153,4 +153,54 @@
 		Entry("an unknown transfer encoding", "Transfer-Encoding: gzip, chunked\r\n", "a\r\n"+body+"\r\n0\r\n\r\n"),
 		Entry("two transfer encodings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "a\r\n"+body+"\r\n0\r\n\r\n"),
 	)
+
+	// Guards against a header that is joined from those of two responses: the status of
+	// an earlier request's response with the ID and the body of the own one, for example.
+	DescribeTable("and is followed by the own one is not joined with it",
+		func(earlier, own string, status int, ownBody string) {
+			address, scripts := newScriptedServer()
+			for cut := 0; cut < len(earlier); cut++ {
+				scripts <- script{answers: []string{first, earlier[:cut] + own}}
+				pool := upstream.New()
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				for n := range 2 {
+					res, err := pool.Do(ctx, address, upstream.Request{Method: "POST", RequestTarget: "/"}, ownResponse)
+					Expect(ctx.Err()).NotTo(HaveOccurred())
+					if err != nil {
+						Expect(n).To(Equal(1), "%v", err)
+						Expect(errors.As(err, new(*upstream.IncompleteResponseError))).To(BeTrue(), "%v", err)
+						break
+					}
+					data, err := io.ReadAll(res.Body)
+					_ = res.Body.Close()
+					Expect(ctx.Err()).NotTo(HaveOccurred())
+					if n == 1 && err == nil {
+						Expect(res.StatusCode).To(Equal(status), "after %q", earlier[:cut])
+						Expect(res.Header["Refused"]).To(BeEmpty(), "after %q", earlier[:cut])
+						Expect(res.Header["Digest"]).To(Equal([]string{"own"}), "after %q", earlier[:cut])
+						Expect(string(data)).To(Equal(ownBody), "after %q", earlier[:cut])
+					}
+				}
+				cancel()
+				pool.Close()
+			}
+		},
+		Entry("a refusal and a success", "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nId: earlier\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nId: own\r\nDigest: own\r\nContent-Length: 2\r\n\r\nok", 200, "ok"),
+		Entry("a success and a failure", "HTTP/1.1 200 OK\r\nDigest: earlier\r\nContent-Length: 7\r\nId: earlier\r\n\r\nearlier",
+			"HTTP/1.1 500 Error\r\nId: own\r\nDigest: own\r\nContent-Length: 2\r\n\r\nno", 500, "no"),
+		Entry("a success and a success", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nDigest: earlier\r\nId: earlier\r\nContent-Length: 7\r\n\r\nearlier",
+			"HTTP/1.1 200 OK\r\nId: own\r\nDigest: own\r\nContent-Length: 2\r\n\r\nok", 200, "ok"),
+		Entry("a failure with a trailer and a success in chunks", "HTTP/1.1 500 Error\r\nTrailer: Sum\r\nId: earlier\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nId: own\r\nDigest: own\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, "ok"),
+	)
+
+	It("and is followed by the copy of an earlier one is not joined with it", func() {
+		const own = "HTTP/1.1 200 OK\r\nId: own\r\nDigest: own\r\nContent-Length: 7\r\n\r\n"
+		address, scripts := newScriptedServer()
+		for cut := range len(own) {
+			got, whole := complete(address, scripts, "POST", script{answers: []string{first, own[:cut] + strings.ReplaceAll(own, "own", "earlier") + "earlier"}})
+			Expect(whole).To(BeFalse(), "after %q: %q", own[:cut], got)
+		}
+	})
 })
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -341,6 +342,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if holdsStatusLine(res) {
+			return nil, &JoinedResponsesError{Status: res.Status}
+		}
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
 		}
@@ -366,6 +370,36 @@
 	return nil, errors.New("too many informational responses or responses to earlier requests")
 }
 
+// JoinedResponsesError reports a header that was cut and into which another response
+// runs, so that its fields are of two responses.
+type JoinedResponsesError struct{ Status string }
+
+func (e *JoinedResponsesError) Error() string {
+	return fmt.Sprintf("another response begins in the header of the one with status %q", e.Status)
+}
+
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
+
+// holdsStatusLine reports whether a status line stands where the reason phrase or the
+// value of a field is expected. In the name of a field it is a syntax error. The names
+// in the field Trailer are in the response's Trailer.
+func holdsStatusLine(res *http.Response) bool {
+	if statusLine.MatchString(res.Status) {
+		return true
+	}
+	for _, values := range res.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	for name := range res.Trailer {
+		if statusLine.MatchString(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // reusable reports whether the replica has neither closed the idle connection
 // nor sent data on it.
 func (c *conn) reusable() bool {
