List after a gap only the configuration, and not in a restored era

Cause: the listing after a gap was meant for large rows that change often, and was made a rule of all feeds. The registry and the quarantine rely on seeing each change; only the first listing of an era says that it may lack something.

Change: the listing after a gap is an option, which the configuration uses. It is off for 15 s after the listing of a restored source, in which its writers write again. A gap begins after a second beyond a wait, so that one lost response makes no listing.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -56,6 +56,7 @@
 	log     log.Interface
 	wait    time.Duration
 	timeout time.Duration
+	listGap bool
 	cancel  context.CancelFunc
 	done    chan struct{}
 
@@ -71,6 +72,7 @@
 	log     log.Interface
 	wait    time.Duration
 	timeout time.Duration
+	listGap bool
 }
 
 // WithClock sets the clock.
@@ -94,12 +96,22 @@
 const (
 	defaultWait   = time.Second
 	defaultMargin = 12 * time.Second
+	// maxAnswerDelay is the time beyond a wait after which a response counts as late.
+	maxAnswerDelay = 500 * time.Millisecond
 	// maxGap is the time beyond a wait without a response after which the state is
-	// listed: it is bounded, what changed in a gap is not, as each row may have changed
-	// many times.
-	maxGap = 500 * time.Millisecond
+	// listed. It exceeds what one call without a response takes.
+	maxGap = time.Second
+	// restoredGrace is the time after the listing of a restored source in which its
+	// writers write again what the copy lacks.
+	restoredGrace = 15 * time.Second
 )
 
+// WithListingAfterGap makes the watcher list the state after some time without a
+// response, for sources with large rows that change often: the state is bounded, what
+// changed in a gap is not, as each row may have changed many times. The handler does not
+// see the changes of the gap.
+func WithListingAfterGap() Option { return func(o *options) { o.listGap = true } }
+
 // New starts a watcher.
 func New[E any](name string, source Source[E], handler func(Batch[E]), opts ...Option) *Watcher[E] {
 	o := options{clock: clockwork.NewRealClock(), log: log.Log, wait: defaultWait, timeout: defaultWait + defaultMargin}
@@ -108,7 +120,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Watcher[E]{name: name, source: source, handler: handler, clock: o.clock, log: o.log,
-		wait: o.wait, timeout: o.timeout, cancel: cancel, done: make(chan struct{})}
+		wait: o.wait, timeout: o.timeout, listGap: o.listGap, cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
 		w.run(ctx)
@@ -138,9 +150,13 @@
 	delay.InitialInterval, delay.MaxInterval = minRetryDelay, maxRetryDelay
 	listed, relisted := false, false
 	justListed := false
+	var restoredAt time.Time
 	for ctx.Err() == nil {
 		started := w.clock.Now()
-		if gap := started.Sub(w.Status().CurrentAt); listed && !justListed && gap > w.wait+maxGap {
+		// The next listing of a restored source would count as complete, although it may
+		// still lack what the copy lacked.
+		mayList := w.listGap && listed && !justListed && (restoredAt.IsZero() || started.Sub(restoredAt) > restoredGrace)
+		if gap := started.Sub(w.Status().CurrentAt); mayList && gap > w.wait+maxGap {
 			w.log.WithField("feed", w.name).WithField("gap_ms", gap.Milliseconds()).Info("changes not followed for some time; listing again")
 			listed = false
 		}
@@ -158,7 +174,9 @@
 				delay.Reset()
 			}
 			justListed = batch.Complete
-			batch.Restored = w.sourceAnswered(batch.Era, batch.Version, batch.Complete)
+			if batch.Restored = w.sourceAnswered(batch.Era, batch.Version, batch.Complete); batch.Restored {
+				restoredAt = w.clock.Now()
+			}
 			if batch.Complete || len(batch.Events) > 0 {
 				w.handler(batch)
 			}
@@ -188,7 +206,7 @@
 // currentAt returns a time at which the state of a response was current, for a call that
 // was sent at the given time. A process that stood still sees an old response arrive late.
 func (w *Watcher[E]) currentAt(b Batch[E], sent time.Time) time.Time {
-	if b.Complete || b.AnsweredAt.Before(sent) || b.AnsweredAt.Sub(sent) > w.wait+maxGap {
+	if b.Complete || b.AnsweredAt.Before(sent) || b.AnsweredAt.Sub(sent) > w.wait+maxAnswerDelay {
 		return sent
 	}
 	return b.AnsweredAt
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -132,7 +132,7 @@
 	start := func() (*fakeSource, chan feed.Batch[int], *feed.Watcher[int]) {
 		s := &fakeSource{lists: make(chan feed.Batch[int], 4), nexts: make(chan any, 4)}
 		handled := make(chan feed.Batch[int], 8)
-		w := feed.New("test", s, func(b feed.Batch[int]) { handled <- b }, feed.WithWait(100*time.Millisecond, 50*time.Millisecond))
+		w := feed.New("test", s, func(b feed.Batch[int]) { handled <- b }, feed.WithWait(100*time.Millisecond, 50*time.Millisecond), feed.WithListingAfterGap())
 		DeferCleanup(func(ctx context.Context) { w.Close(ctx) })
 		return s, handled, w
 	}
@@ -225,7 +225,7 @@
 		clock := clockwork.NewFakeClock()
 		s := &steppedSource{calls: make(chan string), batches: make(chan feed.Batch[int])}
 		handled := make(chan feed.Batch[int], 8)
-		w := feed.New("test", s, func(b feed.Batch[int]) { handled <- b }, feed.WithClock(clock))
+		w := feed.New("test", s, func(b feed.Batch[int]) { handled <- b }, feed.WithClock(clock), feed.WithListingAfterGap())
 		DeferCleanup(func(ctx context.Context) { w.Close(ctx) })
 		Eventually(s.calls).Should(Receive(Equal("list")))
 		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Version: 5, Complete: true}))
@@ -240,6 +240,30 @@
 		Eventually(handled).Should(Receive(HaveField("Events", []int{9})))
 	})
 
+	// Guards against a second listing of a restored source that is taken for complete
+	// before its writers have written again.
+	It("does not list after a gap in a source that was just restored", func() {
+		clock := clockwork.NewFakeClock()
+		s := &steppedSource{calls: make(chan string), batches: make(chan feed.Batch[int])}
+		w := feed.New("test", s, func(feed.Batch[int]) {}, feed.WithClock(clock), feed.WithListingAfterGap())
+		DeferCleanup(func(ctx context.Context) { w.Close(ctx) })
+		Eventually(s.calls).Should(Receive(Equal("list")))
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Era: 1, Version: 9, Complete: true}))
+		Eventually(s.calls).Should(Receive(Equal("changes")))
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Era: 2, Version: 5, AnsweredAt: clock.Now()}))
+		Eventually(s.calls).Should(Receive(Equal("list")))
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Era: 2, Version: 5, Complete: true}))
+		for _, gap := range []time.Duration{4 * time.Second, 4 * time.Second, 4 * time.Second} {
+			Eventually(s.calls).Should(Receive(Equal("changes")))
+			clock.Advance(gap)
+			Eventually(s.batches).Should(BeSent(feed.Batch[int]{Era: 2, Version: 5, AnsweredAt: clock.Now()}))
+		}
+		Eventually(s.calls).Should(Receive(Equal("changes")))
+		clock.Advance(4 * time.Second)
+		Eventually(s.batches).Should(BeSent(feed.Batch[int]{Era: 2, Version: 6, AnsweredAt: clock.Now()}))
+		Eventually(s.calls).Should(Receive(Equal("list")))
+	})
+
 	// Guards against an age that counts from the end of a response that took long, or from
 	// one that is not in force yet.
 	It("counts the age of its state from the time at which the response began", func() {
@@ -270,7 +294,7 @@
 	It("waits for changes after a listing that took long", func() {
 		clock := clockwork.NewFakeClock()
 		s := &steppedSource{calls: make(chan string), batches: make(chan feed.Batch[int])}
-		w := feed.New("test", s, func(feed.Batch[int]) {}, feed.WithClock(clock))
+		w := feed.New("test", s, func(feed.Batch[int]) {}, feed.WithClock(clock), feed.WithListingAfterGap())
 		DeferCleanup(func(ctx context.Context) { w.Close(ctx) })
 		Eventually(s.calls).Should(Receive(Equal("list")))
 		clock.Advance(5 * time.Second)
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -250,7 +250,7 @@
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
-	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l))
+	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l), feed.WithListingAfterGap())
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
 	var err error
