Gateway: keep at most a sixth of the grace period free before SIGKILL

With a grace period below 3 s, a stopping gateway broke off streams before the last sixth of the grace period, in which the platform expects that of streams whose replicas are still at work (LOST). In 1 s it was killed in the middle of its shutdown.

The margin is now at most a sixth of the grace period, and the return of quota grants has the rest of it as its limit. Grace periods of 3 s or more have the same steps as before.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -421,11 +421,24 @@
 	// watchers and of the readiness server. The process accepts no connections
 	// meanwhile, and its successor adopts grants that were not returned.
 	closeTimeout = 300 * time.Millisecond
-	// sigkillMargin is kept free before SIGKILL. It is also the least time for
-	// finishing requests, which uses the margin up if no more is left.
+	// sigkillMargin is kept free before SIGKILL, but at most a sixth of the grace
+	// period: the platform does not expect streams to be cut off before that.
 	sigkillMargin = 500 * time.Millisecond
 )
 
+// stopSchedule divides the time from SIGTERM to SIGKILL.
+type stopSchedule struct {
+	announce time.Duration // how long the gateway serves as before
+	drainEnd time.Time     // when the requests that are still in progress are ended
+	exit     time.Time     // when the process ends at the latest
+}
+
+func newStopSchedule(now time.Time, grace time.Duration) stopSchedule {
+	margin := min(sigkillMargin, grace/6)
+	end := now.Add(grace - margin)
+	return stopSchedule{announce: min(announceDuration, grace/3), drainEnd: end, exit: end.Add(margin * 4 / 5)}
+}
+
 // Run serves until ctx ends, then stops gracefully. At each signal of hangups it
 // checks the platform's settings file at path, which is not the tuning file.
 func (d *Daemon) Run(ctx context.Context, path string, hangups <-chan os.Signal) error {
@@ -459,17 +472,17 @@
 func (d *Daemon) Close() error {
 	d.log.Info("stopping")
 	d.stopping.Store(true)
-	end := d.clock.Now().Add(d.settings.Limits.GracePeriod - sigkillMargin)
-	d.clock.Sleep(min(announceDuration, d.settings.Limits.GracePeriod/3))
-	d.gateway.Drain(end)
+	schedule := newStopSchedule(d.clock.Now(), d.settings.Limits.GracePeriod)
+	d.clock.Sleep(schedule.announce)
+	d.gateway.Drain(schedule.drainEnd)
 	d.callers.DisableKeepAlives()
-	for d.gateway.OpenStreams() > 0 && d.clock.Until(end) > drainReserve {
+	for d.gateway.OpenStreams() > 0 && d.clock.Until(schedule.drainEnd) > drainReserve {
 		d.clock.Sleep(drainPollInterval)
 	}
-	drainCtx, cancel := context.WithTimeout(context.Background(), max(d.clock.Until(end), sigkillMargin))
+	drainCtx, cancel := context.WithTimeout(context.Background(), d.clock.Until(schedule.drainEnd))
 	defer cancel()
 	err := d.callers.Close(drainCtx)
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), min(closeTimeout, d.clock.Until(schedule.exit)))
 	defer cancelClose()
 	d.crashes.Close()
 	d.mesh.Repay(closeCtx)
