Entry: answer the requests in progress when the time for a shutdown is up

Callers whose requests were still in progress when the time for an entry's shutdown was up (10 minutes; entry.request_timeout may be an hour) got no answer: the connection closed as the process ended, also for calls that may not be repeated and had run. Bills and grants had no time left to be written.

Nothing tied the time limits of requests to the end of the process, and nothing ended the requests in progress before it.

Requests that arrive after SIGTERM now have a deadline within the shutdown, so that agents end them in time. 5 s before its end the contexts of requests end: a call is answered as of unknown outcome, or as not run if it was not dispatched; a stream ends with an error event; its attempt is cancelled at the agent. The server waits up to a second until these responses are written, and the rest of the time is for bills and grants. A claim stays, so that a retry with the same key at another entry finds out what became of the call. Requests refused by the shutdown get a Retry-After.

--- a/caller/server.go
+++ b/caller/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +45,9 @@
 func (*FullReply) reply()   {}
 func (*StreamReply) reply() {}
 
-// Handler serves one request. It may block. The context is not cancelled when
-// the server shuts down, so that requests in flight finish.
+// Handler serves one request. It may block. The context ends when the time for a
+// shutdown is up, with the cause *ShutdownError; until then, requests in flight
+// may finish. The body of a StreamReply must end then, too.
 type Handler func(ctx context.Context, r Request) Reply
 
 // ReadyCheck returns nil, or an error that says why the process can't serve.
@@ -59,8 +61,29 @@
 	listener net.Listener
 	done     chan struct{}
 	closed   atomic.Bool // whether Close gave up waiting for open requests
+
+	requestsCtx    context.Context
+	cancelRequests context.CancelCauseFunc
+
+	mu     sync.Mutex
+	active map[net.Conn]struct{} // connections with a request that is not answered
 }
 
+// ShutdownError is the cause with which the contexts of requests end when the time
+// for a shutdown is up.
+type ShutdownError struct{}
+
+func (e *ShutdownError) Error() string { return "shutting down" }
+
+// Bounds of the wait for the responses to requests that are ended by a shutdown.
+const (
+	lastResponsesTimeout = time.Second
+	responsePollInterval = 5 * time.Millisecond
+)
+
+// shutdownRetryAfter is the Retry-After of requests that are refused by a shutdown.
+const shutdownRetryAfter = time.Second
+
 type options struct {
 	listen         netip.AddrPort
 	maxBodyBytes   int
@@ -115,7 +138,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("caller.New: %w", err)
 	}
-	s := &Server{handler: handler, ready: ready, listener: listener, done: make(chan struct{})}
+	s := &Server{handler: handler, ready: ready, listener: listener, done: make(chan struct{}), active: make(map[net.Conn]struct{})}
+	s.requestsCtx, s.cancelRequests = context.WithCancelCause(context.Background())
 	routes := router.New()
 	routes.HandleMethodNotAllowed = true
 	routes.NotFound = func(ctx *fasthttp.RequestCtx) {
@@ -150,6 +174,7 @@
 		DisablePreParseMultipartForm: true, // bodies are passed on as received
 		ReduceMemoryUsage:            true, // releases the read buffer while a response is written
 		Logger:                       discardLogger{},
+		ConnState:                    s.trackActive,
 	}
 	go func() {
 		defer close(s.done)
@@ -185,18 +210,45 @@
 }
 
 // Close stops accepting connections and waits until open requests have ended or
-// the context is done. Requests that are read after that, on the connections that
-// are left, are refused.
+// the context is done. It then ends the contexts of the requests that are left and
+// waits a moment until they are answered. Requests that are read after that, on the
+// connections that are left, are refused.
 func (s *Server) Close(ctx context.Context) error {
 	err := s.http.ShutdownWithContext(ctx)
+	s.closed.Store(err != nil)
+	s.cancelRequests(&ShutdownError{})
 	if err != nil {
-		s.closed.Store(true)
+		s.awaitResponses()
 		return fmt.Errorf("caller.Close: %w", err)
 	}
 	<-s.done
 	return nil
 }
 
+// awaitResponses waits until all requests in progress are answered, or for
+// lastResponsesTimeout.
+func (s *Server) awaitResponses() {
+	for deadline := time.Now().Add(lastResponsesTimeout); s.activeCount() > 0 && time.Now().Before(deadline); {
+		time.Sleep(responsePollInterval)
+	}
+}
+
+func (s *Server) trackActive(c net.Conn, state fasthttp.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == fasthttp.StateActive {
+		s.active[c] = struct{}{}
+	} else {
+		delete(s.active, c)
+	}
+}
+
+func (s *Server) activeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active)
+}
+
 func (s *Server) serveReady(ctx *fasthttp.RequestCtx) {
 	if err := s.ready(); err != nil {
 		NewRefusal(http.StatusServiceUnavailable, NotReady, "%v", err).write(ctx)
@@ -216,7 +268,7 @@
 		s.write(ctx, &envelope, fault)
 		return
 	}
-	s.write(ctx, &envelope, s.handler(context.Background(), chat))
+	s.write(ctx, &envelope, s.handler(s.requestsCtx, chat))
 }
 
 func (s *Server) serveService(ctx *fasthttp.RequestCtx) {
@@ -227,7 +279,7 @@
 	}
 	path, _ := ctx.UserValue("path").(string)
 	service, _ := ctx.UserValue("service").(string)
-	s.write(ctx, &envelope, s.handler(context.Background(), &ServiceRequest{
+	s.write(ctx, &envelope, s.handler(s.requestsCtx, &ServiceRequest{
 		Envelope:    envelope,
 		Service:     strings.Clone(service),
 		Method:      string(ctx.Method()),
@@ -241,7 +293,9 @@
 func (s *Server) readEnvelope(ctx *fasthttp.RequestCtx) (Envelope, *Error) {
 	e := Envelope{RequestID: ulid.Make().String()}
 	if s.closed.Load() {
-		return e, NewRefusal(http.StatusServiceUnavailable, NotReady, "shutting down")
+		refusal := NewRefusal(http.StatusServiceUnavailable, NotReady, "%v", &ShutdownError{})
+		refusal.RetryAfter = shutdownRetryAfter
+		return e, refusal
 	}
 	bearer, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
 	if !ok || bearer == "" {
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -134,6 +134,34 @@
 // Guards against requests that a stopping entry runs and does not answer: they
 // arrive on connections that are still open when the time for its shutdown is up.
 var _ = Describe("HTTP server for callers whose shutdown takes too long", func() {
+	It("ends the requests in progress and closes after their answers", func() {
+		started := make(chan struct{})
+		server, err := caller.New(func(ctx context.Context, _ caller.Request) caller.Reply {
+			close(started)
+			<-ctx.Done()
+			return caller.NewFailure(http.StatusBadGateway, caller.OutcomeUnknown, peer.ExecutionUnknown, "%v", context.Cause(ctx))
+		}, func() error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+		c, err := net.Dial("tcp", server.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Close() })
+		_, err = io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 42\r\n\r\n"+`{"model":"m","messages":[{"content":"x"}]}`)
+		Expect(err).NotTo(HaveOccurred())
+		<-started
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		Expect(server.Close(ctx)).To(MatchError(context.DeadlineExceeded))
+		// The process would end here: what was not written before is lost.
+		Expect(c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		data, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(response.Close).To(BeTrue())
+		Expect(string(data)).To(ContainSubstring("shutting down"))
+	})
+
 	It("refuses the requests that arrive later", func() {
 		var handled atomic.Int64
 		endless, write := io.Pipe()
@@ -169,6 +197,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(refusal.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(refusal.Close).To(BeTrue())
+		Expect(refusal.Header.Get("Retry-After")).NotTo(BeEmpty())
 		var fault errorBody
 		Expect(json.Unmarshal(data, &fault)).To(Succeed(), string(data))
 		Expect(fault.Error.Type).To(Equal(caller.NotReady))
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -29,6 +29,7 @@
 	e           *Entry
 	x           *exchange
 	try         try
+	streamMu    sync.Mutex // for changes of stream, and its use by endEarly
 	stream      *peer.Stream
 	head        peer.Head
 	receiver    *stream.Receiver
@@ -37,11 +38,23 @@
 	firstByteAt time.Time
 	err         error
 
-	settleGuard sync.Once
+	settleGuard      sync.Once
+	stopWaitingToEnd func() bool // ends the watch for the shutdown
 }
 
 func newAnswer(e *Entry, x *exchange, t try, s *peer.Stream) *answer {
-	return &answer{e: e, x: x, try: t, stream: s, receiver: stream.NewReceiver(e.settings.Entry.StreamWindowBytes)}
+	a := &answer{e: e, x: x, try: t, stream: s, receiver: stream.NewReceiver(e.settings.Entry.StreamWindowBytes)}
+	a.stopWaitingToEnd = context.AfterFunc(x.ctx, a.endEarly)
+	return a
+}
+
+// endEarly cancels the attempt and ends the stream, so that a pending receive fails.
+func (a *answer) endEarly() {
+	a.streamMu.Lock()
+	defer a.streamMu.Unlock()
+	_ = a.stream.Send(peer.Cancel{AttemptID: a.try.attemptID})
+	_ = a.stream.CloseSend()
+	a.stream.Abort()
 }
 
 // awaitHead waits until the answer starts, or returns why it does not.
@@ -172,6 +185,9 @@
 // connections, with increasing waits between them.
 func (a *answer) resume(cause error, limit int) error {
 	for n := range limit {
+		if err := a.x.ctx.Err(); err != nil {
+			return &IncompleteError{Reason: context.Cause(a.x.ctx).Error(), Execution: peer.ExecutionUnknown}
+		}
 		a.e.metrics.GetOrCreateCounter("briarreach_entry_resumes_total").Inc()
 		a.e.events.Record(timeline.Event{Kind: "stream_resumed", RequestID: a.x.envelope.RequestID,
 			Workspace: a.x.key.Workspace, Target: a.try.target.Name, Detail: cause.Error()})
@@ -189,7 +205,7 @@
 func (a *answer) reopen() error {
 	a.e.endpoint.Drop(a.try.target.AgentAddr, a.stream.Generation())
 	a.stream.Abort()
-	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	ctx, cancel := context.WithTimeout(a.x.ctx, openTimeout)
 	defer cancel()
 	s, err := a.e.endpoint.Open(ctx, a.try.target.AgentAddr)
 	if err != nil {
@@ -200,7 +216,13 @@
 		s.Abort()
 		return err
 	}
+	a.streamMu.Lock()
 	a.stream = s
+	a.streamMu.Unlock()
+	if err := a.x.ctx.Err(); err != nil {
+		a.endEarly()
+		return err
+	}
 	return nil
 }
 
@@ -208,6 +230,7 @@
 // request is cancelled and billed for what it has generated; a service call runs
 // on.
 func (a *answer) Close() error {
+	defer a.stopWaitingToEnd()
 	if a.final == nil && a.err == nil {
 		_ = a.stream.Send(peer.Cancel{AttemptID: a.try.attemptID})
 		a.awaitFinal()
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -43,6 +43,7 @@
 	random   *rand.Rand
 	targets  map[string]config.Target
 	tried    []string
+	sent     bool           // whether an attempt was dispatched
 	response claim.Response // of the completed call; its body is not limited
 }
 
@@ -67,6 +68,9 @@
 	})
 	event := claim.Event(claim.Start{})
 	for {
+		if r.x.ctx.Err() != nil {
+			return r.endEarly()
+		}
 		switch a := call.Decide(r.e.clock.Now(), r.random, event).(type) {
 		case claim.ReadRow:
 			event = r.read(ctx, a.Key)
@@ -100,6 +104,18 @@
 	}
 }
 
+// endEarly returns the reply to a call whose outcome is not known when the time for a
+// shutdown is up. Its claim stays, so that a retry at another entry finds out.
+func (r *claimRunner) endEarly() caller.Reply {
+	cause := context.Cause(r.x.ctx)
+	if !r.sent {
+		refusal := caller.NewRefusal(http.StatusServiceUnavailable, caller.NotReady, "%v", cause)
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	return caller.NewFailure(http.StatusBadGateway, caller.OutcomeUnknown, peer.ExecutionUnknown, "%v", cause)
+}
+
 func (r *claimRunner) replay(response claim.Response) caller.Reply {
 	if response.Oversize {
 		return caller.NewFailure(http.StatusConflict, caller.AlreadyRan, peer.ExecutionRan, "the call ran; its response was too large to keep")
@@ -160,6 +176,7 @@
 	}
 	x.document = e.follower.Current()
 	t := try{attemptID: d.AttemptID, target: registered, version: registered.Version, startedAt: e.clock.Now()}
+	r.sent = true
 	a, err := e.startTry(ctx, x, t)
 	if err != nil {
 		e.endTry(x, t, err)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -98,7 +98,7 @@
 // from the retry budget. A retry after NotReady, such as a refusal because of an
 // older configuration, is free: the request has not reached admission.
 func (e *Entry) takeRetry(x *exchange, h *tryHistory) bool {
-	if !x.deadline.After(e.clock.Now()) {
+	if x.ctx.Err() != nil || !x.deadline.After(e.clock.Now()) {
 		return false
 	}
 	if h.last != nil && h.last.Type == caller.NotReady {
@@ -143,6 +143,7 @@
 		Target: t.target.Name, ConfigNumber: x.document.Number, Detail: t.attemptID})
 	a := newAnswer(e, x, t, s)
 	if err := a.awaitHead(); err != nil {
+		a.stopWaitingToEnd()
 		_ = a.stream.CloseSend() // delivers the acknowledgement of a final message
 		a.stream.Abort()
 		return nil, err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,7 @@
 
 	openRequests atomic.Int64
 	leaving      atomic.Bool
+	drainEnd     atomic.Pointer[time.Time] // latest deadline of requests; nil until the process stops
 	callers      *caller.Server
 	operators    *operator.Server
 
@@ -158,22 +159,30 @@
 	}
 }
 
+// closeReserve is the part of the time for a shutdown that is kept for writing the
+// bills and returning the grants, but at most a quarter of that time.
+const closeReserve = 5 * time.Second
+
 // Close shuts the entry down gracefully: it reports not ready, gives the load
 // balancer time to notice, finishes open requests, writes the bills and returns
-// the grants. The context bounds the shutdown.
+// the grants. The context bounds the shutdown. Requests that are still open
+// closeReserve before its deadline are answered as of unknown outcome, and streams
+// end with an error event.
 func (e *Entry) Close(ctx context.Context) error {
 	first := !e.leaving.Swap(true)
 	if !first {
 		return nil
 	}
 	e.events.Record(timeline.Event{Kind: "entry_leaving"})
+	callersCtx, cancelCallers := e.startDrain(ctx)
+	defer cancelCallers()
 	var errs []error
 	if e.callers != nil {
 		select {
 		case <-e.clock.After(e.settings.Entry.DrainDelay.Duration):
-		case <-ctx.Done():
+		case <-callersCtx.Done():
 		}
-		errs = append(errs, e.callers.Close(ctx))
+		errs = append(errs, e.callers.Close(callersCtx))
 	}
 	if e.operators != nil {
 		errs = append(errs, e.operators.Close(ctx))
@@ -194,6 +203,20 @@
 	return errors.Join(errs...)
 }
 
+// startDrain bounds the deadlines of new requests and returns the context that bounds
+// the shutdown of the callers' server.
+func (e *Entry) startDrain(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	remaining := time.Until(deadline)
+	remaining -= min(closeReserve, remaining/4)
+	end := e.clock.Now().Add(remaining)
+	e.drainEnd.Store(&end)
+	return context.WithTimeout(ctx, remaining)
+}
+
 // applyConfig is called with each new document, in order of their numbers.
 func (e *Entry) applyConfig(d *config.Document) {
 	e.pool.Update(d)
--- a/entry/filters.go
+++ b/entry/filters.go
@@ -23,6 +23,7 @@
 	envelope  *caller.Envelope
 	startedAt time.Time
 	deadline  time.Time
+	ctx       context.Context // ends when the time for a shutdown is up
 
 	document     *config.Document
 	key          config.KeyRow
@@ -73,7 +74,10 @@
 	}
 	x := &exchange{
 		request: r, envelope: caller.EnvelopeOf(r), startedAt: now,
-		deadline: now.Add(e.settings.Entry.RequestTimeout.Duration),
+		deadline: now.Add(e.settings.Entry.RequestTimeout.Duration), ctx: ctx,
+	}
+	if end := e.drainEnd.Load(); end != nil && x.deadline.After(*end) {
+		x.deadline = *end
 	}
 	for _, f := range e.filters {
 		reply := f.apply(ctx, x)
