Gateway: let a request wait for quota until its time limit only

Requests with a time limit below half of the route's target latency were held for that half while no quota could be had, as without the store: 1.0 s with a limit of 300 ms (a trial of the test of planned stops, with prompts larger than the grants). It is the class of the faults around a stop: a gateway that stops takes requests whose limit ends in time, and counts on it.

Cause: the wait for quota was bounded by the target latency only.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -135,9 +135,9 @@
 	if e.request.Prompt == nil || e.workspace == "" {
 		return nil
 	}
-	reserveCtx, cancel := context.WithTimeout(ctx, r.TargetLatency/quotaWaitDivisor)
-	defer cancel()
 	reserveStart := e.gateway.clock.Now()
+	reserveCtx, cancel := context.WithTimeout(ctx, min(r.TargetLatency/quotaWaitDivisor, e.deadline.Sub(reserveStart)))
+	defer cancel()
 	reservation, err := e.gateway.quota.Reserve(reserveCtx, e.workspace, int64(e.request.Prompt.Tokens+e.request.Prompt.MaxOutputTokens))
 	e.gateway.metrics.quotaWait.Update(e.gateway.clock.Since(reserveStart).Seconds())
 	if err != nil {
@@ -177,7 +177,7 @@
 	workspacePriorityWeight = 3
 	lowestPriority          = 9
 	// quotaWaitDivisor bounds the wait for quota to a fraction of the target
-	// latency.
+	// latency. The request's time limit bounds it, too.
 	quotaWaitDivisor = 2
 )
 
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -56,3 +56,33 @@
 		Entry("the replica's failure, without output", 500, int64(100)),
 	)
 })
+
+// slowQuota has no quota, and says so when the request's wait ends.
+type slowQuota struct{}
+
+func (slowQuota) Reserve(ctx context.Context, _ string, _ int64) (gateway.Reservation, error) {
+	<-ctx.Done()
+	return nil, &gateway.QuotaError{RetryAfter: time.Second}
+}
+
+var _ = Describe("a request that waits for quota", func() {
+	// Guards against requests that are held past their time limit, also into the end of
+	// a stop that lets in only what ends before.
+	It("is refused at its time limit", func() {
+		const limit = 50 * time.Millisecond
+		g, _ := newGateway(plainSender{status: 200}, clockwork.NewRealClock(), placement.New(placement.Defaults(), nil), gateway.WithQuota(slowQuota{}))
+		g.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot {
+			snapshot.RouteTable = route.New(route.Config{Version: 2, Services: []route.Service{{Name: "engine"}},
+				Workspaces: []route.Workspace{{Name: "w", APIKeys: []string{"key"}}},
+				Routes: []route.Route{{Host: "h.example", PathPrefix: "/", Kind: route.NonIdempotent{}, Timeout: time.Minute,
+					TargetLatency: 10 * time.Second, MaxRuns: 1, TrafficSplit: []route.Share{{Service: "engine", Weight: 1}}}}})
+			return snapshot
+		})
+		started := time.Now()
+		answer := g.Serve(context.Background(), &gateway.Request{ID: "1", Host: "h.example", Path: "/", APIKey: "key", Timeout: limit,
+			Prompt: &gateway.Prompt{Tokens: 100, MaxOutputTokens: 10}})
+		// Half a second past the limit is the platform's bound.
+		Expect(time.Since(started)).To(BeNumerically("<", limit+500*time.Millisecond))
+		Expect(answer).To(HaveField("Execution", gateway.NotExecuted))
+	})
+})
