Entry: say "not run" at the end of a shutdown only without another's claim

What callers would see: a booking that is repeated with its idempotency key at a stopping entry gets 503 as not run, although the earlier request may have run it.

Cause: the reply at the end of a shutdown looked only at whether this entry had dispatched an attempt, not at the claim that another request has. Change: a claim that was read, or lost to another request, counts too; the reply is "unknown". Two of the three cases of the new spec fail without the change.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -43,8 +43,11 @@
 	random   *rand.Rand
 	targets  map[string]config.Target
 	tried    []string
-	sent     bool           // whether an attempt was dispatched
 	response claim.Response // of the completed call; its body is not limited
+
+	// mayHaveRun is set when an attempt is dispatched, and when another request has the
+	// claim.
+	mayHaveRun bool
 }
 
 func (r *claimRunner) run(ctx context.Context) caller.Reply {
@@ -108,7 +111,7 @@
 // shutdown is up. Its claim stays, so that a retry at another entry finds out.
 func (r *claimRunner) endEarly() caller.Reply {
 	cause := context.Cause(r.x.ctx)
-	if !r.sent {
+	if !r.mayHaveRun {
 		refusal := caller.NewRefusal(http.StatusServiceUnavailable, caller.NotReady, "%v", cause)
 		refusal.RetryAfter = time.Second
 		return refusal
@@ -143,6 +146,7 @@
 	if rows[0].Version == 0 {
 		return claim.RowRead{}
 	}
+	r.mayHaveRun = true
 	row, err := claim.Decode(rows[0].Value)
 	if err != nil {
 		r.e.log.WithError(err).WithField("request_id", r.x.envelope.RequestID).Error("failed to decode a claim")
@@ -159,6 +163,7 @@
 	case err == nil:
 		return claim.WriteApplied{}
 	case errors.As(err, &conflict):
+		r.mayHaveRun = true
 		return claim.WriteConflicted{}
 	case errors.As(err, &ambiguous):
 		return claim.WriteAmbiguous{}
@@ -176,7 +181,7 @@
 	}
 	x.document = e.follower.Current()
 	t := try{attemptID: d.AttemptID, target: registered, version: registered.Version, startedAt: e.clock.Now()}
-	r.sent = true
+	r.mayHaveRun = true
 	a, err := e.startTry(ctx, x, t)
 	if err != nil {
 		e.endTry(x, t, err)
