Configsync: limit each read, not a whole round that then begins anew

The same cause as that of the late configuration, found by a review: 1 s bounded all pages of the fenced holders, the head and the document together. 400 holders at 0.3 s a page were never loaded (8 s), and an agent without them can't know which dispatches to refuse. Each call has the limit now.

--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -54,7 +54,7 @@
 	clock        clockwork.Clock
 	log          log.Interface
 	pollInterval time.Duration
-	timeout      time.Duration // of one round of table reads, and of one peer call
+	timeout      time.Duration // of one call to the table or a peer
 	peerAddrs    func() []netip.AddrPort
 	onChange     func(*config.Document)
 
@@ -215,16 +215,12 @@
 }
 
 func (f *Follower) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, f.timeout)
-	defer cancel()
 	err := f.readTable(ctx)
 	if err == nil {
 		return
 	}
-	if ctx.Err() == nil || f.Current() == nil {
-		f.log.WithError(err).Debug("configuration not read from the table")
-	}
-	f.fetchFromPeers(context.WithoutCancel(ctx))
+	f.log.WithError(err).Debug("configuration not read from the table")
+	f.fetchFromPeers(ctx)
 }
 
 func (f *Follower) readTable(ctx context.Context) error {
@@ -233,34 +229,48 @@
 			return err
 		}
 	}
+	number, err := f.readHead(ctx)
+	if err != nil || number <= f.Number() {
+		return err
+	}
+	document, err := f.readDocument(ctx, number)
+	if err != nil {
+		return err
+	}
+	f.Publish(document)
+	return nil
+}
+
+// readHead returns the current number.
+func (f *Follower) readHead(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
 	rows, err := f.store.Get(ctx, HeadKey)
 	if err != nil {
-		return fmt.Errorf("configsync.readTable: %w", err)
+		return 0, fmt.Errorf("configsync.readHead: %w", err)
 	}
 	if rows[0].Version == 0 {
-		return &NoDocumentError{}
+		return 0, &NoDocumentError{}
 	}
 	head, err := config.DecodeRow[config.HeadRow](rows[0].Value)
 	if err != nil {
-		return fmt.Errorf("configsync.readTable: %w", err)
-	}
-	if head.Number <= f.Number() {
-		return nil
+		return 0, fmt.Errorf("configsync.readHead: %w", err)
 	}
-	document, err := ReadDocument(ctx, f.store, head.Number)
-	if err != nil {
-		return err
-	}
-	f.Publish(document)
-	return nil
+	return head.Number, nil
+}
+
+func (f *Follower) readDocument(ctx context.Context, number uint64) (*config.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	return ReadDocument(ctx, f.store, number)
 }
 
 func (f *Follower) readFencedHolders(ctx context.Context) error {
 	var holders []string
 	for after := ""; ; {
-		rows, err := f.store.Query(ctx, shardlog.FencePartition, after, table.MaxTransactionRows)
+		rows, err := f.readFencePage(ctx, after)
 		if err != nil {
-			return fmt.Errorf("configsync.readFencedHolders: %w", err)
+			return err
 		}
 		for _, row := range rows {
 			holders = append(holders, row.Sort)
@@ -274,6 +284,16 @@
 	return nil
 }
 
+func (f *Follower) readFencePage(ctx context.Context, after string) ([]table.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	rows, err := f.store.Query(ctx, shardlog.FencePartition, after, table.MaxTransactionRows)
+	if err != nil {
+		return nil, fmt.Errorf("configsync.readFencePage: %w", err)
+	}
+	return rows, nil
+}
+
 // ReadDocumentRow reads the row of the document with the given number.
 func ReadDocumentRow(ctx context.Context, store table.Store, number uint64) (config.DocumentRow, error) {
 	rows, err := store.Get(ctx, DocumentKey(number))
