--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -19,7 +19,7 @@
 	gateway         *Gateway
 	request         *Request
 	snapshot        Snapshot
-	started         time.Time     // when the request reached the process
+	started         time.Time
 	configAge       time.Duration // when the request arrived
 	rand            *rand.Rand
 	route           *route.Route
@@ -128,7 +128,7 @@
 		return &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: defaultRetryAfter}
 	}
 	e.service = service
-	e.gateway.retries.RecordRequest(service, e.gateway.clock.Now())
+	e.gateway.retries.RecordRequest(service, e.started)
 	if refusal := e.quarantined(); refusal != nil {
 		return refusal
 	}
@@ -199,9 +199,6 @@
 	var last *failure
 	for n := 0; n < maxSends; n++ {
 		now := e.gateway.clock.Now()
-		if e.callerLeft(now) {
-			return nil, &Refusal{Execution: ExecutionUnknown, Reason: CallerDisconnected}
-		}
 		req := e.placementRequest(exclude)
 		if n == 0 && e.streaming {
 			req.TargetLatency = e.route.TargetLatency
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -225,13 +225,9 @@
 // Serve serves a request. ctx must end when the caller disconnects, or with the
 // cause *StoppingError when the process is about to end.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
-	started := r.Arrived
-	if started.IsZero() {
-		started = g.clock.Now()
-	}
 	// Read before the snapshot, which may be replaced in between: an age that is too high
 	// only refuses what a newer configuration may have.
 	configAge := g.clock.Since(g.configConfirmedAt())
-	e := &exchange{gateway: g, request: r, snapshot: g.Snapshot(), started: started, configAge: configAge, rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	e := &exchange{gateway: g, request: r, snapshot: g.Snapshot(), started: g.clock.Now(), configAge: configAge, rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	return e.serve(ctx)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -21,15 +21,11 @@
 	RequestTarget string // path and query, as received
 	Path          string
 	APIKey        string
-	Arrived       time.Time              // when the process got its first byte; zero for now
 	Timeout       time.Duration          // how long the caller waits; 0 if not given
 	Prompt        *Prompt                // nil for requests to plain services
 	Header        []upstream.HeaderField // end-to-end fields to pass on
 	Body          []byte
 	LastEventID   string // event after which the caller resumes a stream
-	// Connected reports whether the caller is still connected, also where the context
-	// has not ended yet. It may be nil.
-	Connected func() bool
 }
 
 // Prompt is the size and the composition of a model request.
@@ -84,9 +80,8 @@
 	NoReplica          Reason = "no_replica"
 	Quarantined        Reason = "quarantined" // the request, or a part of its prompt, crashes replicas
 	Overloaded         Reason = "overloaded"
-	Saturated          Reason = "saturated" // this process has not enough processor time or memory
-	Limited            Reason = "limited"   // the replicas take no more requests per second
-	Paused             Reason = "paused"    // the replicas want no requests for some time
+	Limited            Reason = "limited" // the replicas take no more requests per second
+	Paused             Reason = "paused"  // the replicas want no requests for some time
 	ReplicaFull        Reason = "replica_full"
 	ReplicaFailed      Reason = "replica_failed"
 	TimedOut           Reason = "timed_out" // the request's deadline passed, or was too close to send it
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -157,15 +157,6 @@
 	return a, res, nil
 }
 
-// connectedCheckAge is the age from which a request is sent only after its caller's
-// connection was looked at: the context of an older one may not have ended yet.
-const connectedCheckAge = 100 * time.Millisecond
-
-// callerLeft reports whether the caller is known to have disconnected.
-func (e *exchange) callerLeft(now time.Time) bool {
-	return e.request.Connected != nil && now.Sub(e.started) >= connectedCheckAge && !e.request.Connected()
-}
-
 // checkSilence cancels the send, if the request may be sent to another replica
 // instead. It waits up to another silence timeout while the replica sends data for
 // other requests, and longer while no retry is left: silence alone is no reason to end
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -196,9 +196,6 @@
 		return false, false
 	}
 	now := e.gateway.clock.Now()
-	if e.callerLeft(now) {
-		return false, false
-	}
 	choice, ok := e.gateway.placer.Choose(e.placementRequest(s.exclude), e.gateway.Snapshot().candidates(e.service), now, e.rand)
 	if !ok || choice.Refused {
 		return false, false
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -94,7 +94,6 @@
 		newPlacer,
 		newRetryBudget,
 		newDescriptors,
-		newLoadShedder,
 		newReplicaPool,
 		newSender,
 		newQuarantine,
@@ -246,7 +245,7 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors, shedder *loadShedder) (*Daemon, error) {
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
 	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
@@ -255,7 +254,7 @@
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
 	var err error
-	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, platform.WithMaxConnections(fds.callers), platform.WithAdmitter(d.admitter(shedder))); err != nil {
+	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, platform.WithMaxConnections(fds.callers)); err != nil {
 		return nil, err
 	}
 	if d.readiness, err = platform.NewReadinessServer(s.ReadinessAddress, d.ready, set, l); err != nil {
@@ -275,17 +274,6 @@
 	return settings
 }
 
-// admitter refuses requests that the process has no processor time or memory for.
-func (d *Daemon) admitter(shedder *loadShedder) platform.Admitter {
-	return func(r *gateway.Request, unread time.Duration) (func(), *gateway.Refusal) {
-		var shortestTarget time.Duration
-		if t := d.gateway.Snapshot().RouteTable; t != nil {
-			shortestTarget = t.ShortestTargetLatency()
-		}
-		return shedder.admit(r, unread, shortestTarget)
-	}
-}
-
 func (d *Daemon) ready() bool {
 	snapshot := d.gateway.Snapshot()
 	return !d.stopping.Load() && d.callers.Accepting() && snapshot.RouteTable != nil && snapshot.Replicas.ServiceCount() > 0
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -10,7 +10,6 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"briarreach/gateway"
-	"briarreach/overload"
 	"briarreach/placement"
 	"briarreach/quarantine"
 	"briarreach/quota"
@@ -24,12 +23,11 @@
 	Placement  placement.Settings
 	Quota      quota.Settings
 	Quarantine quarantine.Settings
-	Overload   overload.Settings
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults(), Overload: overload.Defaults()}
+	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults()}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -61,10 +59,6 @@
 		SoundAfter         *settings.Duration `toml:"sound_after"`
 		Duration           *settings.Duration `toml:"duration"`
 	} `toml:"quarantine"`
-	Overload struct {
-		WaitShare   *float64 `toml:"wait_part"`
-		MemoryShare *float64 `toml:"memory_part"`
-	} `toml:"overload"`
 }
 
 // TuningError reports a key of the tuning file whose value is out of range.
@@ -112,8 +106,6 @@
 	c.duration("quarantine.request_coincidence", f.Quarantine.RequestCoincidence, &t.Quarantine.RequestCoincidence)
 	c.duration("quarantine.sound_after", f.Quarantine.SoundAfter, &t.Quarantine.SoundAfter)
 	c.duration("quarantine.duration", f.Quarantine.Duration, &t.Quarantine.Duration)
-	c.number("overload.wait_part", f.Overload.WaitShare, &t.Overload.WaitShare, 0, 100)
-	c.number("overload.memory_part", f.Overload.MemoryShare, &t.Overload.MemoryShare, 0, 1)
 	return t, c.err
 }
 
--- a/gatewaydaemon/tuning_test.go
+++ b/gatewaydaemon/tuning_test.go
@@ -51,8 +51,6 @@
 		Entry("crashes of a request that never coincide", "[quarantine]\nrequest_coincidence = \"0s\"\n", "quarantine.request_coincidence: accepted is a duration from 1ms to 1h"),
 		Entry("no duration of a quarantine", "[quarantine]\nduration = \"0s\"\n", "quarantine.duration: accepted is a duration from 1ms to 1h"),
 		Entry("out of range", "[quota]\ngranted_part = 1.5\n", "quota.granted_part: accepted is a number from 0.01 to 1"),
-		Entry("more memory than there is", "[overload]\nmemory_part = 1.5\n", "overload.memory_part: accepted is a number from 0 to 1"),
-		Entry("negative part", "[overload]\nwait_part = -1\n", "overload.wait_part: accepted is a number from 0 to 100"),
 		Entry("not TOML", "[placement", "gateway.toml"),
 	)
 })
--- a/route/route.go
+++ b/route/route.go
@@ -114,7 +114,6 @@
 	routesByHost    map[string][]*Route // longest prefix first
 	servicesByName  map[string]*Service
 	workspacesByKey map[string]*Workspace
-	shortestTarget  time.Duration
 }
 
 // New returns the table of a configuration.
@@ -129,9 +128,6 @@
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
-		if r.TargetLatency > 0 && (t.shortestTarget == 0 || r.TargetLatency < t.shortestTarget) {
-			t.shortestTarget = r.TargetLatency
-		}
 	}
 	for _, routes := range t.routesByHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -156,10 +152,6 @@
 // Workspaces returns all workspaces.
 func (t *Table) Workspaces() []Workspace { return t.config.Workspaces }
 
-// ShortestTargetLatency returns the shortest target latency of the routes that have
-// one, or 0.
-func (t *Table) ShortestTargetLatency() time.Duration { return t.shortestTarget }
-
 // RequiresKey reports whether requests of routes that are not public must carry
 // an API key.
 func (t *Table) RequiresKey() bool { return len(t.config.Workspaces) > 0 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -44,13 +43,6 @@
 		Expect(ok).To(BeFalse())
 	})
 
-	It("knows the shortest target latency of the routes that have one", func() {
-		Expect(table().ShortestTargetLatency()).To(BeZero())
-		t := table(route.Route{Host: "h", PathPrefix: "/a/", TargetLatency: time.Second}, route.Route{Host: "h", PathPrefix: "/b/"},
-			route.Route{Host: "h", PathPrefix: "/c/", TargetLatency: 300 * time.Millisecond})
-		Expect(t.ShortestTargetLatency()).To(Equal(300 * time.Millisecond))
-	})
-
 	It("splits traffic by weight", func() {
 		r := route.Route{TrafficSplit: []route.Share{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}}
 		count := map[string]int{}
