--- a/feed/feed.go
+++ b/feed/feed.go
@@ -35,7 +35,7 @@
 	Complete bool // whether the events are the complete state
 	Restored bool // set by the watcher: the first complete state of a new era, which may lack what was written last
 
-	AnsweredAt time.Time // when the response began to arrive; it has nothing that is newer. Zero if not known
+	AnsweredAt time.Time // when the response began to arrive; its state is not newer. Zero if not known
 }
 
 // Status tells how fresh the state is that a watcher's handler has taken.
@@ -56,7 +56,7 @@
 	log     log.Interface
 	wait    time.Duration
 	timeout time.Duration
-	listGap bool
+	listGap bool // see WithListingAfterGap
 	cancel  context.CancelFunc
 	done    chan struct{}
 
