--- a/cmd/briarreach/gateway_test.go
+++ b/cmd/briarreach/gateway_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,7 +22,7 @@
 		// reader until then: the gateway opens its settings as its first step.
 		settings := filepath.Join(GinkgoT().TempDir(), "boot.conf")
 		Expect(syscall.Mkfifo(settings, 0o600)).To(Succeed())
-		var out bytes.Buffer
+		var out syncBuffer
 		gateway := exec.Command(program, "gateway", "--platform", settings)
 		gateway.Stdout, gateway.Stderr = &out, &out
 		Expect(gateway.Start()).To(Succeed())
