--- a/quota/restored_test.go
+++ b/quota/restored_test.go
@@ -65,7 +65,7 @@
 	})
 
 	// Guards against grants that are given out again because no process that is left
-	// knows of them: of killed and stopped holders, of holders that nobody has heard of.
+	// knows of them: of killed and stopped holders, of holders that are unknown to all others.
 	DescribeTable("lets no quota be exceeded though those that have seen the grants may end",
 		func(minCount, maxCount, maxSteps int, allMayEnd bool) {
 			rapid.Check(GinkgoT(), func(t *rapid.T) {
