Overload: gateways that are short of network time ask for no new connections

Cause: the balancer's hash gave one gateway of ten half of a failure domain's requests over a link of 10 Mbit/s. Dials to replicas timed out on that link, all replicas were ejected, and 7,660 requests were refused as no_replica while other gateways were idle. With no processor time charged it was the same.

Change: package overload follows the bytes and the processor time of the process; above a mark the gateway fails its readiness checks and, once the balancer has noticed, closes a share of its connections after their responses. Dials get more time then, and do not eject replicas. Off without overload.not_ready_above.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	metrics           *gatewayMetrics
 	snapshot          atomic.Pointer[Snapshot]
 	configConfirmedAt func() time.Time // when the configuration was last confirmed
+	overloaded        func() bool      // whether this process is short of network or processor time
 	onBrokenSend      func(crash.BrokenSend)
 	onLimit           func(r replica.Replica, stated replicalimit.Limit, sentAt time.Time)
 	onNotice          func(r replica.Replica, n replicanotice.Notice)
@@ -150,6 +151,13 @@
 	return func(g *Gateway) { g.configConfirmedAt = confirmedAt }
 }
 
+// WithOverloaded sets the function that says whether this process is short of network
+// or processor time. Connections to replicas that time out then are not held against
+// the replicas. Without it, it never is.
+func WithOverloaded(overloaded func() bool) Option {
+	return func(g *Gateway) { g.overloaded = overloaded }
+}
+
 // WithBrokenSendHandler calls f, which must not block, for each request whose
 // connection to a replica broke.
 func WithBrokenSendHandler(f func(crash.BrokenSend)) Option {
@@ -170,7 +178,7 @@
 // New returns a gateway.
 func New(sender Sender, placer *placement.Placer, retries *retrybudget.Budget, opts ...Option) *Gateway {
 	g := &Gateway{clock: clockwork.NewRealClock(), log: log.Log, sender: sender, quota: noQuota{}, quarantine: noQuarantine{}, placer: placer,
-		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {},
+		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {}, overloaded: func() bool { return false },
 		onLimit: func(replica.Replica, replicalimit.Limit, time.Time) {}, onNotice: func(replica.Replica, replicanotice.Notice) {}}
 	g.configConfirmedAt = g.clock.Now
 	for _, opt := range opts {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -217,7 +217,11 @@
 			a.end(placement.Canceled, sendCanceled)
 			return &failure{refusal: e.contextRefusal(ctx, &Refusal{Execution: NotExecuted, Reason: TimedOut})}
 		}
-		a.end(placement.ConnectionBroken, sendNotSent)
+		outcome := placement.ConnectionBroken
+		if e.gateway.overloaded() {
+			outcome = placement.Canceled // the cause is this VM, not the replica
+		}
+		a.end(outcome, sendNotSent)
 		return &failure{refusal: &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: noReplicaRetryAfter}}
 	}
 	refusal := &Refusal{Execution: ExecutionUnknown, Reason: ReplicaFailed}
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -25,6 +25,7 @@
 	"briarreach/feed"
 	"briarreach/gateway"
 	"briarreach/mesh"
+	"briarreach/overload"
 	"briarreach/placement"
 	"briarreach/platform"
 	"briarreach/quarantine"
@@ -94,6 +95,8 @@
 		newPlacer,
 		newRetryBudget,
 		newDescriptors,
+		newOverload,
+		func() *overload.Meter { return &overload.Meter{} },
 		newReplicaPool,
 		newSender,
 		newQuarantine,
@@ -178,8 +181,8 @@
 		assumedGateways)
 }
 
-func newReplicaPool(clock clockwork.Clock, set *metrics.Set, fds descriptors) *upstream.Pool {
-	return upstream.New(upstream.WithClock(clock), upstream.WithMaxIdleConnections(fds.idleReplicas), upstream.WithDialHook(set.NewCounter("briarreach_replica_connections_total").Inc))
+func newReplicaPool(clock clockwork.Clock, set *metrics.Set, fds descriptors, traffic *overload.Meter, monitor *overload.Monitor) *upstream.Pool {
+	return upstream.New(upstream.WithClock(clock), upstream.WithMaxIdleConnections(fds.idleReplicas), upstream.WithTraffic(traffic), upstream.WithSlowDials(monitor.Overloaded), upstream.WithDialHook(set.NewCounter("briarreach_replica_connections_total").Inc))
 }
 
 func newSender(pool *upstream.Pool, notices *noticeExchange) gateway.Sender {
@@ -233,6 +236,8 @@
 	limits          *replicalimit.Limits
 	notices         *replicanotice.Notices
 	pool            *upstream.Pool
+	overload        *overload.Monitor
+	stopSampling    context.CancelFunc // of the usage
 	stopping        atomic.Bool
 
 	ignoredEntries    *metrics.Counter
@@ -245,21 +250,22 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors, monitor *overload.Monitor, traffic *overload.Meter) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool, overload: monitor,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
+		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithOverloaded(monitor.Overloaded), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
 	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l), feed.WithListingAfterGap())
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
 	var err error
-	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, platform.WithMaxConnections(fds.callers)); err != nil {
+	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, platform.WithMaxConnections(fds.callers), platform.WithOverload(monitor), platform.WithCallerTraffic(traffic)); err != nil {
 		return nil, err
 	}
 	if d.readiness, err = platform.NewReadinessServer(s.ReadinessAddress, d.ready, set, l); err != nil {
 		return nil, err
 	}
+	d.sampleUsage(traffic)
 	d.log.WithFields(log.Fields{"descriptors": fds.limit, "caller_connections": fds.callers, "idle_replica_connections": fds.idleReplicas}).Info("started")
 	return d, nil
 }
@@ -276,7 +282,7 @@
 
 func (d *Daemon) ready() bool {
 	snapshot := d.gateway.Snapshot()
-	return !d.stopping.Load() && d.callers.Accepting() && snapshot.RouteTable != nil && snapshot.Replicas.ServiceCount() > 0
+	return !d.stopping.Load() && d.callers.Accepting() && snapshot.RouteTable != nil && snapshot.Replicas.ServiceCount() > 0 && d.overload.CheckReady()
 }
 
 func (d *Daemon) applyConfigEvents(b feed.Batch[platform.OperatorEvent]) {
@@ -484,6 +490,7 @@
 	err := d.callers.Close(drainCtx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), min(closeTimeout, d.clock.Until(schedule.exit)))
 	defer cancelClose()
+	d.stopSampling()
 	d.crashes.Close()
 	d.mesh.Repay(closeCtx)
 	d.quotaSyncers.Close(closeCtx)
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -10,6 +10,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"briarreach/gateway"
+	"briarreach/overload"
 	"briarreach/placement"
 	"briarreach/quarantine"
 	"briarreach/quota"
@@ -23,11 +24,12 @@
 	Placement  placement.Settings
 	Quota      quota.Settings
 	Quarantine quarantine.Settings
+	Overload   overload.Settings
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults()}
+	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults(), Overload: overload.Defaults()}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -59,6 +61,14 @@
 		SoundAfter         *settings.Duration `toml:"sound_after"`
 		Duration           *settings.Duration `toml:"duration"`
 	} `toml:"quarantine"`
+	Overload struct {
+		NotReadyAbove *float64           `toml:"not_ready_above"`
+		ReadyBelow    *float64           `toml:"ready_below"`
+		CloseAbove    *float64           `toml:"close_above"`
+		Smoothing     *settings.Duration `toml:"smoothing"`
+		MinHold       *settings.Duration `toml:"min_hold"`
+		MaxHold       *settings.Duration `toml:"max_hold"`
+	} `toml:"overload"`
 }
 
 // TuningError reports a key of the tuning file whose value is out of range.
@@ -106,6 +116,12 @@
 	c.duration("quarantine.request_coincidence", f.Quarantine.RequestCoincidence, &t.Quarantine.RequestCoincidence)
 	c.duration("quarantine.sound_after", f.Quarantine.SoundAfter, &t.Quarantine.SoundAfter)
 	c.duration("quarantine.duration", f.Quarantine.Duration, &t.Quarantine.Duration)
+	c.number("overload.not_ready_above", f.Overload.NotReadyAbove, &t.Overload.NotReadyAbove, 0, 10)
+	c.number("overload.ready_below", f.Overload.ReadyBelow, &t.Overload.ReadyBelow, 0, 10)
+	c.number("overload.close_above", f.Overload.CloseAbove, &t.Overload.CloseAbove, 0, 10)
+	c.duration("overload.min_hold", f.Overload.MinHold, &t.Overload.MinHold)
+	c.duration("overload.max_hold", f.Overload.MaxHold, &t.Overload.MaxHold)
+	c.duration("overload.smoothing", f.Overload.Smoothing, &t.Overload.Smoothing)
 	return t, c.err
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -63,6 +63,8 @@
 	maxIdle  int                     // idle connections to all addresses; 0 for no bound
 	closed   bool
 	dialHook func()
+	traffic  Traffic
+	slow     func() bool // whether dials get slowDialTimeout
 }
 
 // Option changes a default of New.
@@ -74,12 +76,32 @@
 // WithDialHook calls f before each dial, also if the dial then fails.
 func WithDialHook(f func()) Option { return func(p *Pool) { p.dialHook = f } }
 
+// Traffic counts the bytes of all connections.
+type Traffic interface {
+	AddReceived(n int)
+	AddSent(n int)
+}
+
+// noTraffic counts nothing.
+type noTraffic struct{}
+
+func (noTraffic) AddReceived(int) {}
+
+func (noTraffic) AddSent(int) {}
+
+// WithTraffic sets what counts the bytes of all connections.
+func WithTraffic(t Traffic) Option { return func(p *Pool) { p.traffic = t } }
+
+// WithSlowDials gives dials more time while slow returns true: on a saturated link the
+// packets of the handshake wait as well.
+func WithSlowDials(slow func() bool) Option { return func(p *Pool) { p.slow = slow } }
+
 // WithMaxIdleConnections bounds the idle connections to all addresses together.
 func WithMaxIdleConnections(n int) Option { return func(p *Pool) { p.maxIdle = n } }
 
 // New returns an empty pool.
 func New(opts ...Option) *Pool {
-	p := &Pool{clock: clockwork.NewRealClock(), idle: make(map[netip.AddrPort][]*conn), dialHook: func() {}}
+	p := &Pool{clock: clockwork.NewRealClock(), idle: make(map[netip.AddrPort][]*conn), dialHook: func() {}, traffic: noTraffic{}, slow: func() bool { return false }}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -199,12 +221,15 @@
 	}
 	p.dialHook()
 	d := net.Dialer{Timeout: dialTimeout}
+	if p.slow() {
+		d.Timeout = slowDialTimeout
+	}
 	nc, err := d.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	limited := &limitedReader{reader: nc}
-	return &conn{Conn: nc, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), idleLimit: idleTimeout}, nil
+	limited := &limitedReader{reader: nc, traffic: p.traffic}
+	return &conn{Conn: nc, traffic: p.traffic, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), idleLimit: idleTimeout}, nil
 }
 
 func (p *Pool) popIdle(address netip.AddrPort) *conn {
@@ -241,6 +266,7 @@
 
 const (
 	dialTimeout       = 300 * time.Millisecond
+	slowDialTimeout   = time.Second
 	idleTimeout       = 30 * time.Second
 	maxIdlePerReplica = 128
 	readBufferBytes   = 4 << 10
@@ -254,6 +280,7 @@
 
 type conn struct {
 	net.Conn
+	traffic   Traffic
 	address   netip.AddrPort
 	limited   *limitedReader
 	reader    *bufio.Reader // reads from limited
@@ -275,13 +302,15 @@
 	head = append(head, "\r\n"...)
 	done := make(chan error, 1)
 	if len(head)+len(r.Body) < concurrentWriteBytes {
-		_, err := c.Write(append(head, r.Body...))
+		n, err := c.Write(append(head, r.Body...))
+		c.traffic.AddSent(n)
 		done <- err
 		return done
 	}
 	go func() {
 		buffers := net.Buffers{head, r.Body}
-		_, err := buffers.WriteTo(c.Conn)
+		n, err := buffers.WriteTo(c.Conn)
+		c.traffic.AddSent(int(n))
 		done <- err
 	}()
 	return done
@@ -316,6 +345,7 @@
 // that the buffer above it reads ahead count as well.
 type limitedReader struct {
 	reader    io.Reader
+	traffic   Traffic
 	limited   bool
 	remaining int
 }
@@ -326,6 +356,7 @@
 		return 0, &ResponseTooLargeError{Part: "response header", Limit: maxResponseHeaderBytes}
 	}
 	n, err := l.reader.Read(p)
+	l.traffic.AddReceived(n)
 	l.remaining -= n
 	return n, err
 }
