--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -295,7 +295,10 @@
 }
 
 func (e *exchange) placementRequest(exclude map[string]bool) placement.Request {
-	n := placement.Request{Exclude: exclude, Priority: e.priority}
+	n := placement.Request{Exclude: exclude, Priority: e.priority, Streaming: e.streaming}
+	if s, ok := e.route.Kind.(route.Streaming); ok {
+		n.MaxEventGap = s.MaxEventGap
+	}
 	if p := e.request.Prompt; p != nil {
 		n.UniqueTokens = p.Tokens
 		if shared := len(p.Parts) - 1; shared > 0 {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -16,6 +16,8 @@
 	retryBudgetExhausted *metrics.Counter
 	eventPause           *metrics.Histogram // between events of a stream
 	quotaWait            *metrics.Histogram
+	firstEventEarly      *metrics.Histogram // before and after the expected time, if the speeds of replicas are estimated
+	firstEventLate       *metrics.Histogram
 	promptTokens         *metrics.Counter // tokens of the prompt, once per sendRecord, whether sent or not
 	expectedCachedTokens *metrics.Counter // those of promptTokens that were expected in the replica's cache
 }
@@ -23,6 +25,8 @@
 func newMetrics(set *metrics.Set) *gatewayMetrics {
 	return &gatewayMetrics{set: set, retryBudgetExhausted: set.NewCounter("briarreach_retry_budget_exhausted_total"),
 		eventPause:           set.NewHistogram("briarreach_event_pause_seconds"),
+		firstEventEarly:      set.NewHistogram(`briarreach_first_event_error_seconds{side="early"}`),
+		firstEventLate:       set.NewHistogram(`briarreach_first_event_error_seconds{side="late"}`),
 		quotaWait:            set.NewHistogram("briarreach_quota_wait_seconds"),
 		promptTokens:         set.NewCounter("briarreach_prompt_tokens_total"),
 		expectedCachedTokens: set.NewCounter("briarreach_prompt_tokens_expected_cached_total")}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -27,7 +27,8 @@
 	CachedTokens    int    `json:"cached,omitempty"`
 	Outcome         string `json:"outcome"`
 	DurationMS      int64  `json:"ms"`
-	StatedLimit     string `json:"limit,omitempty"` // requests per second that the replica takes, as it stated
+	ExpectedMS      int64  `json:"expected_ms,omitempty"` // until the first event, if the speeds of replicas are estimated
+	StatedLimit     string `json:"limit,omitempty"`       // requests per second that the replica takes, as it stated
 }
 
 // Outcomes of a send, as logged.
@@ -86,6 +87,19 @@
 	}
 }
 
+// recordExpectation compares the time to the first event with the expected one.
+func (a *activeSend) recordExpectation(now time.Time) {
+	if a.choice.Speed <= 0 || a.choice.ExpectedPrefill <= 0 {
+		return
+	}
+	m, late := a.exchange.gateway.metrics, now.Sub(a.started)-a.choice.ExpectedWait-a.choice.ExpectedPrefill
+	if late < 0 {
+		m.firstEventEarly.Update(-late.Seconds())
+	} else {
+		m.firstEventLate.Update(late.Seconds())
+	}
+}
+
 // end completes the send; later calls do nothing. It closes the body before it
 // cancels the context, since cancelling closes a connection still in use.
 func (a *activeSend) end(o placement.Outcome, outcome string) {
@@ -110,7 +124,11 @@
 
 // recordSend adds a send to the log line of the request.
 func (e *exchange) recordSend(c placement.Choice, outcome string, took time.Duration) {
-	e.sends = append(e.sends, sendRecord{Replica: c.Replica.ID, PlacementReason: c.Reason, InFlight: c.InFlight, Backlog: c.BacklogTokens, CachedTokens: c.CachedTokens,
+	var expected time.Duration
+	if c.Speed > 0 {
+		expected = c.ExpectedWait + c.ExpectedPrefill
+	}
+	e.sends = append(e.sends, sendRecord{ExpectedMS: expected.Milliseconds(), Replica: c.Replica.ID, PlacementReason: c.Reason, InFlight: c.InFlight, Backlog: c.BacklogTokens, CachedTokens: c.CachedTokens,
 		Outcome: outcome, DurationMS: took.Milliseconds()})
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -115,7 +115,8 @@
 	s.exchange.eventsReceived++
 	if !s.receivedEvent {
 		s.receivedEvent, s.currentSend.firstEventAt = true, now
-		s.exchange.gateway.placer.RecordFirstEvent(s.currentSend.choice)
+		s.exchange.gateway.placer.RecordFirstEvent(s.currentSend.choice, now)
+		s.currentSend.recordExpectation(now)
 	}
 	s.currentSend.received()
 	if !s.provedSound && s.exchange.gateway.quarantine.ProvesSound(s.currentSend.answerTime()) {
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -91,6 +91,7 @@
 		newLimitExchange,
 		newNotices,
 		newNoticeExchange,
+		newSpeedExchange,
 		newPlacer,
 		newRetryBudget,
 		newDescriptors,
@@ -163,8 +164,12 @@
 		}))
 }
 
-func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, notices *replicanotice.Notices, clock clockwork.Clock) *placement.Placer {
-	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, placement.WithLimiter(limits), placement.WithNotices(notices))
+func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, notices *replicanotice.Notices, speeds *speedExchange, clock clockwork.Clock) *placement.Placer {
+	opts := []placement.Option{placement.WithLimiter(limits), placement.WithNotices(notices)}
+	if speeds != nil {
+		opts = append(opts, placement.WithSpeeds(speeds.speeds))
+	}
+	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, opts...)
 	peers.OnPlacement(func(p placement.Announcement) { placer.HandleAnnouncement(p, clock.Now()) })
 	return placer
 }
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -13,6 +14,7 @@
 	"briarreach/placement"
 	"briarreach/quarantine"
 	"briarreach/quota"
+	"briarreach/replicaspeed"
 	"briarreach/settings"
 )
 
@@ -21,13 +23,15 @@
 type Tuning struct {
 	Gateway    gateway.Settings
 	Placement  placement.Settings
+	LearnSpeed bool // estimate the speeds of replicas
+	Speed      replicaspeed.Settings
 	Quota      quota.Settings
 	Quarantine quarantine.Settings
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults()}
+	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Speed: replicaspeed.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults()}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -46,6 +50,8 @@
 		MaxEjectedShare *float64           `toml:"max_ejected"`
 		LateFactor      *float64           `toml:"overload_late_factor"`
 		IdleWaitShare   *float64           `toml:"overload_idle_part"`
+		LearnSpeed      *bool              `toml:"learn_speed"`
+		SpeedMemory     *settings.Duration `toml:"speed_memory"`
 	} `toml:"placement"`
 	Quota struct {
 		Horizon      *settings.Duration `toml:"horizon"`
@@ -98,6 +104,10 @@
 	c.number("placement.max_ejected", f.Placement.MaxEjectedShare, &t.Placement.MaxEjectedShare, 0, 1)
 	c.number("placement.overload_late_factor", f.Placement.LateFactor, &t.Placement.Overload.LateFactor, 0, 100)
 	c.number("placement.overload_idle_part", f.Placement.IdleWaitShare, &t.Placement.Overload.IdleWaitShare, 0, 100)
+	if f.Placement.LearnSpeed != nil {
+		t.LearnSpeed = *f.Placement.LearnSpeed
+	}
+	c.durationBetween("placement.speed_memory", f.Placement.SpeedMemory, &t.Speed.Memory, 5*time.Second, 10*time.Minute)
 	c.duration("quota.horizon", f.Quota.Horizon, &t.Quota.Horizon)
 	c.number("quota.granted_part", f.Quota.GrantedShare, &t.Quota.GrantedShare, 0.01, 1)
 	c.duration("quota.sync_every", f.Quota.SyncEvery, &t.Quota.SyncEvery)
@@ -122,11 +132,15 @@
 }
 
 func (c *rangeChecker) duration(key string, from *settings.Duration, to *time.Duration) {
+	c.durationBetween(key, from, to, minDuration, maxDuration)
+}
+
+func (c *rangeChecker) durationBetween(key string, from *settings.Duration, to *time.Duration, shortest, longest time.Duration) {
 	if from == nil {
 		return
 	}
-	if !from.Valid() || from.Duration < minDuration || from.Duration > maxDuration {
-		c.fail(key, "a duration from 1ms to 1h")
+	if !from.Valid() || from.Duration < shortest || from.Duration > longest {
+		c.fail(key, fmt.Sprintf("a duration from %s to %s", durationText(shortest), durationText(longest)))
 		return
 	}
 	*to = from.Duration
@@ -159,3 +173,16 @@
 		c.err = &TuningError{File: c.file, Key: key, Accepted: accepted}
 	}
 }
+
+// durationText returns a duration without the zero minutes and seconds that
+// time.Duration writes.
+func durationText(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -259,7 +259,7 @@
 			rs.gateway.notices.Record(rs.gateway.replicas[rs.replicaIndex].Incarnation(), replicanotice.Notice{Leaving: true}, r.clock())
 		}
 		if p := rs.gateway.placer; p != nil {
-			p.RecordFirstEvent(rs.choice)
+			p.RecordFirstEvent(rs.choice, r.clock())
 		}
 	} else {
 		rs.maxGap = max(rs.maxGap, r.now-rs.lastEventAt)
--- a/loadreplay/policy.go
+++ b/loadreplay/policy.go
@@ -11,6 +11,7 @@
 	"briarreach/placement"
 	"briarreach/replica"
 	"briarreach/replicanotice"
+	"briarreach/replicaspeed"
 )
 
 const (
@@ -40,6 +41,7 @@
 	Name          string
 	Settings      placement.Settings
 	IgnoreNotices bool // what replicas say of themselves
+	LearnSpeed    bool // estimate the speeds of replicas, as replicaspeed does
 }
 
 func (Random) policy()      {}
@@ -78,6 +80,8 @@
 	policy   Policy
 	placer   *placement.Placer
 	notices  *replicanotice.Notices
+	speeds   *replicaspeed.Speeds // nil unless they are estimated
+	peers    []*gateway           // all gateways
 	replicas []replica.Replica
 	inFlight []int
 	rnd      *rand.Rand
@@ -98,6 +102,11 @@
 			if !p.IgnoreNotices {
 				opts = append(opts, placement.WithNotices(g.notices))
 			}
+			if p.LearnSpeed {
+				g.speeds = replicaspeed.New(replicaspeed.Defaults())
+				opts = append(opts, placement.WithSpeeds(g.speeds))
+			}
+			g.peers = gateways
 			g.placer = placement.New(p.Settings, func(a placement.Announcement) {
 				for _, other := range gateways {
 					if other != g {
@@ -117,7 +126,8 @@
 	best := 0
 	switch g.policy.(type) {
 	case Placement:
-		req := placement.Request{SharedParts: placement.HashParts([]string{r.Subject}, []int{r.SharedTokens}), UniqueTokens: r.UniqueTokens, Priority: r.Priority, TargetLatency: r.TargetLatency}
+		g.shareSpeeds(now)
+		req := placement.Request{Streaming: true, MaxEventGap: r.MaxEventGap, SharedParts: placement.HashParts([]string{r.Subject}, []int{r.SharedTokens}), UniqueTokens: r.UniqueTokens, Priority: r.Priority, TargetLatency: r.TargetLatency}
 		choice, ok := g.placer.Choose(req, g.replicas, now, g.rnd)
 		if !ok {
 			choice = placement.Choice{Refused: true, RetryAfter: noReplicaRetryAfter}
@@ -156,6 +166,20 @@
 	return best, placement.Choice{}
 }
 
+// shareSpeeds sends the sums of samples that are due to the other gateways.
+func (g *gateway) shareSpeeds(now time.Time) {
+	if g.speeds == nil {
+		return
+	}
+	if m, due := g.speeds.NextMessage(len(g.peers)-1, now); due {
+		for _, other := range g.peers {
+			if other != g {
+				other.speeds.HandleMessage(m, now)
+			}
+		}
+	}
+}
+
 // setReplicas replaces the replicas, as after a change of the registry.
 func (g *gateway) setReplicas(list []replica.Replica, now time.Time) {
 	g.replicas = list
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,6 +25,7 @@
 
 	"briarreach/replica"
 	"briarreach/replicanotice"
+	"briarreach/replicaspeed"
 )
 
 // Settings are the parameters of the placement.
@@ -55,6 +56,8 @@
 	SharedParts   []PromptPart    // of the prompt, in order; empty without a prompt
 	UniqueTokens  int             // of the prompt, after the shared parts
 	Priority      int             // 0 is the most urgent; replicas start urgent requests first
+	Streaming     bool            // answered by events, the first of which is recorded with RecordFirstEvent
+	MaxEventGap   time.Duration   // longest time between events that counts as on time; 0 if there is none
 	TargetLatency time.Duration   // for the first event; a request that would miss it is refused; 0 disables refusals
 	Exclude       map[string]bool // replica IDs
 }
@@ -109,8 +112,10 @@
 	ExpectedPrefill time.Duration // duration of the prefill
 	Refused         bool          // by this process, because of overload or limits; the request is not counted as in flight
 	RetryAfter      time.Duration // of a refused request
+	Speed           float64       // of the replica, relative to its service; 0 without WithSpeeds
 	stats           *replicaStats
 	waiter          *waiter
+	send            *send // nil without WithSpeeds
 }
 
 // Reasons of a choice that is refused because of what replicas state: their limits,
@@ -147,6 +152,7 @@
 	announce      func(Announcement)
 	limiter       Limiter
 	notices       Notices
+	speeds        Speeds // nil without WithSpeeds
 }
 
 // Limiter bounds the requests per second that this process sends to a replica.
@@ -193,6 +199,7 @@
 
 // replicaStats is what this process knows about one incarnation of a replica.
 type replicaStats struct {
+	speed        *replicaspeed.Replica // nil without WithSpeeds
 	inFlight     atomic.Int64
 	lastActivity atomic.Int64 // Unix nanoseconds; also set when an idle replica gets a request
 
@@ -202,6 +209,7 @@
 	backlogTokens float64 // prompt tokens queued at backlogAt
 	backlogAt     time.Time
 	waiters       []*waiter // requests of this process before their first event
+	sends         []*send   // those of waiters that are samples of the replica's speed
 }
 
 // currentBacklog returns the estimated prompt tokens queued on the replica.
@@ -248,10 +256,20 @@
 		if s := old[k]; s != nil {
 			next[k] = s
 		} else {
-			next[k] = &replicaStats{}
+			next[k] = p.newStats(r)
 		}
 	}
 	p.byIncarnation.Store(&next)
+	if p.speeds != nil {
+		p.speeds.SetReplicas(live)
+	}
+}
+
+func (p *Placer) newStats(r replica.Replica) *replicaStats {
+	if p.speeds == nil {
+		return &replicaStats{}
+	}
+	return &replicaStats{speed: p.speeds.Of(r)}
 }
 
 func (p *Placer) stats(r replica.Replica) *replicaStats {
@@ -269,7 +287,7 @@
 	for key, s := range old {
 		next[key] = s
 	}
-	next[k] = &replicaStats{}
+	next[k] = p.newStats(r)
 	p.byIncarnation.Store(&next)
 	return next[k]
 }
@@ -312,10 +330,17 @@
 // exhausted.
 func (p *Placer) chooseFrom(req Request, candidates []candidate, includesEjected bool, now time.Time, rnd *rand.Rand) (Choice, bool) {
 	best, reason := candidates[0], "only"
+	if p.speeds != nil {
+		estimateSpeeds(candidates, now)
+	}
 	switch {
+	case req.hasPrompt() && p.speeds != nil:
+		best, reason = p.leastExpected(req, candidates, now, rnd)
 	case req.hasPrompt():
 		best, reason = p.leastWaiting(req, candidates, now)
 	case len(candidates) == 1:
+	case p.speeds != nil:
+		best, reason = leastExpectedLoad(candidates, rnd), "least_loaded"
 	default:
 		best, reason = leastLoaded(candidates, rnd), "least_loaded"
 	}
@@ -327,7 +352,7 @@
 		spread := rnd.Float64()
 		if _, late := p.settings.Overload.refuses(choice, req.TargetLatency, spread); late {
 			// A replica with a longer prefill but a shorter queue may be sooner.
-			best = soonest(req, candidates)
+			best = p.soonest(req, candidates)
 			choice = p.choice(req, best, "soonest")
 		}
 		if choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, req.TargetLatency, spread); choice.Refused {
@@ -341,6 +366,9 @@
 		choice.waiter = best.stats.addWaiter(choice.ExpectedPrefill, req.Priority, now)
 		p.recordPlacement(req, best, now)
 	}
+	if p.speeds != nil {
+		choice.send = newSend(req, choice, best, now)
+	}
 	if best.stats.inFlight.Add(1) == 1 {
 		best.stats.lastActivity.Store(now.UnixNano())
 	}
@@ -354,7 +382,7 @@
 	for _, part := range req.SharedParts {
 		p.cache.add(part.PrefixHash, c.replica.ID, now)
 	}
-	c.stats.addBacklog(tokens, now, p.settings.PrefillRate)
+	c.stats.addBacklog(tokens, now, p.rate(c))
 	if tokens >= p.settings.AnnounceMinTokens && p.announce != nil {
 		a := Announcement{ReplicaID: c.replica.ID, PrefillTokens: tokens}
 		if n := len(req.SharedParts); n > 0 {
@@ -368,7 +396,7 @@
 func (p *Placer) HandleAnnouncement(a Announcement, now time.Time) {
 	for k, s := range *p.byIncarnation.Load() {
 		if k.ID == a.ReplicaID {
-			s.addBacklog(max(a.PrefillTokens, 0), now, p.settings.PrefillRate)
+			s.addBacklog(max(a.PrefillTokens, 0), now, p.rateOf(s, now))
 			if a.PrefixHash != 0 {
 				p.cache.add(a.PrefixHash, a.ReplicaID, now)
 			}
@@ -384,6 +412,8 @@
 	backlogTokens float64
 	overdue       time.Duration
 	cachedTokens  int
+	estimate      replicaspeed.Estimate // zero without WithSpeeds
+	queuedTokens  float64               // of the backlog, without what overdue adds to it; 0 without WithSpeeds
 }
 
 // unavailability is the shortest time until a replica takes another request, and
@@ -557,6 +587,7 @@
 func (p *Placer) RecordActivity(c Choice, now time.Time) {
 	if c.stats != nil {
 		c.stats.lastActivity.Store(now.UnixNano())
+		c.send.recordEvent(c.stats, now)
 	}
 }
 
@@ -576,6 +607,7 @@
 	}
 	c.stats.inFlight.Add(-1)
 	c.stats.removeWaiter(c.waiter)
+	c.send.recordEnd(c.stats, o, now)
 	c.stats.recordOutcome(o, now, p.settings)
 }
 
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -53,11 +53,12 @@
 // choice returns the choice of a candidate, with the wait and the prefill time
 // expected there.
 func (p *Placer) choice(req Request, c candidate, reason string) Choice {
+	rate := p.rate(c)
 	seconds := func(tokens float64) time.Duration {
-		return time.Duration(tokens / p.settings.PrefillRate * float64(time.Second))
+		return time.Duration(tokens / rate * float64(time.Second))
 	}
 	return Choice{Replica: c.replica, Reason: reason, InFlight: int(c.load), BacklogTokens: int(c.backlogTokens), CachedTokens: c.cachedTokens,
-		ExpectedWait: seconds(c.backlogTokens), ExpectedPrefill: seconds(float64(max(req.promptTokens()-c.cachedTokens, 0))), stats: c.stats}
+		ExpectedWait: seconds(c.backlogTokens), ExpectedPrefill: c.estimate.Base + seconds(float64(max(req.promptTokens()-c.cachedTokens, 0))), Speed: c.estimate.Speed, stats: c.stats}
 }
 
 // hasPrompt reports whether the request has a prompt to prefill.
@@ -73,16 +74,19 @@
 }
 
 // soonest returns the replica that is expected to finish the prefill first, by
-// the estimates that leastWaiting has filled in.
-func soonest(req Request, list []candidate) candidate {
-	remaining := func(c candidate) float64 { return c.backlogTokens + float64(req.promptTokens()-c.cachedTokens) }
+// the estimates that leastWaiting or leastExpected has filled in.
+func (p *Placer) soonest(req Request, list []candidate) candidate {
+	remaining := func(c candidate) float64 {
+		return (c.backlogTokens + float64(req.promptTokens()-c.cachedTokens)) / p.rate(c)
+	}
 	return slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(remaining(a), remaining(b)) })
 }
 
 // RecordFirstEvent notes the first event of a request's response.
-func (p *Placer) RecordFirstEvent(c Choice) {
+func (p *Placer) RecordFirstEvent(c Choice, now time.Time) {
 	if c.stats != nil {
 		c.stats.removeWaiter(c.waiter)
+		c.send.recordFirstEvent(c.stats, now)
 	}
 }
 
