--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -238,6 +238,7 @@
 	limits          *replicalimit.Limits
 	notices         *replicanotice.Notices
 	pool            *upstream.Pool
+	speeds          *speedExchange // nil unless the speeds of replicas are estimated
 	stopping        atomic.Bool
 
 	ignoredEntries    *metrics.Counter
@@ -250,8 +251,8 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, speeds *speedExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, speeds: speeds, pool: pool,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
@@ -490,6 +491,7 @@
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), min(closeTimeout, d.clock.Until(schedule.exit)))
 	defer cancelClose()
 	d.crashes.Close()
+	d.speeds.Close()
 	d.mesh.Repay(closeCtx)
 	d.quotaSyncers.Close(closeCtx)
 	d.quarantine.Close(closeCtx)
--- a/mesh/datagrams.go
+++ b/mesh/datagrams.go
@@ -12,6 +12,7 @@
 	"briarreach/quota"
 	"briarreach/replicalimit"
 	"briarreach/replicanotice"
+	"briarreach/replicaspeed"
 )
 
 const (
@@ -27,7 +28,8 @@
 )
 
 // datagram is a message to all peers: a placement, evidence about prompt parts that
-// crash replicas, the limit of a replica, a holder's grants, or a replica that leaves.
+// crash replicas, the limit of a replica, a holder's grants, a replica that leaves, or
+// what a gateway has seen of the speeds of replicas.
 // Earlier versions know the fields of a placement only.
 type datagram struct {
 	placement.Announcement
@@ -36,6 +38,7 @@
 	Limit   *replicalimit.Notice   `cbor:"6,keyasint,omitempty"`
 	Grants  *quota.GrantNotice     `cbor:"7,keyasint,omitempty"`
 	Leaving *replicanotice.Leaving `cbor:"8,keyasint,omitempty"`
+	Speeds  *replicaspeed.Message  `cbor:"9,keyasint,omitempty"`
 }
 
 // evidence returns the evidence in a datagram, or nil for another message.
@@ -93,6 +96,17 @@
 // if the queue is full, the notice is dropped.
 func (m *Mesh) BroadcastLeaving(l replicanotice.Leaving) { m.broadcast(datagram{Leaving: &l}) }
 
+// OnSpeeds sets the handler of what other gateways have seen of the speeds of replicas.
+func (m *Mesh) OnSpeeds(f func(replicaspeed.Message)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onSpeeds = f
+}
+
+// BroadcastSpeeds sends what this gateway has seen of the speeds of replicas to the
+// others. It never blocks: if the queue is full, the message is dropped.
+func (m *Mesh) BroadcastSpeeds(s replicaspeed.Message) { m.broadcast(datagram{Speeds: &s}) }
+
 // BroadcastLimit sends a replica's limit to the other gateways. It never blocks: if
 // the queue is full, the limit is dropped.
 func (m *Mesh) BroadcastLimit(n replicalimit.Notice) { m.broadcast(datagram{Limit: &n}) }
@@ -210,7 +224,7 @@
 			continue
 		}
 		m.mu.Lock()
-		onPlacement, onEvidence, onLimit, onGrants, onLeaving := m.onPlacement, m.onEvidence, m.onLimit, m.onGrants, m.onLeaving
+		onPlacement, onEvidence, onLimit, onGrants, onLeaving, onSpeeds := m.onPlacement, m.onEvidence, m.onLimit, m.onGrants, m.onLeaving, m.onSpeeds
 		m.mu.Unlock()
 		if e := d.evidence(); e != nil {
 			onEvidence(e)
@@ -220,6 +234,8 @@
 			onGrants(*d.Grants)
 		} else if d.Leaving != nil {
 			onLeaving(*d.Leaving)
+		} else if d.Speeds != nil {
+			onSpeeds(*d.Speeds)
 		} else {
 			onPlacement(d.Announcement)
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,6 +40,7 @@
 	"briarreach/quota"
 	"briarreach/replicalimit"
 	"briarreach/replicanotice"
+	"briarreach/replicaspeed"
 )
 
 // loanRequest asks a peer to lend tokens of a workspace's quota.
@@ -132,6 +133,7 @@
 	onLimit     func(replicalimit.Notice)
 	onGrants    func(quota.GrantNotice)
 	onLeaving   func(replicanotice.Leaving)
+	onSpeeds    func(replicaspeed.Message)
 	datagrams   chan datagram
 }
 
@@ -163,7 +165,7 @@
 // New listens for peers and publishes the address through allocators.
 func New(listen netip.AddrPort, allocators QuotaAllocators, opts ...Option) (*Mesh, error) {
 	m := &Mesh{allocators: allocators, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
-		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, onLimit: func(replicalimit.Notice) {}, onGrants: func(quota.GrantNotice) {}, onLeaving: func(replicanotice.Leaving) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
+		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, onLimit: func(replicalimit.Notice) {}, onGrants: func(quota.GrantNotice) {}, onLeaving: func(replicanotice.Leaving) {}, onSpeeds: func(replicaspeed.Message) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
 	WithMetrics(metrics.NewSet())(m)
 	for _, opt := range opts {
 		opt(m)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -15,6 +15,7 @@
 	"briarreach/quotastore"
 	"briarreach/replica"
 	"briarreach/replicalimit"
+	"briarreach/replicaspeed"
 	"briarreach/rowstore"
 )
 
@@ -151,6 +152,25 @@
 	})
 })
 
+// Guards against a gateway that finds a slow replica by its own late requests only.
+var _ = Describe("the speeds of replicas", func() {
+	It("reach the other gateways as they were sent", func() {
+		a, b := startPair()
+		received := make(chan replicaspeed.Message, 100)
+		b.mesh.OnSpeeds(func(m replicaspeed.Message) { received <- m })
+		sent := replicaspeed.Message{Entries: []replicaspeed.Entry{{Key: 1 << 63, Samples: 1.5, Tokens: 4000, Seconds: 0.25}, {Key: 2, Seconds: 1}}}
+		Eventually(func() replicaspeed.Message {
+			a.mesh.BroadcastSpeeds(sent)
+			select {
+			case got := <-received:
+				return got
+			case <-time.After(20 * time.Millisecond):
+				return replicaspeed.Message{}
+			}
+		}, "3s").Should(Equal(sent))
+	})
+})
+
 // Guards against grants that nobody else knows: drawn before another gateway was
 // connected, and lost by a store that is restored from a copy.
 var _ = Describe("grants of a gateway", func() {
--- a/replicaspeed/replicaspeed.go
+++ b/replicaspeed/replicaspeed.go
@@ -19,7 +19,10 @@
 package replicaspeed
 
 import (
+	"maps"
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -333,6 +336,25 @@
 	return e
 }
 
+// Named is the estimate of the replica of an ID.
+type Named struct {
+	ID string
+	Estimate
+}
+
+// All returns the estimates of all replicas, ordered by ID.
+func (s *Speeds) All(now time.Time) []Named {
+	s.mu.Lock()
+	list := slices.Collect(maps.Values(s.replicas))
+	s.mu.Unlock()
+	all := make([]Named, len(list))
+	for i, r := range list {
+		all[i] = Named{ID: r.id, Estimate: r.Estimate(now)}
+	}
+	slices.SortFunc(all, func(a, b Named) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
 // slowness returns the lasting and the present factor of the replica's times against
 // the line. The caller holds the lock.
 func (r *Replica) slowness() (lasting, present float64) {
