--- a/placement/speed.go
+++ b/placement/speed.go
@@ -26,9 +26,11 @@
 func WithSpeeds(s Speeds) Option { return func(p *Placer) { p.speeds = s } }
 
 const (
-	// equalTimes is the factor within which expected times count as equal: the
-	// estimates are no more exact, and all processes would choose the same replica.
+	// Expected times count as equal within the factor equalTimes, and within the part
+	// equalShare of the target latency: the estimates are no more exact, callers don't
+	// notice the difference, and all processes would choose the same replica.
 	equalTimes = 1.1
+	equalShare = 0.1
 	// fasterReplicas is the factor above the least expected time of a request without
 	// a prompt up to which replicas are chosen by their load alone.
 	fasterReplicas = 1.5
@@ -67,9 +69,8 @@
 // the least expected time to the first event among those whose load is within their
 // share by speed and whose pauses between events the request allows. As in
 // leastWaiting, shared tokens that are not cached count CacheMissWeight times. The
-// home of the shared parts is chosen by weighted rendezvous hashing: weights are the
-// squares of coarse speeds, as a prompt that is cached on a slow replica moves to a
-// faster one when there is a queue, and is read there again.
+// home of the shared parts is chosen by weighted rendezvous hashing, with coarse
+// speeds as weights.
 func (p *Placer) leastExpected(req Request, list []candidate, now time.Time, rnd *rand.Rand) (candidate, string) {
 	total, speeds := 1.0, 0.0
 	shared := req.promptTokens() - req.UniqueTokens
@@ -125,8 +126,9 @@
 		}), "all_over_bound"
 	}
 	best := -1
+	least = max(least*equalTimes, least+equalShare*req.TargetLatency.Seconds())
 	for i := range list {
-		if costs[i] <= least*equalTimes && (best < 0 || scores[i] > scores[best]) {
+		if costs[i] <= least && (best < 0 || scores[i] > scores[best]) {
 			best = i
 		}
 	}
@@ -147,11 +149,11 @@
 }
 
 // homeScore returns the score of a replica in weighted rendezvous hashing: the
-// replica with the highest one is the home, with a probability in proportion to the
-// square of its speed.
+// replica with the highest one is the home, with a probability in proportion to its
+// speed.
 func homeScore(hash uint64, speed float64) float64 {
 	u := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -speed * speed / math.Log(u)
+	return -speed / math.Log(u)
 }
 
 // leastExpectedLoad returns the replica for a request without a prompt: among those
--- a/replicaspeed/replicaspeed.go
+++ b/replicaspeed/replicaspeed.go
@@ -44,7 +44,7 @@
 // second show two thirds of a change to a fifth of the speed within 2 s, and a slow
 // moment of 0.6 s at 1/2.5 of the speed lowers the estimate to no less than 0.6.
 func Defaults() Settings {
-	return Settings{Memory: 30 * time.Second, Reaction: time.Second, PriorRate: 35_000, PriorBase: 10 * time.Millisecond, PriorSamples: 4, LastingSpeed: 2}
+	return Settings{Memory: 30 * time.Second, Reaction: time.Second, PriorRate: 35_000, PriorBase: 10 * time.Millisecond, PriorSamples: 4, LastingSpeed: 1}
 }
 
 const (
@@ -54,6 +54,10 @@
 	// maxRatio bounds a single sample: its time is at most this multiple of the
 	// expected one, and at least this part.
 	maxRatio = 10
+	// lastingRatio bounds what a sample adds to the lasting speed, as a multiple of the
+	// time expected by that. A replica that is several times slower for some seconds, or
+	// hangs, is soon the home of as many prompts as before.
+	lastingRatio = 2
 	// maxTook bounds what counts as a sample at all.
 	maxTook = time.Hour
 	// maxBase bounds the time to the first event that does not depend on tokens.
@@ -70,7 +74,7 @@
 	estimateAge = 100 * time.Millisecond
 	// homeStep is the factor between two coarse speeds. A coarse speed changes when
 	// the estimate is homeMargin steps away, so that it does not alternate.
-	homeStep, homeMargin = math.Sqrt2, 0.75
+	homeStep, homeMargin = 1.2, 0.75
 	// pauseMemory is the number of pauses between events that an estimate of them
 	// covers, and pauseDeviations how many mean deviations the longest expected one
 	// is above the mean, as in TCP's retransmission timeout (RFC 6298).
@@ -289,8 +293,10 @@
 // add takes sums of this or another process. The caller holds the lock.
 func (r *Replica) add(one sums, now time.Time) {
 	r.fade(now)
-	r.lasting.add(one)
 	r.present.add(one)
+	lasting, _ := r.slowness()
+	one.seconds = min(one.seconds, lastingRatio*lasting*r.line.expected(one))
+	r.lasting.add(one)
 	r.cached.Store(nil)
 }
 
