Upstream: ask whether a request may still be sent

A request is chosen before its connection is established, which may take as long as the dial timeout. The pool now asks when the connection is there and before the first byte. If the request may no longer be sent, the error says so, and the connection is kept.

The spec "carry nothing of a request that may no longer be sent" fails without the question.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -48,8 +48,17 @@
 	RequestTarget string // as in the request line
 	Header        []HeaderField
 	Body          []byte
+	// Allowed reports whether the request may still be sent. It is called when a
+	// connection is available, before the first byte. Nil allows it.
+	Allowed func() bool
 }
 
+// DisallowedError is the cause of a NotSentError for a request that may no longer be
+// sent.
+type DisallowedError struct{}
+
+func (*DisallowedError) Error() string { return "request may no longer be sent" }
+
 // HeaderField is a header field.
 type HeaderField struct{ Name, Value string }
 
@@ -152,6 +161,10 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
+	if r.Allowed != nil && !r.Allowed() {
+		p.putIdle(c)
+		return nil, &NotSentError{Err: &DisallowedError{}}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := c.write(r)
 	res, err := c.read(r.Method, ownerOf)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -130,6 +130,24 @@
 		Consistently(openKept.Load, "50ms").Should(BeEquivalentTo(1))
 	})
 
+	// Guards against bytes of a request that is no longer allowed when its connection is
+	// established.
+	It("carry nothing of a request that may no longer be sent, and are kept", func() {
+		p := upstream.New()
+		DeferCleanup(p.Close)
+		address, open := newServer()
+		disallowed := request
+		disallowed.Allowed = func() bool { return false }
+		for range 2 {
+			_, err := p.Do(context.Background(), address, disallowed, ownResponse)
+			var notSent *upstream.NotSentError
+			Expect(errors.As(err, &notSent)).To(BeTrue())
+			Expect(err).To(MatchError(&upstream.DisallowedError{}))
+		}
+		end(begin(p, address))
+		Eventually(open.Load, "2s", "5ms").Should(BeEquivalentTo(1))
+	})
+
 	It("are bounded over all addresses", func() {
 		p := upstream.New(upstream.WithMaxIdleConnections(3))
 		DeferCleanup(p.Close)
