Evacuation: send nothing to failure domains that the operator evacuates

The row op/evacuate/ZONE orders to send nothing more to the replicas of a failure domain; gateways ignored it. The order now filters the candidates of each send, retries and resumed streams included, and a request that was chosen before the order is asked about again when its connection is there. Only the row's key matters. A listing begins and ends orders, except one of a restored store, which may lack an order. Orders take effect before the configuration of the same batch, so that a gateway that starts during an evacuation serves nothing without them. Evacuated replicas are not ejected and keep their statistics.

The switch is replicas.follow_evacuations in the tuning file.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,16 +30,19 @@
 	RouteTable       *route.Table // nil before the first configuration
 	Replicas         *replica.Set
 	WithheldVersions map[string]string // by service, the replica version that gets no requests
+	EvacuatedDomains map[string]bool   // failure domains whose replicas get no requests
 }
 
 // candidates returns the replicas of a service that may get requests.
 func (s Snapshot) candidates(service string) []replica.Replica {
 	list := s.Replicas.ForService(service)
-	version, ok := s.WithheldVersions[service]
-	if !ok {
+	version, withheld := s.WithheldVersions[service]
+	if !withheld && len(s.EvacuatedDomains) == 0 {
 		return list
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(r replica.Replica) bool { return r.Version == version })
+	return slices.DeleteFunc(slices.Clone(list), func(r replica.Replica) bool {
+		return withheld && r.Version == version || s.EvacuatedDomains[r.FailureDomain]
+	})
 }
 
 // Quota admits model requests by their workspace's token quota.
--- a/gateway/platform_limits.go
+++ b/gateway/platform_limits.go
@@ -10,5 +10,6 @@
 	AddressReuseDelay  time.Duration // from the end of a replica to the reuse of its address
 	RetriesPerRequest  float64       // over RetryWindow
 	RetryWindow        time.Duration
-	ExtraRetries       float64 // retries beyond RetriesPerRequest in one window, of all processes together
+	ExtraRetries       float64       // retries beyond RetriesPerRequest in one window, of all processes together
+	EvacuationTimeout  time.Duration // within which nothing more reaches the replicas of an evacuated failure domain
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -125,6 +125,9 @@
 	Priority     int           // 0 is the most urgent, 9 the least
 	Timeout      time.Duration // time left for the replica to respond
 	AfterEventID string        // event after which the replica resumes the stream; "" starts it
+	// Allowed reports whether the request may still be sent. The sender asks when it has
+	// a connection, before the first byte.
+	Allowed func() bool
 }
 
 // Response is a replica's response to one send. Body must be closed.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -39,6 +39,7 @@
 	sendOverloaded   = "overloaded"    // not sent, because the expected wait, logged as ms, was too long
 	sendLimited      = "limited"       // not sent, because no replica takes one before the wait logged as ms
 	sendPaused       = "paused"        // not sent, because the replicas pause for the time logged as ms
+	sendEvacuated    = "evacuated"     // not sent, because the replica's failure domain was evacuated after it was chosen
 	sendCanceled     = "canceled"      // the caller disconnected, or the deadline passed, before it was sent
 	sendSilent       = "silent"
 	sendBroken       = "broken"
@@ -48,7 +49,7 @@
 // possiblyExecuted reports whether the replica may have executed the request.
 func (s sendRecord) possiblyExecuted() bool {
 	switch s.Outcome {
-	case sendRefused, sendWrongReplica, sendNotSent, sendCanceled, sendOverloaded, sendLimited, sendPaused:
+	case sendRefused, sendWrongReplica, sendNotSent, sendCanceled, sendOverloaded, sendLimited, sendPaused, sendEvacuated:
 		return false
 	default:
 		return true
@@ -134,7 +135,8 @@
 		a.silenceTimer = g.clock.AfterFunc(a.silenceTimeout, func() { a.checkSilence() })
 	}
 	res, err := g.sender.Send(a.ctx, SendRequest{Request: e.request, Replica: choice.Replica, Workspace: e.workspace,
-		Priority: e.priority, Timeout: remaining, AfterEventID: afterEventID})
+		Priority: e.priority, Timeout: remaining, AfterEventID: afterEventID,
+		Allowed: func() bool { return !g.Snapshot().EvacuatedDomains[choice.Replica.FailureDomain] }})
 	if err != nil {
 		return nil, nil, e.failSend(ctx, a, err)
 	}
@@ -210,6 +212,11 @@
 // failSend ends a send that got no complete response, and classifies the
 // failure.
 func (e *exchange) failSend(ctx context.Context, a *activeSend, err error) *failure {
+	var disallowed *upstream.DisallowedError
+	if errors.As(err, &disallowed) && ctx.Err() == nil {
+		a.end(placement.Canceled, sendEvacuated)
+		return &failure{refusal: &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: noReplicaRetryAfter}}
+	}
 	e.gateway.sender.CloseIdleConnections(a.choice.Replica)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -217,6 +217,7 @@
 // Daemon is a running gateway with its servers and watchers.
 type Daemon struct {
 	settings        *platform.Settings
+	tuning          ReplicaTuning
 	clock           clockwork.Clock
 	log             log.Interface
 	gateway         *gateway.Gateway
@@ -246,7 +247,7 @@
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
 	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
+	d := &Daemon{settings: s, tuning: t.Replicas, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
@@ -280,6 +281,7 @@
 }
 
 func (d *Daemon) applyConfigEvents(b feed.Batch[platform.OperatorEvent]) {
+	d.applyEvacuations(b)
 	ordered := make(map[string]bool) // services with a move
 	for _, event := range b.Events {
 		switch event := event.(type) {
@@ -325,6 +327,59 @@
 	}
 }
 
+// applyEvacuations follows the orders to evacuate failure domains. It comes before
+// the configuration, without which a gateway that starts serves nothing.
+func (d *Daemon) applyEvacuations(b feed.Batch[platform.OperatorEvent]) {
+	if !d.tuning.FollowEvacuations {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.gateway.Snapshot().EvacuatedDomains
+	evacuated := make(map[string]bool)
+	// A copy may lack an order that the operator is about to write again.
+	if !b.Complete || b.Restored {
+		maps.Copy(evacuated, old)
+	}
+	for _, event := range b.Events {
+		switch event := event.(type) {
+		case platform.EvacuationOrdered:
+			evacuated[event.FailureDomain] = true
+		case platform.EvacuationEnded:
+			delete(evacuated, event.FailureDomain)
+		}
+	}
+	if maps.Equal(old, evacuated) {
+		return
+	}
+	d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot {
+		snapshot.EvacuatedDomains = evacuated
+		return snapshot
+	})
+	for domain := range evacuated {
+		if !old[domain] {
+			d.log.WithFields(log.Fields{"failure_domain": domain, "replicas": d.evacuatedCount(), "within_ms": d.settings.Limits.EvacuationTimeout.Milliseconds()}).Warn("failure domain evacuated")
+		}
+	}
+	for domain := range old {
+		if !evacuated[domain] {
+			d.log.WithField("failure_domain", domain).Info("evacuation ended")
+		}
+	}
+}
+
+// evacuatedCount returns the number of replicas in evacuated failure domains.
+func (d *Daemon) evacuatedCount() int {
+	snapshot := d.gateway.Snapshot()
+	n := 0
+	for _, r := range snapshot.Replicas.All() {
+		if snapshot.EvacuatedDomains[r.FailureDomain] {
+			n++
+		}
+	}
+	return n
+}
+
 // setWithheldVersion excludes the replicas of one version of a service from
 // requests. An empty version ends the exclusion.
 func (d *Daemon) setWithheldVersion(service, version string) {
--- a/gatewaydaemon/gauges.go
+++ b/gatewaydaemon/gauges.go
@@ -56,6 +56,7 @@
 		}
 		return float64(n)
 	})
+	set.NewGauge(`briarreach_replicas{state="evacuated"}`, func() float64 { return float64(d.evacuatedCount()) })
 	usage := func(part func(retrybudget.Usage) float64) func() float64 {
 		return func() float64 {
 			sum := 0.0
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -23,11 +23,18 @@
 	Placement  placement.Settings
 	Quota      quota.Settings
 	Quarantine quarantine.Settings
+	Replicas   ReplicaTuning
+}
+
+// ReplicaTuning switches how the gateway treats the replicas.
+type ReplicaTuning struct {
+	FollowEvacuations bool // whether nothing is sent to the replicas of evacuated failure domains
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults()}
+	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults(),
+		Replicas: ReplicaTuning{FollowEvacuations: true}}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -59,6 +66,9 @@
 		SoundAfter         *settings.Duration `toml:"sound_after"`
 		Duration           *settings.Duration `toml:"duration"`
 	} `toml:"quarantine"`
+	Replicas struct {
+		FollowEvacuations *bool `toml:"follow_evacuations"`
+	} `toml:"replicas"`
 }
 
 // TuningError reports a key of the tuning file whose value is out of range.
@@ -106,6 +116,9 @@
 	c.duration("quarantine.request_coincidence", f.Quarantine.RequestCoincidence, &t.Quarantine.RequestCoincidence)
 	c.duration("quarantine.sound_after", f.Quarantine.SoundAfter, &t.Quarantine.SoundAfter)
 	c.duration("quarantine.duration", f.Quarantine.Duration, &t.Quarantine.Duration)
+	if f.Replicas.FollowEvacuations != nil {
+		t.Replicas.FollowEvacuations = *f.Replicas.FollowEvacuations
+	}
 	return t, c.err
 }
 
--- a/gatewaydaemon/tuning_test.go
+++ b/gatewaydaemon/tuning_test.go
@@ -31,6 +31,13 @@
 		Expect(t.Quota).To(Equal(gatewaydaemon.DefaultTuning().Quota))
 	})
 
+	It("switches mechanisms off", func() {
+		t, err := load("[replicas]\nfollow_evacuations = false\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Replicas).To(Equal(gatewaydaemon.ReplicaTuning{}))
+		Expect(gatewaydaemon.DefaultTuning().Replicas).To(Equal(gatewaydaemon.ReplicaTuning{FollowEvacuations: true}))
+	})
+
 	It("of the deployment is valid", func() {
 		_, err := gatewaydaemon.LoadTuning("../deploy/gateway.toml")
 		Expect(err).NotTo(HaveOccurred())
