Cold replicas: pace what all gateways send to a replica that is cold

A replica that starts during traffic is idle, so that every gateway would choose it for its next request, and crashes well above cold_per_s requests per second. Gateways read neither that rate nor cold_remaining_ms.

The package coldreplica decides which replicas are cold by their registry entries: from when an entry was read, and for cold_start_s if the replica came during traffic and its entry has not been written again. The rate is divided by replicalimit among so many gateways that the requests that they have saved up stay within half of what the bound leaves beside the rate. Sharers are chosen among the gateways whose row is at most ten minutes old, as one that is cut off still sends. A gateway takes a 64th until it knows the others and they had the time to read its row. What exceeds the pace goes to the other replicas, or is refused as not run with a Retry-After.

The switch is replicas.pace_cold in the tuning file.

--- a/gateway/platform_limits.go
+++ b/gateway/platform_limits.go
@@ -12,4 +12,6 @@
 	RetryWindow        time.Duration
 	ExtraRetries       float64       // retries beyond RetriesPerRequest in one window, of all processes together
 	EvacuationTimeout  time.Duration // within which nothing more reaches the replicas of an evacuated failure domain
+	ColdOvershoot      float64       // a cold replica gets no more than this multiple of what it takes per second,
+	ColdSlack          float64       // and so many requests more, in any second and from all processes together
 }
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -89,6 +89,7 @@
 		newQuotaSyncers,
 		newLimits,
 		newLimitExchange,
+		newColdPace,
 		newNotices,
 		newNoticeExchange,
 		newPlacer,
@@ -154,17 +155,18 @@
 }
 
 func newQuotaSyncers(allocators quotastore.Allocators, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
-	retries *retrybudget.Budget, limits *limitExchange, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
+	retries *retrybudget.Budget, limits *limitExchange, cold *coldPace, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
 	peers.OnGrants(allocators.HandleNotice)
 	return quotastore.NewSyncers(allocators, store, t.Quota, quotastore.WithClock(clock), quotastore.WithLog(l),
 		quotastore.WithMetrics(set), quotastore.WithBorrowing(peers.Borrow), quotastore.WithGrantBroadcast(peers.BroadcastGrants), quotastore.WithStepHook(func() {
 			retries.SetProcessCount(allocators.HolderCount())
 			limits.updateProcesses(allocators)
+			cold.updateProcesses(allocators)
 		}))
 }
 
-func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, notices *replicanotice.Notices, clock clockwork.Clock) *placement.Placer {
-	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, placement.WithLimiter(limits), placement.WithNotices(notices))
+func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, cold *coldPace, notices *replicanotice.Notices, clock clockwork.Clock) *placement.Placer {
+	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, placement.WithLimiter(limiters{limits, cold.limits}), placement.WithNotices(notices))
 	peers.OnPlacement(func(p placement.Announcement) { placer.HandleAnnouncement(p, clock.Now()) })
 	return placer
 }
@@ -232,6 +234,7 @@
 	crashes         *crash.Detector
 	quarantine      *quarantinestore.Keeper
 	limits          *replicalimit.Limits
+	cold            *coldPace
 	notices         *replicanotice.Notices
 	pool            *upstream.Pool
 	stopping        atomic.Bool
@@ -246,8 +249,8 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
-	d := &Daemon{settings: s, tuning: t.Replicas, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, cold *coldPace, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
+	d := &Daemon{settings: s, tuning: t.Replicas, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, cold: cold, notices: notices, pool: pool,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
@@ -295,6 +298,7 @@
 			// No request may be served by routes whose quotas are not in force.
 			d.quotaAllocators.SetLimits(table.Version(), limits)
 			d.mu.Lock()
+			d.cold.update(d.gateway.Snapshot().Replicas.All(), table, d.clock.Now())
 			d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot { snapshot.RouteTable = table; return snapshot })
 			d.mu.Unlock()
 			d.quotaSyncers.Wake()
@@ -422,6 +426,7 @@
 	default:
 		d.directory.Apply(b.Events, b.Version, now)
 	}
+	d.cold.apply(b, now)
 	for _, event := range b.Events {
 		if e, ok := event.(replica.Unreadable); ok {
 			d.ignoredEntries.Inc()
@@ -438,6 +443,7 @@
 func (d *Daemon) publishReplicas(now time.Time) {
 	set := d.directory.Snapshot(now)
 	all := set.All()
+	d.cold.update(all, d.gateway.Snapshot().RouteTable, now)
 	d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot { snapshot.Replicas = set; return snapshot })
 	d.placer.SetReplicas(all)
 	d.limits.DropOld(now)
--- a/gatewaydaemon/gauges.go
+++ b/gatewaydaemon/gauges.go
@@ -56,6 +56,12 @@
 		}
 		return float64(n)
 	})
+	set.NewGauge(`briarreach_replicas{state="cold"}`, func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		snapshot := d.gateway.Snapshot()
+		return float64(d.cold.count(snapshot.Replicas.All(), snapshot.RouteTable, d.clock.Now()))
+	})
 	set.NewGauge(`briarreach_replicas{state="evacuated"}`, func() float64 { return float64(d.evacuatedCount()) })
 	usage := func(part func(retrybudget.Usage) float64) func() float64 {
 		return func() float64 {
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -29,12 +29,13 @@
 // ReplicaTuning switches how the gateway treats the replicas.
 type ReplicaTuning struct {
 	FollowEvacuations bool // whether nothing is sent to the replicas of evacuated failure domains
+	PaceCold          bool // whether the requests to cold replicas are paced
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
 	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults(),
-		Replicas: ReplicaTuning{FollowEvacuations: true}}
+		Replicas: ReplicaTuning{FollowEvacuations: true, PaceCold: true}}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -68,6 +69,7 @@
 	} `toml:"quarantine"`
 	Replicas struct {
 		FollowEvacuations *bool `toml:"follow_evacuations"`
+		PaceCold          *bool `toml:"pace_cold"`
 	} `toml:"replicas"`
 }
 
@@ -119,6 +121,9 @@
 	if f.Replicas.FollowEvacuations != nil {
 		t.Replicas.FollowEvacuations = *f.Replicas.FollowEvacuations
 	}
+	if f.Replicas.PaceCold != nil {
+		t.Replicas.PaceCold = *f.Replicas.PaceCold
+	}
 	return t, c.err
 }
 
--- a/gatewaydaemon/tuning_test.go
+++ b/gatewaydaemon/tuning_test.go
@@ -32,10 +32,10 @@
 	})
 
 	It("switches mechanisms off", func() {
-		t, err := load("[replicas]\nfollow_evacuations = false\n")
+		t, err := load("[replicas]\nfollow_evacuations = false\npace_cold = false\n")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(t.Replicas).To(Equal(gatewaydaemon.ReplicaTuning{}))
-		Expect(gatewaydaemon.DefaultTuning().Replicas).To(Equal(gatewaydaemon.ReplicaTuning{FollowEvacuations: true}))
+		Expect(gatewaydaemon.DefaultTuning().Replicas).To(Equal(gatewaydaemon.ReplicaTuning{FollowEvacuations: true, PaceCold: true}))
 	})
 
 	It("of the deployment is valid", func() {
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -59,6 +59,22 @@
 	return names, true
 }
 
+// RecentHolders returns the names of the other holders whose rows are not older than some
+// time, live or not. It returns false if the holders' rows have not been read yet.
+func (al *Allocator) RecentHolders(within time.Duration) (names []string, known bool) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	if !al.allRead {
+		return nil, false
+	}
+	for name, h := range al.holderRows {
+		if name != al.holder && al.storeTime-time.Duration(h.RecordedAtMS)*time.Millisecond < within {
+			names = append(names, name)
+		}
+	}
+	return names, true
+}
+
 // Lenders returns the live holders that are homes of a workspace or may have
 // tokens of it left, in a random order weighted by how many.
 func (al *Allocator) Lenders(workspace string, rnd *rand.Rand) []Peer {
--- a/quotastore/syncers.go
+++ b/quotastore/syncers.go
@@ -79,6 +79,12 @@
 // known yet.
 func (a Allocators) OtherHolders() (names []string, known bool) { return a[0].OtherHolders() }
 
+// RecentHolders returns the names of the other holders whose rows are not older than some
+// time, live or not, or false if they are not known yet.
+func (a Allocators) RecentHolders(within time.Duration) (names []string, known bool) {
+	return a[0].RecentHolders(within)
+}
+
 // Peers returns the other live holders that have published a fingerprint.
 func (a Allocators) Peers() []quota.Peer { return a[0].Peers() }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -48,7 +48,8 @@
 	Version       string
 	Slots         int
 	State         State
-	WarmupTime    time.Duration // how long the replica is slow after its start
+	WarmupTime    time.Duration // how long the replica was still cold when its entry was written
+	Sequence      int64         // rises as the replica writes its entry again
 	Started       time.Time     // distinguishes incarnations with the same ID
 }
 
--- a/replicalimit/replicalimit.go
+++ b/replicalimit/replicalimit.go
@@ -9,6 +9,11 @@
 // is bounded by the limit, as all of them may have saved up a request. Processes
 // tell each other of limits, so that those that send nothing learn of the end of
 // one. The spec "a replica that states a limit" replays it.
+//
+// The rates of replicas that are cold (package coldreplica) are divided in the same way,
+// by Limits of their own: SetRates replaces what replicas state there. Their bound holds
+// for processes that have just started, too. Until EndCaution, these take a share as if
+// there were many processes.
 package replicalimit
 
 import (
@@ -71,6 +76,7 @@
 	tokens    float64 // requests that may be sent at tokensAt, at most 1
 	tokensAt  time.Time
 	share     float64 // requests per second that this process may send
+	until     time.Time
 }
 
 func (k *limit) refill(now time.Time) {
@@ -90,13 +96,29 @@
 	others   []string
 	assumed  int // number of processes while the others are not known
 	known    bool
+	cautious bool // whether the share is at most that among the assumed number
+	sharers  func(perSecond float64) int
 	replicas map[replica.Incarnation]*limit
 }
 
+// Option changes a default of New.
+type Option func(*Limits)
+
+// WithSharers sets how many processes share a limit.
+func WithSharers(f func(perSecond float64) int) Option { return func(l *Limits) { l.sharers = f } }
+
+// WithCaution makes the process take at most a share among the assumed number of
+// processes until EndCaution, and save up nothing before a limit begins.
+func WithCaution() Option { return func(l *Limits) { l.cautious = true } }
+
 // New returns the limits of a process. Until SetProcesses is called, it shares
 // every limit with the assumed number of processes.
-func New(own string, assumedProcesses int, rnd *rand.Rand) *Limits {
-	l := &Limits{own: own, rand: rnd, assumed: max(assumedProcesses, 1), replicas: make(map[replica.Incarnation]*limit)}
+func New(own string, assumedProcesses int, rnd *rand.Rand, opts ...Option) *Limits {
+	l := &Limits{own: own, rand: rnd, assumed: max(assumedProcesses, 1), replicas: make(map[replica.Incarnation]*limit),
+		sharers: func(perSecond float64) int { return int(sharersPerRequest*perSecond) + minSharers }}
+	for _, opt := range opts {
+		opt(l)
+	}
 	l.unlimited.Store(true)
 	return l
 }
@@ -109,13 +131,64 @@
 	if l.known && slices.Equal(l.others, others) {
 		return
 	}
+	l.changeShares(now, func() { l.others, l.known = others, true })
+}
+
+// EndCaution ends what WithCaution began, when the other processes know this one.
+func (l *Limits) EndCaution(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cautious {
+		l.changeShares(now, func() { l.cautious = false })
+	}
+}
+
+// changeShares applies a change of what the shares depend on. mu must be held.
+func (l *Limits) changeShares(now time.Time, change func()) {
 	for _, known := range l.replicas {
 		known.refill(now)
 	}
-	l.others, l.known = others, true
+	change()
 	for r, known := range l.replicas {
-		known.share = l.share(r, known.perSecond)
+		if known.share = l.share(r, known.perSecond); known.share <= 0 {
+			known.tokens = min(known.tokens, 0) // another process has its share now
+		}
+	}
+}
+
+// Rate is the number of requests per second that a replica takes from all processes
+// together in a period, and none before it.
+type Rate struct {
+	PerSecond   float64
+	From, Until time.Time
+}
+
+// SetRates replaces all limits by the given ones. It returns those that have begun and
+// ended.
+func (l *Limits) SetRates(rates map[replica.Incarnation]Rate, now time.Time) (began, ended []replica.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for r := range l.replicas {
+		if _, ok := rates[r]; !ok {
+			l.remove(r)
+			ended = append(ended, r)
+		}
 	}
+	for r, rate := range rates {
+		_, limited := l.replicas[r]
+		known, _ := l.set(r, rate.PerSecond, now)
+		if known == nil {
+			continue
+		}
+		known.until = rate.Until
+		if !limited {
+			began = append(began, r)
+			if rate.From.After(now) {
+				known.tokens, known.tokensAt = 0, rate.From
+			}
+		}
+	}
+	return began, ended
 }
 
 // Record takes the limit of a response to a request that was sent at a time. It
@@ -173,7 +246,10 @@
 		}
 		// A random start keeps processes that learn of a limit at the same time from
 		// sending at the same time.
-		known = &limit{tokens: l.rand.Float64(), tokensAt: now}
+		known = &limit{tokensAt: now}
+		if !l.cautious {
+			known.tokens = l.rand.Float64()
+		}
 		l.replicas[r], changed = known, true
 		l.unlimited.Store(false)
 	}
@@ -181,7 +257,7 @@
 	if changed = changed || known.perSecond != perSecond; changed {
 		known.perSecond, known.share = perSecond, l.share(r, perSecond)
 	}
-	known.statedAt = now
+	known.statedAt, known.until = now, now.Add(limitTTL)
 	return known, changed
 }
 
@@ -196,9 +272,13 @@
 	if !l.known {
 		return perSecond / float64(l.assumed)
 	}
-	sharers := int(sharersPerRequest*perSecond) + minSharers
+	most := math.Inf(1)
+	if l.cautious {
+		most = perSecond / float64(l.assumed)
+	}
+	sharers := l.sharers(perSecond)
 	if len(l.others) < sharers {
-		return perSecond / float64(len(l.others)+1)
+		return min(perSecond/float64(len(l.others)+1), most)
 	}
 	own, ahead := weight(r.ID, l.own), 0
 	for _, name := range l.others {
@@ -209,7 +289,7 @@
 	if ahead >= sharers {
 		return 0
 	}
-	return perSecond / float64(sharers)
+	return min(perSecond/float64(sharers), most)
 }
 
 // weight is the rendezvous hash of a replica and a process.
@@ -233,7 +313,7 @@
 	if known == nil {
 		return 0, true
 	}
-	if now.Sub(known.statedAt) > limitTTL {
+	if now.After(known.until) {
 		l.remove(r)
 		return 0, true
 	}
@@ -242,11 +322,12 @@
 		return 0, true
 	}
 	seconds := (1 - known.tokens) / known.share
-	if known.share <= 0 {
+	if known.share <= 0 || l.cautious {
 		// The replica takes the next request from another process, which may be the
 		// one that the caller reaches when it returns.
 		seconds = 1 / max(known.perSecond, minPerSecond)
 	}
+	seconds += max(known.tokensAt.Sub(now), 0).Seconds() // until the limit's period begins
 	return min(time.Duration(seconds*float64(time.Second))+time.Millisecond, maxWait), false
 }
 
@@ -273,12 +354,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for r, known := range l.replicas {
-		if now.Sub(known.statedAt) > limitTTL {
+		if now.After(known.until) {
 			l.remove(r)
 		}
 	}
 }
 
+// Count returns the number of limited replicas.
+func (l *Limits) Count(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, known := range l.replicas {
+		if !now.After(known.until) {
+			n++
+		}
+	}
+	return n
+}
+
 // IsLimited reports whether a replica states a limit.
 func (l *Limits) IsLimited(r replica.Incarnation) bool {
 	l.mu.Lock()
--- a/route/route.go
+++ b/route/route.go
@@ -73,6 +73,8 @@
 	HealthCheckPath        string
 	ReplicaConnectionLimit int // of one replica, over all that connect to it
 	Engine                 *Engine
+	ColdStart              time.Duration // for how long a replica is cold after its start
+	ColdPerSecond          float64       // requests per second that a cold replica takes; 0 if there is no limit
 }
 
 // Engine describes the inference engine of a service's replicas.
