--- a/gateway/platform_limits.go
+++ b/gateway/platform_limits.go
@@ -10,5 +10,8 @@
 	AddressReuseDelay  time.Duration // from the end of a replica to the reuse of its address
 	RetriesPerRequest  float64       // over RetryWindow
 	RetryWindow        time.Duration
-	ExtraRetries       float64 // retries beyond RetriesPerRequest in one window, of all processes together
+	ExtraRetries       float64       // retries beyond RetriesPerRequest in one window, of all processes together
+	EvacuationTimeout  time.Duration // within which nothing more reaches the replicas of an evacuated failure domain
+	ColdOvershoot      float64       // a cold replica gets no more than this multiple of what it takes per second,
+	ColdSlack          float64       // and so many requests more, in any second and from all processes together
 }
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -90,6 +90,7 @@
 		newQuotaSyncers,
 		newLimits,
 		newLimitExchange,
+		newColdPace,
 		newNotices,
 		newNoticeExchange,
 		newSpeedExchange,
@@ -158,17 +159,18 @@
 }
 
 func newQuotaSyncers(allocators quotastore.Allocators, store rowstore.Store, clock clockwork.Clock, l log.Interface, set *metrics.Set,
-	retries *retrybudget.Budget, limits *limitExchange, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
+	retries *retrybudget.Budget, limits *limitExchange, cold *coldPace, peers *mesh.Mesh, t Tuning) *quotastore.Syncers {
 	peers.OnGrants(allocators.HandleNotice)
 	return quotastore.NewSyncers(allocators, store, t.Quota, quotastore.WithClock(clock), quotastore.WithLog(l),
 		quotastore.WithMetrics(set), quotastore.WithBorrowing(peers.Borrow), quotastore.WithGrantBroadcast(peers.BroadcastGrants), quotastore.WithStepHook(func() {
 			retries.SetProcessCount(allocators.HolderCount())
 			limits.updateProcesses(allocators)
+			cold.updateProcesses(allocators)
 		}))
 }
 
-func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, notices *replicanotice.Notices, speeds *speedExchange, clock clockwork.Clock) *placement.Placer {
-	opts := []placement.Option{placement.WithLimiter(limits), placement.WithNotices(notices)}
+func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, cold *coldPace, notices *replicanotice.Notices, speeds *speedExchange, clock clockwork.Clock) *placement.Placer {
+	opts := []placement.Option{placement.WithLimiter(limiters{limits, cold.limits}), placement.WithNotices(notices)}
 	if speeds != nil {
 		opts = append(opts, placement.WithSpeeds(speeds.speeds))
 	}
@@ -225,6 +227,7 @@
 // Daemon is a running gateway with its servers and watchers.
 type Daemon struct {
 	settings        *platform.Settings
+	tuning          ReplicaTuning
 	clock           clockwork.Clock
 	log             log.Interface
 	gateway         *gateway.Gateway
@@ -239,6 +242,7 @@
 	crashes         *crash.Detector
 	quarantine      *quarantinestore.Keeper
 	limits          *replicalimit.Limits
+	cold            *coldPace
 	notices         *replicanotice.Notices
 	pool            *upstream.Pool
 	overload        *overload.Monitor
@@ -256,8 +260,8 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, speeds *speedExchange, pool *upstream.Pool, fds descriptors, monitor *overload.Monitor, traffic *overload.Meter) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, speeds: speeds, pool: pool, overload: monitor,
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, cold *coldPace, notices *replicanotice.Notices, statedNotices *noticeExchange, speeds *speedExchange, pool *upstream.Pool, fds descriptors, monitor *overload.Monitor, traffic *overload.Meter) (*Daemon, error) {
+	d := &Daemon{settings: s, tuning: t.Replicas, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, cold: cold, notices: notices, speeds: speeds, pool: pool, overload: monitor,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithOverloaded(monitor.Overloaded), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
@@ -292,6 +296,7 @@
 }
 
 func (d *Daemon) applyConfigEvents(b feed.Batch[platform.OperatorEvent]) {
+	d.applyEvacuations(b)
 	ordered := make(map[string]bool) // services with a move
 	for _, event := range b.Events {
 		switch event := event.(type) {
@@ -305,6 +310,7 @@
 			// No request may be served by routes whose quotas are not in force.
 			d.quotaAllocators.SetLimits(table.Version(), limits)
 			d.mu.Lock()
+			d.cold.update(d.gateway.Snapshot().Replicas.All(), table, d.clock.Now())
 			d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot { snapshot.RouteTable = table; return snapshot })
 			d.mu.Unlock()
 			d.quotaSyncers.Wake()
@@ -337,6 +343,59 @@
 	}
 }
 
+// applyEvacuations follows the orders to evacuate failure domains. It comes before
+// the configuration, without which a gateway that starts serves nothing.
+func (d *Daemon) applyEvacuations(b feed.Batch[platform.OperatorEvent]) {
+	if !d.tuning.FollowEvacuations {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.gateway.Snapshot().EvacuatedDomains
+	evacuated := make(map[string]bool)
+	// A copy may lack an order that the operator is about to write again.
+	if !b.Complete || b.Restored {
+		maps.Copy(evacuated, old)
+	}
+	for _, event := range b.Events {
+		switch event := event.(type) {
+		case platform.EvacuationOrdered:
+			evacuated[event.FailureDomain] = true
+		case platform.EvacuationEnded:
+			delete(evacuated, event.FailureDomain)
+		}
+	}
+	if maps.Equal(old, evacuated) {
+		return
+	}
+	d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot {
+		snapshot.EvacuatedDomains = evacuated
+		return snapshot
+	})
+	for domain := range evacuated {
+		if !old[domain] {
+			d.log.WithFields(log.Fields{"failure_domain": domain, "replicas": d.evacuatedCount(), "within_ms": d.settings.Limits.EvacuationTimeout.Milliseconds()}).Warn("failure domain evacuated")
+		}
+	}
+	for domain := range old {
+		if !evacuated[domain] {
+			d.log.WithField("failure_domain", domain).Info("evacuation ended")
+		}
+	}
+}
+
+// evacuatedCount returns the number of replicas in evacuated failure domains.
+func (d *Daemon) evacuatedCount() int {
+	snapshot := d.gateway.Snapshot()
+	n := 0
+	for _, r := range snapshot.Replicas.All() {
+		if snapshot.EvacuatedDomains[r.FailureDomain] {
+			n++
+		}
+	}
+	return n
+}
+
 // setWithheldVersion excludes the replicas of one version of a service from
 // requests. An empty version ends the exclusion.
 func (d *Daemon) setWithheldVersion(service, version string) {
@@ -379,6 +438,7 @@
 	default:
 		d.directory.Apply(b.Events, b.Version, now)
 	}
+	d.cold.apply(b, now)
 	for _, event := range b.Events {
 		if e, ok := event.(replica.Unreadable); ok {
 			d.ignoredEntries.Inc()
@@ -395,6 +455,7 @@
 func (d *Daemon) publishReplicas(now time.Time) {
 	set := d.directory.Snapshot(now)
 	all := set.All()
+	d.cold.update(all, d.gateway.Snapshot().RouteTable, now)
 	d.gateway.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot { snapshot.Replicas = set; return snapshot })
 	d.placer.SetReplicas(all)
 	d.limits.DropOld(now)
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -29,11 +29,19 @@
 	Quota      quota.Settings
 	Quarantine quarantine.Settings
 	Overload   overload.Settings
+	Replicas   ReplicaTuning
+}
+
+// ReplicaTuning switches how the gateway treats the replicas.
+type ReplicaTuning struct {
+	FollowEvacuations bool // whether nothing is sent to the replicas of evacuated failure domains
+	PaceCold          bool // whether the requests to cold replicas are paced
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Speed: replicaspeed.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults(), Overload: overload.Defaults()}
+	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Speed: replicaspeed.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults(), Overload: overload.Defaults(),
+		Replicas: ReplicaTuning{FollowEvacuations: true, PaceCold: true}}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -75,6 +83,10 @@
 		MinHold       *settings.Duration `toml:"min_hold"`
 		MaxHold       *settings.Duration `toml:"max_hold"`
 	} `toml:"overload"`
+	Replicas struct {
+		FollowEvacuations *bool `toml:"follow_evacuations"`
+		PaceCold          *bool `toml:"pace_cold"`
+	} `toml:"replicas"`
 }
 
 // TuningError reports a key of the tuning file whose value is out of range.
@@ -132,6 +144,12 @@
 	c.duration("overload.min_hold", f.Overload.MinHold, &t.Overload.MinHold)
 	c.duration("overload.max_hold", f.Overload.MaxHold, &t.Overload.MaxHold)
 	c.duration("overload.smoothing", f.Overload.Smoothing, &t.Overload.Smoothing)
+	if f.Replicas.FollowEvacuations != nil {
+		t.Replicas.FollowEvacuations = *f.Replicas.FollowEvacuations
+	}
+	if f.Replicas.PaceCold != nil {
+		t.Replicas.PaceCold = *f.Replicas.PaceCold
+	}
 	return t, c.err
 }
 
