--- a/gatewaydaemon/tuning_test.go
+++ b/gatewaydaemon/tuning_test.go
@@ -32,8 +32,10 @@
 	})
 
 	It("of the deployment is valid", func() {
-		_, err := gatewaydaemon.LoadTuning("../deploy/gateway.toml")
+		t, err := gatewaydaemon.LoadTuning("../deploy/gateway.toml")
 		Expect(err).NotTo(HaveOccurred())
+		Expect(t.LearnSpeed).To(BeTrue())
+		Expect(gatewaydaemon.DefaultTuning().LearnSpeed).To(BeFalse())
 	})
 
 	// Guards against a process that starts with a misread value.
@@ -44,6 +46,8 @@
 		},
 		Entry("unknown key", "[placement]\nejectfor = \"2s\"\n", "ejectfor"),
 		Entry("not a duration", "[placement]\neject_for = \"soon\"\n", "placement.eject_for: accepted is a duration from 1ms to 1h"),
+		Entry("memory too short for a sample", "[placement]\nspeed_memory = \"1s\"\n", "placement.speed_memory: accepted is a duration from 5s to 10m"),
+		Entry("switch that is no switch", "[placement]\nlearn_speed = 1\n", "gateway.toml"),
 		Entry("negative factor", "[placement]\noverload_late_factor = -1\n", "placement.overload_late_factor: accepted is a number from 0 to 100"),
 		Entry("too many bytes", "[gateway]\nmax_event_bytes = 2000000\n", "gateway.max_event_bytes: accepted is a whole number from 1024 to 1048576"),
 		Entry("no homes", "[quota]\nhomes_per_workspace = 0\n", "quota.homes_per_workspace: accepted is a whole number from 1 to 64"),
