Caller: one account for all requests, and half the copies of a body

The memory of an entry had no bound over all callers: each connection could make it hold 4 MiB, and a chat request up to 30 times its length, as each message became a slice. Now connlimit charges connections, headers and bodies; the server takes over fasthttp's body buffer instead of copying it; the messages of a chat request are joined in one buffer. Idle connections are closed for new ones when max_requests are open. Refusals for lack of room are 503 and not run: no handler has seen the request.

New metrics: briarreach_caller_bytes_held and briarreach_callers_refused_total{reason}; one log line a second per reason.

The specs now cover the operators' server and an agent's metrics, too.

--- a/caller/request.go
+++ b/caller/request.go
@@ -1,10 +1,10 @@
 package caller
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
+	"reflect"
 )
 
 // MaxIdempotencyKeyBytes is the longest idempotency key that is accepted.
@@ -56,18 +56,88 @@
 func EnvelopeOf(r Request) *Envelope { return r.envelope() }
 
 type chatBody struct {
-	Model               string            `json:"model"`
-	Messages            []json.RawMessage `json:"messages"`
-	Tools               json.RawMessage   `json:"tools"`
-	Stream              bool              `json:"stream"`
-	MaxTokens           *int64            `json:"max_tokens"`
-	MaxCompletionTokens *int64            `json:"max_completion_tokens"`
-	N                   *int64            `json:"n"`
+	Model               string   `json:"model"`
+	Messages            messages `json:"messages"`
+	Tools               jsonSize `json:"tools"`
+	Stream              bool     `json:"stream"`
+	MaxTokens           *int64   `json:"max_tokens"`
+	MaxCompletionTokens *int64   `json:"max_completion_tokens"`
+	N                   *int64   `json:"n"`
 	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
 }
 
+// messages holds the elements of an array in one buffer: a slice for each would take
+// many times the length of the body if they are small.
+type messages struct {
+	count  int
+	joined []byte
+}
+
+// UnmarshalJSON implements json.Unmarshaler. The data is valid JSON.
+func (m *messages) UnmarshalJSON(data []byte) error {
+	*m = messages{}
+	if string(data) == "null" {
+		return nil
+	}
+	if data[0] != '[' {
+		return &json.UnmarshalTypeError{Value: jsonType(data[0]), Type: reflect.TypeFor[[]json.RawMessage]()}
+	}
+	m.joined = make([]byte, 0, len(data))
+	depth, inString, commas := 0, false, 0
+	elements := data[1 : len(data)-1]
+	for i := 0; i < len(elements); i++ {
+		c := elements[i]
+		switch {
+		case inString && c == '\\':
+			m.joined = append(m.joined, c)
+			i++
+			c = elements[i]
+		case c == '"':
+			inString = !inString
+		case inString:
+		case c == '{' || c == '[':
+			depth++
+		case c == '}' || c == ']':
+			depth--
+		case depth == 0 && c == ',':
+			commas++
+			continue
+		case depth == 0 && (c == ' ' || c == '\t' || c == '\n' || c == '\r'):
+			continue
+		}
+		m.joined = append(m.joined, c)
+	}
+	if len(m.joined) > 0 {
+		m.count = commas + 1
+	}
+	return nil
+}
+
+// jsonType returns the name of the type of a JSON value by its first byte.
+func jsonType(first byte) string {
+	switch first {
+	case '{':
+		return "object"
+	case '"':
+		return "string"
+	case 't', 'f':
+		return "bool"
+	default:
+		return "number"
+	}
+}
+
+// jsonSize is the length of a JSON value.
+type jsonSize int
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *jsonSize) UnmarshalJSON(data []byte) error {
+	*s = jsonSize(len(data))
+	return nil
+}
+
 // ParseChat parses the body of a chat completions request.
 func ParseChat(envelope Envelope) (*ChatRequest, *Error) {
 	var body chatBody
@@ -77,7 +147,7 @@
 	if body.Model == "" {
 		return nil, NewRefusal(http.StatusBadRequest, InvalidRequest, "model is missing")
 	}
-	if len(body.Messages) == 0 {
+	if body.Messages.count == 0 {
 		return nil, NewRefusal(http.StatusBadRequest, InvalidRequest, "messages is empty")
 	}
 	if body.N != nil && *body.N != 1 {
@@ -93,19 +163,11 @@
 		}
 		chat.MaxTokens = *limit
 	}
-	chat.Prompt = bytes.Join(rawMessages(body.Messages), nil)
-	chat.PromptTokens = int64(len(chat.Prompt)+len(body.Tools)) + TemplateTokensPerMessage*int64(len(body.Messages))
+	chat.Prompt = body.Messages.joined
+	chat.PromptTokens = int64(len(chat.Prompt)) + int64(body.Tools) + TemplateTokensPerMessage*int64(body.Messages.count)
 	return chat, nil
 }
 
-func rawMessages(messages []json.RawMessage) [][]byte {
-	out := make([][]byte, len(messages))
-	for i, m := range messages {
-		out[i] = m
-	}
-	return out
-}
-
 // describeJSONError describes a JSON error without repeating the body.
 func describeJSONError(err error) string {
 	var syntax *json.SyntaxError
--- a/caller/server.go
+++ b/caller/server.go
@@ -16,9 +16,13 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/fasthttp/router"
 	"github.com/oklog/ulid/v2"
 	"github.com/valyala/fasthttp"
+
+	"briarreach/connlimit"
 )
 
 // Reply is the result of a Handler: *Error, *FullReply or *StreamReply.
@@ -58,7 +62,8 @@
 	handler  Handler
 	ready    ReadyCheck
 	http     *fasthttp.Server
-	listener net.Listener
+	listener *connlimit.Listener
+	refusals *refusals
 	done     chan struct{}
 	closed   atomic.Bool // whether Close gave up waiting for open requests
 
@@ -92,7 +97,10 @@
 	writeTimeout   time.Duration
 	maxConnections int
 	maxPerAddress  int
+	memoryBytes    int64
+	stallTimeout   time.Duration
 	metrics        *metrics.Set
+	log            log.Interface
 }
 
 // Option changes a default of New.
@@ -112,11 +120,22 @@
 func WithWriteTimeout(d time.Duration) Option { return func(o *options) { o.writeTimeout = d } }
 
 // WithMaxConnections bounds the connections of the server and those from one
-// client address; 0 for perAddress means no bound per address.
+// client address; 0 for perAddress means no bound per address. Beyond the total,
+// connections without progress are closed for new ones (see WithMemory).
 func WithMaxConnections(total, perAddress int) Option {
 	return func(o *options) { o.maxConnections, o.maxPerAddress = total, perAddress }
 }
 
+// WithMemory bounds the memory that requests and their answers hold. When there is no
+// room, the connections that have made no progress for longest are closed, those that
+// did for less than stallTimeout excepted, and then requests are refused.
+func WithMemory(limit int64, stallTimeout time.Duration) Option {
+	return func(o *options) { o.memoryBytes, o.stallTimeout = limit, stallTimeout }
+}
+
+// WithLog sets where refusals for a lack of room are logged.
+func WithLog(l log.Interface) Option { return func(o *options) { o.log = l } }
+
 // WithMetrics adds the metrics of a set to /metrics.
 func WithMetrics(set *metrics.Set) Option { return func(o *options) { o.metrics = set } }
 
@@ -129,7 +148,10 @@
 		readTimeout:    30 * time.Second,
 		writeTimeout:   10 * time.Minute,
 		maxConnections: 20_000,
+		memoryBytes:    256 << 20,
+		stallTimeout:   5 * time.Second,
 		metrics:        metrics.NewSet(),
+		log:            &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -138,7 +160,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("caller.New: %w", err)
 	}
-	s := &Server{handler: handler, ready: ready, listener: listener, done: make(chan struct{}), active: make(map[net.Conn]struct{})}
+	s := &Server{handler: handler, ready: ready, refusals: newRefusals(o.metrics, o.log), done: make(chan struct{}), active: make(map[net.Conn]struct{})}
+	s.listener = connlimit.New(sendBufferListener{listener},
+		connlimit.WithMemory(o.memoryBytes, o.stallTimeout),
+		connlimit.WithConnections(o.maxConnections, o.maxPerAddress),
+		connlimit.WithRequestLimits(o.maxHeaderBytes, o.maxBodyBytes),
+		connlimit.WithOnRefused(func(r connlimit.Reason) { s.refusals.record(string(r)) }),
+		connlimit.WithResponse(tooManyConnections()))
+	o.metrics.NewGauge("briarreach_caller_bytes_held", func() float64 { return float64(s.listener.Held()) })
 	s.requestsCtx, s.cancelRequests = context.WithCancelCause(context.Background())
 	routes := router.New()
 	routes.HandleMethodNotAllowed = true
@@ -158,17 +187,18 @@
 		metrics.WriteProcessMetrics(ctx)
 	})
 	s.http = &fasthttp.Server{
-		Name:                         "briarreach",
-		Handler:                      routes.Handler,
-		ErrorHandler:                 serveProtocolError,
-		MaxRequestBodySize:           o.maxBodyBytes,
-		ReadBufferSize:               o.maxHeaderBytes,
-		ReadTimeout:                  o.readTimeout,
-		WriteTimeout:                 o.writeTimeout,
-		WriteBufferSize:              2 << 10,
-		IdleTimeout:                  2 * time.Minute,
-		Concurrency:                  o.maxConnections,
-		MaxConnsPerIP:                o.maxPerAddress,
+		Name:               "briarreach",
+		Handler:            routes.Handler,
+		ErrorHandler:       s.serveProtocolError,
+		MaxRequestBodySize: o.maxBodyBytes,
+		ReadBufferSize:     o.maxHeaderBytes,
+		ReadTimeout:        o.readTimeout,
+		WriteTimeout:       o.writeTimeout,
+		WriteBufferSize:    2 << 10,
+		IdleTimeout:        2 * time.Minute,
+		// The listener bounds the connections. Those that it closes for others end
+		// a moment later.
+		Concurrency:                  2 * o.maxConnections,
 		NoDefaultServerHeader:        true,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true, // bodies are passed on as received
@@ -178,7 +208,7 @@
 	}
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(sendBufferListener{listener})
+		_ = s.http.Serve(s.listener)
 	}()
 	return s, nil
 }
@@ -234,6 +264,7 @@
 }
 
 func (s *Server) trackActive(c net.Conn, state fasthttp.ConnState) {
+	s.listener.ConnState(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == fasthttp.StateActive {
@@ -269,6 +300,7 @@
 		return
 	}
 	s.write(ctx, &envelope, s.handler(s.requestsCtx, chat))
+	releaseBody(ctx, &chat.Envelope)
 }
 
 func (s *Server) serveService(ctx *fasthttp.RequestCtx) {
@@ -279,17 +311,26 @@
 	}
 	path, _ := ctx.UserValue("path").(string)
 	service, _ := ctx.UserValue("service").(string)
-	s.write(ctx, &envelope, s.handler(s.requestsCtx, &ServiceRequest{
+	request := &ServiceRequest{
 		Envelope:    envelope,
 		Service:     strings.Clone(service),
 		Method:      string(ctx.Method()),
 		Path:        "/" + strings.Clone(path),
 		ContentType: string(ctx.Request.Header.ContentType()),
-	}))
+	}
+	s.write(ctx, &envelope, s.handler(s.requestsCtx, request))
+	releaseBody(ctx, &request.Envelope)
 }
 
-// readEnvelope reads the common parts of a request. It copies them, since
-// fasthttp reuses its buffers.
+// releaseBody returns the room of a body that the handler has dropped.
+func releaseBody(ctx *fasthttp.RequestCtx, envelope *Envelope) {
+	if c := connlimit.Of(ctx); c != nil && envelope.Body == nil {
+		c.ReleaseBody()
+	}
+}
+
+// readEnvelope reads the common parts of a request. It copies the header, since
+// fasthttp reuses its buffers, and takes over the body.
 func (s *Server) readEnvelope(ctx *fasthttp.RequestCtx) (Envelope, *Error) {
 	e := Envelope{RequestID: ulid.Make().String()}
 	if s.closed.Load() {
@@ -309,11 +350,45 @@
 	if e.IdempotencyKey == "" {
 		e.IdempotencyKey, e.IdempotencyKeyGenerated = e.RequestID, true
 	}
-	e.Body = append([]byte(nil), ctx.PostBody()...)
-	ctx.Request.ResetBody()
-	return e, nil
+	fault := s.takeBody(ctx, &e)
+	return e, fault
 }
 
+// takeBody takes the body of a request out of fasthttp's buffers and charges what a
+// handler holds of it.
+func (s *Server) takeBody(ctx *fasthttp.RequestCtx, e *Envelope) *Error {
+	body := ctx.PostBody()
+	size := len(body)
+	// fasthttp's buffer may have been used for a larger body before.
+	oversized := cap(body) > 2*size
+	held := cap(body)
+	if oversized {
+		held = size
+	}
+	if c := connlimit.Of(ctx); c != nil {
+		if err := c.Serve(int64(held + bodyCopies*size)); err != nil {
+			refusal := NewRefusal(http.StatusServiceUnavailable, Overloaded, "no memory for the request")
+			refusal.RetryAfter = memoryRetryAfter
+			ctx.SetConnectionClose()
+			return refusal
+		}
+	}
+	if oversized {
+		e.Body = append([]byte(nil), body...)
+		ctx.Request.ResetBody()
+		return nil
+	}
+	e.Body = ctx.Request.SwapBody(nil)
+	return nil
+}
+
+// bodyCopies is the number of copies of a body, besides the body itself, that exist
+// while a request waits for its answer: the prompt and the message to the agent.
+const bodyCopies = 2
+
+// memoryRetryAfter is the Retry-After of requests that are refused for lack of room.
+const memoryRetryAfter = time.Second
+
 func (s *Server) write(ctx *fasthttp.RequestCtx, envelope *Envelope, reply Reply) {
 	switch r := reply.(type) {
 	case *Error:
@@ -342,15 +417,23 @@
 }
 
 // serveProtocolError responds to requests that fasthttp could not read.
-func serveProtocolError(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) serveProtocolError(ctx *fasthttp.RequestCtx, err error) {
 	var headerTooLarge *fasthttp.ErrSmallBuffer
 	var network *net.OpError
+	conn := connlimit.Of(ctx)
 	switch {
+	case conn != nil && conn.Refused(): // counted by the listener
+		refusal := NewRefusal(http.StatusServiceUnavailable, Overloaded, "no memory for the request")
+		refusal.RetryAfter = memoryRetryAfter
+		refusal.write(ctx)
 	case errors.As(err, &headerTooLarge):
+		s.refusals.record("header")
 		NewRefusal(http.StatusRequestHeaderFieldsTooLarge, TooLarge, "headers are too large").write(ctx)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		s.refusals.record("body")
 		NewRefusal(http.StatusRequestEntityTooLarge, TooLarge, "body is too large").write(ctx)
 	case errors.As(err, &network) && network.Timeout():
+		s.refusals.record("timeout")
 		NewRefusal(http.StatusRequestTimeout, InvalidRequest, "request was not received in time").write(ctx)
 	default:
 		NewRefusal(http.StatusBadRequest, InvalidRequest, "malformed request").write(ctx)
--- a/cmd/briarreach/hostile_callers_test.go
+++ b/cmd/briarreach/hostile_callers_test.go
@@ -16,6 +16,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"briarreach/operator"
 )
 
 // The limits of the entry in the specs below. The bound on resident memory is the
@@ -24,6 +26,7 @@
 const (
 	hostileMaxRequests      = 300
 	hostileMaxBodyBytes     = 4 << 20
+	hostileMaxMemoryBytes   = 32 << 20
 	maxHostileResidentBytes = 128 << 20
 	// maxHostileDescriptors leaves room for the process's own files and sockets, and
 	// for connections that are closed while others are accepted.
@@ -32,7 +35,8 @@
 )
 
 // hostileSettings are added to the entry's settings.
-var hostileSettings = fmt.Sprintf("max_requests = %d\nmax_body_bytes = %d\n", hostileMaxRequests, hostileMaxBodyBytes)
+var hostileSettings = fmt.Sprintf("max_requests = %d\nmax_body_bytes = %d\nmax_request_memory_bytes = %d\n",
+	hostileMaxRequests, hostileMaxBodyBytes, hostileMaxMemoryBytes)
 
 // hostileCrowd is a number of connections that each write what send writes and then
 // stay open.
@@ -175,24 +179,28 @@
 	const chunked = hostileHeader + "Transfer-Encoding: chunked\r\n\r\n"
 	manyFields := strings.Repeat("a:\r\n", 3500)
 
+	// expectBounded lets the crowd at a process's port, and expects that the process
+	// stays in its bounds and answers an ordinary request.
+	expectBounded := func(ctx context.Context, process, port string, ordinary func(context.Context) error, crowd hostileCrowd) {
+		Eventually(ctx, ordinary, 20*time.Second, 100*time.Millisecond).Should(Succeed())
+		stop := f.observePeaks(process)
+		crowd.run("127.0.0.1:" + f.port(port))
+		// The crowd's connections are still open.
+		start := time.Now()
+		var answerErr error
+		for answerErr = ordinary(ctx); answerErr != nil && time.Since(start) < ordinaryRequestTime; answerErr = ordinary(ctx) {
+			time.Sleep(200 * time.Millisecond)
+		}
+		Expect(f.processes[process].Process.Signal(syscall.Signal(0))).To(Succeed(), "the process has ended")
+		resident, descriptors := stop()
+		AddReportEntry("peaks", fmt.Sprintf("resident %d MiB, %d descriptors, answer after %v: %v", resident>>20, descriptors, time.Since(start), answerErr))
+		Expect(resident).To(BeNumerically("<", maxHostileResidentBytes))
+		Expect(descriptors).To(BeNumerically("<", maxHostileDescriptors))
+		Expect(answerErr).NotTo(HaveOccurred())
+	}
+
 	DescribeTable("leave the process within its bounds, and others are answered",
-		func(ctx SpecContext, crowd hostileCrowd) {
-			Eventually(ctx, answers, 20*time.Second, 100*time.Millisecond).Should(Succeed())
-			stop := f.observePeaks("entry-1")
-			crowd.run("127.0.0.1:" + f.port("8081"))
-			// The crowd's connections are still open.
-			start := time.Now()
-			var answerErr error
-			for answerErr = answers(ctx); answerErr != nil && time.Since(start) < ordinaryRequestTime; answerErr = answers(ctx) {
-				time.Sleep(200 * time.Millisecond)
-			}
-			Expect(f.processes["entry-1"].Process.Signal(syscall.Signal(0))).To(Succeed(), "the process has ended")
-			resident, descriptors := stop()
-			AddReportEntry("peaks", fmt.Sprintf("resident %d MiB, %d descriptors, answer after %v: %v", resident>>20, descriptors, time.Since(start), answerErr))
-			Expect(resident).To(BeNumerically("<", maxHostileResidentBytes))
-			Expect(descriptors).To(BeNumerically("<", maxHostileDescriptors))
-			Expect(answerErr).NotTo(HaveOccurred())
-		},
+		func(ctx SpecContext, crowd hostileCrowd) { expectBounded(ctx, "entry-1", "8081", answers, crowd) },
 		Entry("bodies in large chunks that stop just short of their end", hostileCrowd{100, func(w io.Writer) error {
 			if err := writeStrings(w, chunked); err != nil {
 				return err
@@ -244,4 +252,45 @@
 			return writeStrings(w, hostileHeader)
 		}}),
 	)
+
+	// get reports whether a GET on a port is answered with 200.
+	get := func(port, path, key string) func(context.Context) error {
+		return func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+			defer cancel()
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://127.0.0.1:"+f.port(port)+path, nil)
+			if err != nil {
+				return err
+			}
+			r.Close = true
+			r.Header.Set("Authorization", "Bearer "+key)
+			response, err := http.DefaultClient.Do(r)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = response.Body.Close() }()
+			if response.StatusCode != http.StatusOK {
+				return fmt.Errorf("status %d", response.StatusCode)
+			}
+			return nil
+		}
+	}
+	// stopShort sends all but the last byte of an announced body.
+	stopShort := func(bodyBytes int) func(io.Writer) error {
+		return func(w io.Writer) error {
+			return writeStrings(w, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: fleet\r\nContent-Length: %d\r\n\r\n", operator.PatchPath, bodyBytes), strings.Repeat(" ", bodyBytes-1))
+		}
+	}
+	half := func(w io.Writer) error { return writeStrings(w, "GET /") }
+	DescribeTable("at other servers leave the process within its bounds, and others are answered",
+		func(ctx SpecContext, process, port, path string, crowd hostileCrowd) {
+			secret, err := os.ReadFile(filepath.Join(f.dir, "operator.key"))
+			Expect(err).NotTo(HaveOccurred())
+			expectBounded(ctx, process, port, get(port, path, strings.TrimSpace(string(secret))), crowd)
+		},
+		Entry("bodies that stop short, operators", "entry-1", "8181", operator.ConfigPath, hostileCrowd{250, stopShort(1 << 20)}),
+		Entry("half a header, operators", "entry-1", "8181", operator.ConfigPath, hostileCrowd{2 * hostileMaxRequests, half}),
+		Entry("half a header, metrics of an agent", "agent-engine-1", "9281", "/healthz", hostileCrowd{2 * hostileMaxRequests, half}),
+		Entry("bodies that stop short, metrics of an agent", "agent-engine-1", "9281", "/healthz", hostileCrowd{250, stopShort(1 << 10)}),
+	)
 })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -121,7 +121,9 @@
 		caller.WithListen(s.CallerAddress),
 		caller.WithLimits(s.MaxBodyBytes, s.MaxHeaderBytes, s.ReadTimeout.Duration),
 		caller.WithWriteTimeout(s.RequestTimeout.Duration),
-		caller.WithMaxConnections(s.MaxRequests, 0),
+		caller.WithMaxConnections(s.MaxRequests, s.MaxConnectionsPerAddress),
+		caller.WithMemory(int64(s.MaxRequestMemoryBytes), s.StallTimeout.Duration),
+		caller.WithLog(e.log),
 		caller.WithMetrics(e.metrics))
 	if err != nil {
 		return err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,6 +72,12 @@
 	StreamWindowBytes int              `toml:"stream_window_bytes"`
 	MaxBufferedBytes  int              `toml:"max_buffered_bytes"` // accepted, but not used by the entry
 	MaxRequests       int              `toml:"max_requests"`       // open requests, and connections of callers
+	// MaxRequestMemoryBytes bounds what the requests of callers and their answers hold,
+	// MaxOperatorMemoryBytes those of operators.
+	MaxRequestMemoryBytes    int      `toml:"max_request_memory_bytes"`
+	MaxOperatorMemoryBytes   int      `toml:"max_operator_memory_bytes"`
+	StallTimeout             Duration `toml:"stall_timeout"`               // a connection without progress for this long is closed when others need its room
+	MaxConnectionsPerAddress int      `toml:"max_connections_per_address"` // 0: no limit
 }
 
 // Agent holds the settings of the agent role. Target is the target's name in the
@@ -141,6 +147,12 @@
 	}
 }
 
+// requestMemoryBodies is the least ratio of the memory for requests to the longest
+// body. A body takes up to five times its length: its buffer may be twice as long and
+// is copied once when it grows; a request that waits for its answer holds the prompt and
+// the message to the agent besides. A quarter of the memory is kept for small requests.
+const requestMemoryBodies = 8
+
 // Defaults sets the settings that the file leaves out to their defaults.
 func (e *Entry) Defaults() {
 	defaultDuration(&e.DrainDelay, 5*time.Second)
@@ -156,6 +168,9 @@
 	defaultNumber(&e.StreamWindowBytes, 4<<10)
 	defaultNumber(&e.MaxBufferedBytes, 48<<20)
 	defaultNumber(&e.MaxRequests, 20_000)
+	defaultNumber(&e.MaxRequestMemoryBytes, max(256<<20, requestMemoryBodies*e.MaxBodyBytes))
+	defaultNumber(&e.MaxOperatorMemoryBytes, 16<<20)
+	defaultDuration(&e.StallTimeout, 5*time.Second)
 }
 
 // Defaults sets the settings that the file leaves out to their defaults.
@@ -352,6 +367,10 @@
 	c.number("entry.stream_window_bytes", e.StreamWindowBytes, 1<<10, 1<<20)
 	c.number("entry.max_buffered_bytes", e.MaxBufferedBytes, 1<<20, 1<<30)
 	c.number("entry.max_requests", e.MaxRequests, 1, 1_000_000)
+	c.number("entry.max_request_memory_bytes", e.MaxRequestMemoryBytes, max(4<<20, requestMemoryBodies*e.MaxBodyBytes), 64<<30)
+	c.number("entry.max_operator_memory_bytes", e.MaxOperatorMemoryBytes, 8<<20, 1<<30)
+	c.duration("entry.stall_timeout", e.StallTimeout, 100*time.Millisecond, 10*time.Minute)
+	c.number("entry.max_connections_per_address", e.MaxConnectionsPerAddress, 0, 1_000_000)
 }
 
 func (a *Agent) validate(c *checker) {
