Bound the memory of the operators' server, agents' status and answers

250 operator requests that stop short took 216 MiB of an entry; the server bounded each request, not their sum. It and an agent's status server now use connlimit. The body of an answer that is complete before it is sent is charged while its reader takes it; when there is no room, the caller gets 502 with execution ran, as the request was passed on.

--- a/agent/status_server.go
+++ b/agent/status_server.go
@@ -9,12 +9,23 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
+
+	"briarreach/connlimit"
+)
+
+const (
+	maxStatusConnections = 32
+	maxStatusHeaderBytes = 4 << 10
+	maxStatusBodyBytes   = 1 << 10
+	// maxStatusMemoryBytes allows all connections a request.
+	maxStatusMemoryBytes = 4 << 20
+	statusStallTimeout   = time.Second
 )
 
 // statusServer serves health, readiness and metrics.
 type statusServer struct {
 	http     *fasthttp.Server
-	listener net.Listener
+	listener *connlimit.Listener
 	done     chan struct{}
 }
 
@@ -37,14 +48,25 @@
 		a.metrics.WritePrometheus(ctx)
 		metrics.WriteProcessMetrics(ctx)
 	})
-	s := &statusServer{listener: listener, done: make(chan struct{}), http: &fasthttp.Server{
+	s := &statusServer{done: make(chan struct{}), listener: connlimit.New(listener,
+		connlimit.WithMemory(maxStatusMemoryBytes, statusStallTimeout),
+		connlimit.WithConnections(maxStatusConnections, 0),
+		connlimit.WithRequestLimits(maxStatusHeaderBytes, maxStatusBodyBytes),
+		connlimit.WithOnRefused(func(r connlimit.Reason) {
+			a.incrementCounter(`briarreach_agent_status_refused_total{reason="` + string(r) + `"}`)
+		}))}
+	s.http = &fasthttp.Server{
 		Handler: routes.Handler, Name: "briarreach", NoDefaultServerHeader: true,
-		ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, Concurrency: 32, CloseOnShutdown: true,
-		MaxRequestBodySize: 1 << 10,
-	}}
+		ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, CloseOnShutdown: true,
+		Concurrency:        2 * maxStatusConnections, // the listener bounds the connections
+		ReadBufferSize:     maxStatusHeaderBytes,
+		ReduceMemoryUsage:  true,
+		ConnState:          s.listener.ConnState,
+		MaxRequestBodySize: maxStatusBodyBytes,
+	}
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(listener)
+		_ = s.http.Serve(s.listener)
 	}()
 	return s, nil
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"briarreach/connlimit"
+	"briarreach/peer"
 )
 
 // Reply is the result of a Handler: *Error, *FullReply or *StreamReply.
@@ -185,6 +186,9 @@
 		ctx.SetContentType("text/plain; version=0.0.4")
 		o.metrics.WritePrometheus(ctx)
 		metrics.WriteProcessMetrics(ctx)
+		if connlimit.Of(ctx).Serve(int64(cap(ctx.Response.Body()))) != nil {
+			noRoom().write(ctx)
+		}
 	})
 	s.http = &fasthttp.Server{
 		Name:               "briarreach",
@@ -300,7 +304,6 @@
 		return
 	}
 	s.write(ctx, &envelope, s.handler(s.requestsCtx, chat))
-	releaseBody(ctx, &chat.Envelope)
 }
 
 func (s *Server) serveService(ctx *fasthttp.RequestCtx) {
@@ -311,22 +314,13 @@
 	}
 	path, _ := ctx.UserValue("path").(string)
 	service, _ := ctx.UserValue("service").(string)
-	request := &ServiceRequest{
+	s.write(ctx, &envelope, s.handler(s.requestsCtx, &ServiceRequest{
 		Envelope:    envelope,
 		Service:     strings.Clone(service),
 		Method:      string(ctx.Method()),
 		Path:        "/" + strings.Clone(path),
 		ContentType: string(ctx.Request.Header.ContentType()),
-	}
-	s.write(ctx, &envelope, s.handler(s.requestsCtx, request))
-	releaseBody(ctx, &request.Envelope)
-}
-
-// releaseBody returns the room of a body that the handler has dropped.
-func releaseBody(ctx *fasthttp.RequestCtx, envelope *Envelope) {
-	if c := connlimit.Of(ctx); c != nil && envelope.Body == nil {
-		c.ReleaseBody()
-	}
+	}))
 }
 
 // readEnvelope reads the common parts of a request. It copies the header, since
@@ -365,13 +359,8 @@
 	if oversized {
 		held = size
 	}
-	if c := connlimit.Of(ctx); c != nil {
-		if err := c.Serve(int64(held + bodyCopies*size)); err != nil {
-			refusal := NewRefusal(http.StatusServiceUnavailable, Overloaded, "no memory for the request")
-			refusal.RetryAfter = memoryRetryAfter
-			ctx.SetConnectionClose()
-			return refusal
-		}
+	if err := connlimit.Of(ctx).Serve(int64(held + bodyCopies*size)); err != nil {
+		return noRoom()
 	}
 	if oversized {
 		e.Body = append([]byte(nil), body...)
@@ -389,7 +378,16 @@
 // memoryRetryAfter is the Retry-After of requests that are refused for lack of room.
 const memoryRetryAfter = time.Second
 
+// write sends a reply. The handler holds the request's body no longer: instead of it,
+// the body of the reply is charged until it is written.
 func (s *Server) write(ctx *fasthttp.RequestCtx, envelope *Envelope, reply Reply) {
+	held := 0
+	if r, ok := reply.(*FullReply); ok {
+		held = len(r.Body)
+	}
+	if err := connlimit.Of(ctx).Hold(int64(held)); err != nil {
+		reply = NewFailure(http.StatusBadGateway, IncompleteAnswer, peer.ExecutionRan, "no memory for the answer")
+	}
 	switch r := reply.(type) {
 	case *Error:
 		r.RequestID = envelope.RequestID
@@ -397,7 +395,7 @@
 	case *FullReply:
 		ctx.SetStatusCode(r.Status)
 		ctx.SetContentType(r.ContentType)
-		ctx.SetBody(r.Body)
+		ctx.Response.SetBodyRaw(r.Body) // without a copy
 		if r.Replayed {
 			ctx.Response.Header.Set("Idempotent-Replayed", "true")
 		}
@@ -416,16 +414,19 @@
 	}
 }
 
+func noRoom() *Error {
+	refusal := NewRefusal(http.StatusServiceUnavailable, Overloaded, "no memory for the request")
+	refusal.RetryAfter = memoryRetryAfter
+	return refusal
+}
+
 // serveProtocolError responds to requests that fasthttp could not read.
 func (s *Server) serveProtocolError(ctx *fasthttp.RequestCtx, err error) {
 	var headerTooLarge *fasthttp.ErrSmallBuffer
 	var network *net.OpError
-	conn := connlimit.Of(ctx)
 	switch {
-	case conn != nil && conn.Refused(): // counted by the listener
-		refusal := NewRefusal(http.StatusServiceUnavailable, Overloaded, "no memory for the request")
-		refusal.RetryAfter = memoryRetryAfter
-		refusal.write(ctx)
+	case connlimit.Of(ctx).Refused(): // counted by the listener
+		noRoom().write(ctx)
 	case errors.As(err, &headerTooLarge):
 		s.refusals.record("header")
 		NewRefusal(http.StatusRequestHeaderFieldsTooLarge, TooLarge, "headers are too large").write(ctx)
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -13,8 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"briarreach/caller"
 	"briarreach/peer"
@@ -206,6 +208,67 @@
 	})
 })
 
+var _ = Describe("HTTP server for callers that don't read their answers", func() {
+	// Guards against answers of any number that wait for their readers, and against one
+	// that is refused as not run after it ran.
+	It("bounds what the answers hold", func() {
+		const memory = 4 << 20
+		answer := make([]byte, 1<<20)
+		set := metrics.NewSet()
+		server, err := caller.New(func(context.Context, caller.Request) caller.Reply {
+			return &caller.FullReply{Status: http.StatusOK, ContentType: "application/json", Body: answer}
+		}, func() error { return nil }, caller.WithLimits(2<<10, 2<<10, 30*time.Second), caller.WithMemory(memory, time.Hour), caller.WithMetrics(set))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = server.Close(ctx)
+		})
+		statuses := map[int]int{}
+		for range 12 {
+			c, err := net.Dial("tcp", server.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			Expect(c.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+			_, err = io.WriteString(c, "POST /v1/services/s/book HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReaderSize(c, 1<<10), nil)
+			Expect(err).NotTo(HaveOccurred())
+			statuses[response.StatusCode]++
+			if response.StatusCode != http.StatusOK {
+				var fault errorBody
+				Expect(json.NewDecoder(response.Body).Decode(&fault)).To(Succeed())
+				Expect(fault.Error.Execution).To(Equal(peer.ExecutionRan))
+			}
+		}
+		Expect(statuses).To(Equal(map[int]int{http.StatusOK: 3, http.StatusBadGateway: 9}))
+		var text strings.Builder
+		set.WritePrometheus(&text)
+		Expect(text.String()).To(ContainSubstring(`briarreach_callers_refused_total{reason="memory"} 9`))
+	})
+})
+
+// Guards against messages that are joined otherwise than their JSON elements.
+var _ = Describe("ParseChat", func() {
+	It("joins the messages as they were sent", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			elements := rapid.SliceOfN(rapid.SampledFrom([]string{
+				`{}`, `{"role": "user", "content": "a, \"b\" [c] \\"}`, `[1, {"x": []}]`, `"\\"`, `" , "`, `7`, `null`, `{"content": "{[\u00e9"}`,
+			}), 1, 6).Draw(t, "elements")
+			space := rapid.SampledFrom([]string{"", " ", "\n\t "}).Draw(t, "space")
+			body := `{"model":"m","tools":[1, 2],"messages":[` + space + strings.Join(elements, space+","+space) + space + `]}`
+			chat, fault := caller.ParseChat(caller.Envelope{Body: []byte(body)})
+			if fault != nil {
+				t.Fatal(fault)
+			}
+			want := strings.Join(elements, "")
+			if string(chat.Prompt) != want || chat.PromptTokens != int64(len(want)+len("[1, 2]")+caller.TemplateTokensPerMessage*len(elements)) {
+				t.Fatalf("%d tokens, %s", chat.PromptTokens, chat.Prompt)
+			}
+		})
+	})
+})
+
 // Guards against a panic on any body that callers can send.
 func FuzzParseChat(f *testing.F) {
 	for _, seed := range []string{`{}`, `{"model":"m","messages":[{"role":"user"}],"max_tokens":-1}`, `{"messages":null,"n":1}`, `[`} {
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -220,12 +220,8 @@
 	refused       bool
 }
 
-// Of returns the connection of a request, or nil if the server's listener is not a
-// Listener.
-func Of(ctx *fasthttp.RequestCtx) *Conn {
-	c, _ := ctx.Conn().(*Conn)
-	return c
-}
+// Of returns the connection of a request to a server whose listener is a Listener.
+func Of(ctx *fasthttp.RequestCtx) *Conn { return ctx.Conn().(*Conn) }
 
 // evict closes the connection for the room of others. The goroutine that serves it
 // then drops its buffers and calls Close.
@@ -400,8 +396,9 @@
 	return nil
 }
 
-// ReleaseBody returns the room of the request's body, which was dropped.
-func (c *Conn) ReleaseBody() { _ = c.chargeBody(0) }
+// Hold charges n bytes for the body of the response instead of the request's body,
+// which was dropped. The error is a *bytebudget.ExhaustedError.
+func (c *Conn) Hold(n int64) error { return c.chargeBody(n) }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -415,7 +412,7 @@
 
 // endRequest returns the room of a request.
 func (c *Conn) endRequest() {
-	c.ReleaseBody()
+	_ = c.chargeBody(0)
 	c.memory.Release(c.headerCharged)
 	c.framing, c.headerCharged, c.bodyBuffer = framing{}, 0, 0
 	c.reading, c.serving, c.refused = false, false, false
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,7 +128,11 @@
 	if err != nil {
 		return err
 	}
-	e.operators, err = operator.New(backend{e}, s.OperatorAddress)
+	e.operators, err = operator.New(backend{e}, s.OperatorAddress,
+		operator.WithMemory(int64(s.MaxOperatorMemoryBytes), s.StallTimeout.Duration),
+		operator.WithOnRefused(func(reason string) {
+			e.metrics.GetOrCreateCounter(`briarreach_operators_refused_total{reason="` + reason + `"}`).Inc()
+		}))
 	if err != nil {
 		return err
 	}
--- a/operator/server.go
+++ b/operator/server.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"briarreach/config"
+	"briarreach/connlimit"
 	"briarreach/table"
 	"briarreach/timeline"
 )
@@ -25,23 +26,54 @@
 	maxBodyBytes   = 1 << 20
 	maxHeaderBytes = 16 << 10
 	maxHistory     = 500
+	maxConnections = 256
+	// patchCopies is how often a patch exists while it is handled: as sent, decoded
+	// and as a new document.
+	patchCopies = 3
 )
 
+type options struct {
+	memoryBytes  int64
+	stallTimeout time.Duration
+	onRefused    func(reason string)
+}
+
+// Option changes a default of New.
+type Option func(*options)
+
+// WithMemory bounds the memory that requests hold, by default 16 MiB. A connection
+// without progress for stallTimeout, by default 5 s, is closed when others need its room.
+func WithMemory(limit int64, stallTimeout time.Duration) Option {
+	return func(o *options) { o.memoryBytes, o.stallTimeout = limit, stallTimeout }
+}
+
+// WithOnRefused sets a function that is called when a request or connection is refused
+// for lack of room. It must not block.
+func WithOnRefused(f func(reason string)) Option { return func(o *options) { o.onRefused = f } }
+
 // Server is the operators' HTTP server.
 type Server struct {
 	backend  Backend
 	http     *fasthttp.Server
-	listener net.Listener
+	listener *connlimit.Listener
 	done     chan struct{}
 }
 
 // New starts the server at the address; with port 0, the system picks a port.
-func New(backend Backend, listen netip.AddrPort) (*Server, error) {
+func New(backend Backend, listen netip.AddrPort, opts ...Option) (*Server, error) {
+	o := options{memoryBytes: 16 << 20, stallTimeout: 5 * time.Second, onRefused: func(string) {}}
+	for _, opt := range opts {
+		opt(&o)
+	}
 	listener, err := net.Listen("tcp", listen.String())
 	if err != nil {
 		return nil, fmt.Errorf("operator.New: %w", err)
 	}
-	s := &Server{backend: backend, listener: listener, done: make(chan struct{})}
+	s := &Server{backend: backend, done: make(chan struct{}), listener: connlimit.New(listener,
+		connlimit.WithMemory(o.memoryBytes, o.stallTimeout),
+		connlimit.WithConnections(maxConnections, 0),
+		connlimit.WithRequestLimits(maxHeaderBytes, maxBodyBytes),
+		connlimit.WithOnRefused(func(r connlimit.Reason) { o.onRefused(string(r)) }))}
 	routes := router.New()
 	routes.NotFound = func(ctx *fasthttp.RequestCtx) {
 		writeResponse(ctx, nil, &Error{Status: http.StatusNotFound, Type: NotFound, Message: "no such path"})
@@ -60,14 +92,17 @@
 		ReadTimeout:           RequestTimeout,
 		WriteTimeout:          2 * RequestTimeout,
 		IdleTimeout:           time.Minute,
-		Concurrency:           256,
+		Concurrency:           2 * maxConnections, // the listener bounds the connections
+		ReduceMemoryUsage:     true,               // which connlimit expects of idle connections
+		ConnState:             s.listener.ConnState,
+		ErrorHandler:          writeProtocolError,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Logger:                discardLogger{},
 	}
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(listener)
+		_ = s.http.Serve(s.listener)
 	}()
 	return s, nil
 }
@@ -91,6 +126,10 @@
 // required role.
 func (s *Server) authorized(required Role, serve handlerFunc) fasthttp.RequestHandler {
 	return func(r *fasthttp.RequestCtx) {
+		if err := connlimit.Of(r).Serve(int64(patchCopies * len(r.PostBody()))); err != nil {
+			writeResponse(r, nil, noRoom())
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), RequestTimeout)
 		defer cancel()
 		secret, _ := strings.CutPrefix(string(r.Request.Header.Peek("Authorization")), "Bearer ")
@@ -180,6 +219,25 @@
 	return n, nil
 }
 
+func noRoom() *Error {
+	return &Error{Status: http.StatusServiceUnavailable, Type: Unavailable, Message: "no memory for the request"}
+}
+
+// writeProtocolError responds to requests that fasthttp could not read.
+func writeProtocolError(r *fasthttp.RequestCtx, err error) {
+	var headerTooLarge *fasthttp.ErrSmallBuffer
+	switch {
+	case connlimit.Of(r).Refused():
+		writeResponse(r, nil, noRoom())
+	case errors.As(err, &headerTooLarge):
+		writeResponse(r, nil, &Error{Status: http.StatusRequestHeaderFieldsTooLarge, Type: Malformed, Message: "headers are too large"})
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		writeResponse(r, nil, &Error{Status: http.StatusRequestEntityTooLarge, Type: Malformed, Message: "body is too large"})
+	default:
+		writeResponse(r, nil, &Error{Status: http.StatusBadRequest, Type: Malformed, Message: "malformed request"})
+	}
+}
+
 func writeResponse(r *fasthttp.RequestCtx, answer any, err error) {
 	r.SetContentType("application/json")
 	if err != nil {
@@ -188,11 +246,14 @@
 		answer = errorResponse{Error: apiErr}
 	}
 	body, err := json.Marshal(answer)
+	if err == nil {
+		err = connlimit.Of(r).Hold(int64(len(body)))
+	}
 	if err != nil {
 		r.SetStatusCode(http.StatusInternalServerError)
 		return
 	}
-	r.SetBody(body)
+	r.Response.SetBodyRaw(body)
 }
 
 // toError maps an error to an HTTP status and an error type.
