Peer: bound the streams whose first message doesn't end

An entry that sends dispatches without their end held the agent's receive buffers (64 MiB) for as long as its connection lived: larger dispatches of others were refused all the time. Small unfinished messages are not in that bound, and 15,000 of them took 207 MiB.

--- a/peer/stream.go
+++ b/peer/stream.go
@@ -43,6 +43,7 @@
 	pending         []byte // received and not decoded
 	bufferedBytes   atomic.Int64
 	receivedMessage bool
+	unheard         atomic.Bool // accepted, and counted in Endpoint.unheardStreams
 
 	sendMu       sync.Mutex
 	sendDeadline deadline
@@ -131,6 +132,9 @@
 			if err == nil {
 				s.pending = rest
 				s.receivedMessage = true
+				if s.endUnheard() {
+					s.SetReceiveDeadline(time.Time{})
+				}
 				s.releaseEmptyBuffer()
 				return m, nil
 			}
@@ -147,6 +151,15 @@
 	}
 }
 
+// endUnheard reports whether the stream was accepted and was not heard from until now.
+func (s *Stream) endUnheard() bool {
+	if !s.unheard.CompareAndSwap(true, false) {
+		return false
+	}
+	s.endpoint.unheardStreams.Add(-1)
+	return true
+}
+
 // fill waits for data and appends it to pending.
 func (s *Stream) fill() error {
 	if s.buffer == nil {
@@ -227,6 +240,11 @@
 
 func (s *Stream) receiveError(err error) error {
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.unheard.Load():
+		// Nothing of the exchange was passed on.
+		s.pending = nil
+		s.replaceBuffer(nil)
+		return s.failReceive(codeRefused, &ReceiveTimeoutError{Address: s.connection.address, Generation: s.connection.generation})
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = &ReceiveTimeoutError{Address: s.connection.address, Generation: s.connection.generation}
 	case errors.Is(err, io.EOF) && len(s.pending) == 0:
@@ -304,6 +322,7 @@
 		s.sendMu.Unlock()
 		s.stopAfterFunc()
 		s.cancel(nil)
+		s.endUnheard()
 		s.releaseBufferReservation()
 		s.receiveDeadline.stop()
 		s.sendDeadline.stop()
