--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"briarreach/admission"
+	"briarreach/bytebudget"
 	"briarreach/claim"
 	"briarreach/config"
 	"briarreach/configsync"
@@ -71,6 +72,7 @@
 	service   *service.Client
 	startedAt time.Time
 	buffers   *stream.Limiter
+	bodies    *bytebudget.Budget // of the bodies of accepted requests
 
 	mu               sync.Mutex
 	admission        *admission.Controller
@@ -142,6 +144,7 @@
 		settings: s, clock: clock, log: l, events: events, metrics: set, endpoint: endpoint,
 		follower: follower, engine: engineClient, service: serviceClient, startedAt: clock.Now(),
 		buffers:          stream.NewLimiter(int64(s.Agent.MaxBufferedBytes)),
+		bodies:           bytebudget.New(int64(s.Agent.MaxRequestMemoryBytes)),
 		admission:        admission.New(admission.Capacity{}),
 		attempts:         map[string]*attempt{},
 		refusedAttempts:  map[string]time.Time{},
@@ -283,6 +286,7 @@
 		return float64(len(a.unbilled))
 	})
 	a.metrics.NewGauge("briarreach_agent_buffered_bytes", func() float64 { return float64(a.buffers.Used()) })
+	a.metrics.NewGauge("briarreach_agent_request_bytes_held", func() float64 { return float64(a.bodies.Held()) })
 	a.metrics.NewGauge("briarreach_agent_config_number", func() float64 { return float64(a.follower.Number()) })
 }
 
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"briarreach/bytebudget"
 	"briarreach/peer"
 	"briarreach/stream"
 )
@@ -15,7 +16,8 @@
 
 // attempt is one run of a request at the target.
 type attempt struct {
-	dispatch   peer.Dispatch // its Method is set for service calls only
+	dispatch   peer.Dispatch       // its Method is set for service calls only
+	body       *bytebudget.Account // what the dispatch's body takes until it is dropped
 	acceptedAt time.Time
 	admitted   chan struct{} // closed on admission
 	finished   chan struct{} // closed when the final message is set
@@ -45,10 +47,11 @@
 	endedAt time.Time // guarded by the agent's lock
 }
 
-func newAttempt(parent context.Context, d peer.Dispatch, sendBufferBytes int, buffers *stream.Limiter, now time.Time) *attempt {
+func newAttempt(parent context.Context, d peer.Dispatch, body *bytebudget.Account, sendBufferBytes int, buffers *stream.Limiter, now time.Time) *attempt {
 	ctx, cancel := context.WithDeadline(parent, d.Deadline)
 	a := &attempt{
 		dispatch:     d,
+		body:         body,
 		acceptedAt:   now,
 		admitted:     make(chan struct{}),
 		finished:     make(chan struct{}),
@@ -221,3 +224,10 @@
 	defer a.mu.Unlock()
 	return a.consumed
 }
+
+// dropBody releases the request's body, which may be long, when the target has it or
+// doesn't need it. Only the goroutine that runs the attempt may call it.
+func (a *attempt) dropBody() {
+	a.dispatch.Body = nil
+	a.body.Close()
+}
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -12,6 +12,10 @@
 	"briarreach/timeline"
 )
 
+// bodyCopies is the number of copies of a body while its request is sent to the target:
+// as received, its fields, the changed body and the HTTP client's.
+const bodyCopies = 4
+
 func (a *Agent) serveDispatch(ctx context.Context, s *peer.Stream, d peer.Dispatch) {
 	at, refusal := a.accept(d)
 	if refusal != nil {
@@ -67,7 +71,10 @@
 		}
 		return nil, a.newRefusal(d, reason, peer.ExecutionNotRun)
 	}
-	at := newAttempt(a.ctx, d, a.settings.Agent.StreamWindowBytes, a.buffers, now)
+	body := a.bodies.Open(now, nil)
+	// refusalReason has seen the room; only accept takes any, under the agent's lock.
+	_ = body.Reserve(bodyCopies*int64(len(d.Body)), now)
+	at := newAttempt(a.ctx, d, body, a.settings.Agent.StreamWindowBytes, a.buffers, now)
 	a.attempts[d.AttemptID] = at
 	if _, ok := decision.(admission.Admitted); ok {
 		close(at.admitted)
@@ -117,6 +124,8 @@
 		return "deadline_passed"
 	case a.buffers.Used()+int64(a.settings.Agent.StreamWindowBytes) > a.buffers.Limit():
 		return "buffers_full"
+	case a.bodies.Held()+bodyCopies*int64(len(d.Body)) > a.bodies.Limit():
+		return "memory_full"
 	default:
 		return ""
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -75,7 +75,7 @@
 	}
 	// The engine has the request. Don't keep a long prompt in memory while the
 	// answer is read.
-	at.dispatch.Body = nil
+	at.dropBody()
 	usage, err := a.relay(at, body.renderer(d.RequestID), response)
 	usage.Cost = usage.PromptTokens*d.PromptPrice + usage.CompletionTokens*d.CompletionPrice
 	a.finish(at, endOfAnswer(at, usage, err))
@@ -217,6 +217,7 @@
 // answer. The usage is recorded before the attempt counts as finished, so that
 // fenceHolder finds it after waiting for the attempt.
 func (a *Agent) finish(at *attempt, final peer.Final) {
+	at.dropBody()
 	d := at.dispatch
 	now := a.clock.Now()
 	a.mu.Lock()
--- a/cmd/briarreach/hostile_dispatches_test.go
+++ b/cmd/briarreach/hostile_dispatches_test.go
@@ -25,6 +25,12 @@
 // collector.
 const maxDispatchResidentBytes = 200 << 20
 
+// maxWaitingResidentBytes is maxDispatchResidentBytes with the agent's memory for the
+// bodies of accepted requests, 64 MiB, and a quarter for the garbage collector.
+const maxWaitingResidentBytes = 280 << 20
+
+const waitingSettings = "max_request_memory_bytes = 67108864\n"
+
 // dialAgent opens a connection to an agent with the credentials of entry-2.
 func (f *processFleet) dialAgent(ctx context.Context, port string) *quic.Conn {
 	file := func(name string) string { return filepath.Join(f.dir, "certs", name) }
@@ -95,4 +101,38 @@
 		Entry("as many as fit", 15, 4<<20-1<<10),
 		Entry("small ones", 15_000, 3<<10),
 	)
+
+	// Guards against long bodies of accepted requests that a target doesn't take.
+	It("are bounded in the same way as complete ones that wait for the target", func(ctx SpecContext) {
+		f := newProcessFleet()
+		f.addSettings("agent-engine-1.toml", "agent", waitingSettings)
+		key := f.startAll()
+		f.terminate("entry-2")
+		ordinary := func() error {
+			status, _, answer, err := send(ctx, "http://127.0.0.1:"+f.port("8081")+"/v1/chat/completions", key, "", chatBody)
+			if err != nil || status != http.StatusOK || !strings.HasSuffix(answer, "data: [DONE]\n\n") {
+				return fmt.Errorf("%d %q: %w", status, answer, err)
+			}
+			return nil
+		}
+		Eventually(ctx, ordinary, 20*time.Second, 100*time.Millisecond).Should(Succeed())
+		f.signal("engine", syscall.SIGSTOP)
+		conn := f.dialAgent(ctx, "9181")
+		stop := f.observePeaks("agent-engine-1")
+		body := []byte(chatBody + strings.Repeat(" ", 4<<20-len(chatBody)))
+		for i := range 100 {
+			message, err := peer.Encode(peer.Dispatch{RequestID: "r", AttemptID: fmt.Sprintf("attempt-%d", i), Target: "engine-1", Version: "v1", ConfigNumber: 1 << 20,
+				Repeatable: true, Deadline: time.Now().Add(10 * time.Second), PromptTokens: 100, MaxTokens: 8, Body: body, CreditBytes: 4 << 10})
+			Expect(err).NotTo(HaveOccurred())
+			s, err := conn.OpenStreamSync(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			_ = s.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			_, _ = s.Write(message)
+		}
+		f.signal("engine", syscall.SIGCONT)
+		Eventually(ctx, ordinary, ordinaryRequestTime, 100*time.Millisecond).Should(Succeed())
+		resident, _ := stop()
+		AddReportEntry("peaks", fmt.Sprintf("resident %d MiB", resident>>20))
+		Expect(resident).To(BeNumerically("<", maxWaitingResidentBytes))
+	})
 })
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return err.Error()
 	}
+	defer func() { _ = response.Body.Close() }()
 	body, _ := io.ReadAll(response.Body)
 	if response.StatusCode != http.StatusOK {
 		return response.Status
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -95,6 +95,8 @@
 	ClockMargin       Duration         `toml:"clock_margin"`  // maximum clock skew between VMs
 	StreamWindowBytes int              `toml:"stream_window_bytes"`
 	MaxBufferedBytes  int              `toml:"max_buffered_bytes"` // of the send buffers of all attempts together
+	// MaxRequestMemoryBytes bounds what the bodies of accepted requests take.
+	MaxRequestMemoryBytes int `toml:"max_request_memory_bytes"`
 }
 
 // Table holds the address and credentials of the platform's table service.
@@ -180,6 +182,7 @@
 	defaultDuration(&a.ClockMargin, 2*time.Second)
 	defaultNumber(&a.StreamWindowBytes, 4<<10)
 	defaultNumber(&a.MaxBufferedBytes, 48<<20)
+	defaultNumber(&a.MaxRequestMemoryBytes, 256<<20)
 }
 
 func defaultText(v *string, def string) {
@@ -382,6 +385,8 @@
 	c.duration("agent.clock_margin", a.ClockMargin, time.Millisecond, time.Minute)
 	c.number("agent.stream_window_bytes", a.StreamWindowBytes, 1<<10, 1<<20)
 	c.number("agent.max_buffered_bytes", a.MaxBufferedBytes, 1<<20, 1<<30)
+	// The least value holds the largest message of a peer, 8 MiB, four times.
+	c.number("agent.max_request_memory_bytes", a.MaxRequestMemoryBytes, 32<<20, 64<<30)
 }
 
 type checker struct{ faults []*ValueError }
