--- a/cmd/briarreach/hostile_callers_test.go
+++ b/cmd/briarreach/hostile_callers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -258,6 +259,16 @@
 		}}),
 	)
 
+	// Guards against a server that stops accepting when the process has no descriptors left.
+	It("are answered when there are fewer descriptors than connections", func(ctx SpecContext) {
+		f.kill("entry-1")
+		c := exec.Command("sh", "-c", `ulimit -n 200 && exec "$0" "$@"`, f.binary, "entry", "--settings", "examples/entry-1.toml")
+		c.Dir, c.Stdout, c.Stderr = f.dir, f.output["entry-1"], f.output["entry-1"]
+		Expect(c.Start()).To(Succeed())
+		f.processes["entry-1"] = c
+		expectBounded(ctx, "entry-1", "8081", answers, hostileCrowd{2 * hostileMaxRequests, func(io.Writer) error { return nil }})
+	})
+
 	// get reports whether a GET on a port is answered with 200.
 	get := func(port, path, key string) func(context.Context) error {
 		return func(ctx context.Context) error {
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -34,6 +34,7 @@
 	Stalled     Reason = "stalled"     // no progress while others need room
 	Connections Reason = "connections" // too many connections
 	Address     Reason = "address"     // too many connections of one address
+	Accept      Reason = "accept"      // the system can't accept, mostly for lack of descriptors
 )
 
 // What connections hold besides the buffers whose size is known, from heap profiles
@@ -49,6 +50,9 @@
 	fieldBytes = 128
 )
 
+// acceptRetryDelay is the time between attempts to accept while that fails.
+const acceptRetryDelay = 50 * time.Millisecond
+
 type options struct {
 	memory         int64
 	stallTimeout   time.Duration
@@ -126,13 +130,20 @@
 // Held returns the bytes that are charged.
 func (l *Listener) Held() int64 { return l.memory.Held() }
 
-// Accept implements net.Listener. It closes the connections that are refused.
+// Accept implements net.Listener. It closes the connections that are refused. It only
+// fails when the listener is closed: fasthttp stops for good at another error, such as
+// that no descriptor is free.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
+		if err != nil {
+			l.options.onRefused(Accept)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		c, reason := l.open(inner)
 		if reason == "" {
 			return c, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,9 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -121,7 +123,7 @@
 		caller.WithListen(s.CallerAddress),
 		caller.WithLimits(s.MaxBodyBytes, s.MaxHeaderBytes, s.ReadTimeout.Duration),
 		caller.WithWriteTimeout(s.RequestTimeout.Duration),
-		caller.WithMaxConnections(s.MaxRequests, s.MaxConnectionsPerAddress),
+		caller.WithMaxConnections(min(s.MaxRequests, maxCallerConnections()), s.MaxConnectionsPerAddress),
 		caller.WithMemory(int64(s.MaxRequestMemoryBytes), s.StallTimeout.Duration),
 		caller.WithLog(e.log),
 		caller.WithMetrics(e.metrics))
@@ -141,6 +143,18 @@
 	return nil
 }
 
+// callerDescriptors is the share of the process's descriptors that connections of callers
+// may take. The others are for operators, the table service, peers and files.
+const callerDescriptors = 0.75
+
+func maxCallerConnections() int {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil || r.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return max(1, int(callerDescriptors*float64(r.Cur)))
+}
+
 // CallerAddr returns the address for callers.
 func (e *Entry) CallerAddr() netip.AddrPort { return e.callers.Addr() }
 
