Placement: take no samples of replicas while the gateway itself is overloaded

Cause: on a saturated link a first event arrives late whatever the replica does, and the gateway's sums make the replica slow for all others. Change: requests sent in an overload are no samples. Spec: speed of a replica that seems slow during 2 s, without the change below 0.6.

--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -169,10 +169,10 @@
 		}))
 }
 
-func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, cold *coldPace, notices *replicanotice.Notices, speeds *speedExchange, clock clockwork.Clock) *placement.Placer {
+func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, cold *coldPace, notices *replicanotice.Notices, speeds *speedExchange, monitor *overload.Monitor, clock clockwork.Clock) *placement.Placer {
 	opts := []placement.Option{placement.WithLimiter(limiters{limits, cold.limits}), placement.WithNotices(notices)}
 	if speeds != nil {
-		opts = append(opts, placement.WithSpeeds(speeds.speeds))
+		opts = append(opts, placement.WithSpeeds(speeds.speeds), placement.WithSlowItself(monitor.Overloaded))
 	}
 	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, opts...)
 	peers.OnPlacement(func(p placement.Announcement) { placer.HandleAnnouncement(p, clock.Now()) })
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -153,6 +153,7 @@
 	limiter       Limiter
 	notices       Notices
 	speeds        Speeds // nil without WithSpeeds
+	slowItself    func() bool
 }
 
 // Limiter bounds the requests per second that this process sends to a replica.
@@ -235,7 +236,7 @@
 // New returns a placer. It calls announce with each placement that other
 // processes should know.
 func New(s Settings, announce func(Announcement), opts ...Option) *Placer {
-	p := &Placer{settings: s, announce: announce, cache: newPrefixCache(s.CacheTTL), limiter: noLimiter{}, notices: noNotices{}}
+	p := &Placer{settings: s, announce: announce, cache: newPrefixCache(s.CacheTTL), limiter: noLimiter{}, notices: noNotices{}, slowItself: func() bool { return false }}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -366,7 +367,7 @@
 		choice.waiter = best.stats.addWaiter(choice.ExpectedPrefill, req.Priority, now)
 		p.recordPlacement(req, best, now)
 	}
-	if p.speeds != nil {
+	if p.speeds != nil && !p.slowItself() {
 		choice.send = newSend(req, choice, best, now)
 	}
 	if best.stats.inFlight.Add(1) == 1 {
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -25,6 +25,11 @@
 // equally fast, with Settings.PrefillRate.
 func WithSpeeds(s Speeds) Option { return func(p *Placer) { p.speeds = s } }
 
+// WithSlowItself sets what says that this process delays its requests itself, as on a
+// saturated link. Requests that are sent then are no samples of the replicas' speeds.
+// Without it, none is delayed.
+func WithSlowItself(slow func() bool) Option { return func(p *Placer) { p.slowItself = slow } }
+
 const (
 	// Expected times count as equal within the factor equalTimes, and within the part
 	// equalShare of the target latency: the estimates are no more exact, callers don't
--- a/placement/speed_test.go
+++ b/placement/speed_test.go
@@ -76,6 +76,25 @@
 		Entry("23.5 tokens/ms", 23_500.0, 8),
 	)
 
+	// Guards against replicas that count as slow in the whole fleet because of one
+	// gateway's saturated link.
+	DescribeTable("takes no samples while the gateway itself is slow",
+		func(slow bool, lowest, highest float64) {
+			list, r := replicas(1), newRand()
+			speeds := learned(list, 40_000, 1)
+			p := placement.New(placement.Defaults(), nil, placement.WithSpeeds(speeds), placement.WithSlowItself(func() bool { return slow }))
+			for i := range 20 {
+				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+				c, _ := p.Choose(prompt(i), list, now, r)
+				p.RecordFirstEvent(c, now.Add(time.Second))
+				p.Done(c, placement.Served, now.Add(time.Second))
+			}
+			Expect(speeds.Of(list[0]).Estimate(start.Add(3 * time.Second)).Speed).To(And(BeNumerically(">=", lowest), BeNumerically("<=", highest)))
+		},
+		Entry("slow", true, 0.7, 1.3),
+		Entry("not slow", false, 0.0, 0.6),
+	)
+
 	It("makes slow replicas the home of fewer prompts, and gateways agree", func() {
 		list := replicas(8)
 		speeds := []float64{1.2, 0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2}
