Shorter specs of the speeds of replicas

Change: entries of a table say what differs, and the order of a message is compared with the same gateway's next message. The checks are the same.

--- a/placement/speed_test.go
+++ b/placement/speed_test.go
@@ -181,37 +181,32 @@
 
 	// Guards against an estimate that sends requests where nothing may be sent.
 	DescribeTable("orders only the replicas that may get requests",
-		func(exclude func(l limiter, s states, p func() *placement.Placer, list []replica.Replica)) {
-			list := replicas(3)
-			l, s := limiter{left: map[string]int{}}, states{}
-			p := placement.New(placement.Defaults(), nil, placement.WithSpeeds(learned(list, 42_800, 4, 0.5, 0.5)), placement.WithLimiter(l), placement.WithNotices(s))
-			Expect(share(p, list, 100)["r0"]).To(BeNumerically(">", 50), "it is the fastest")
-			p = placement.New(placement.Defaults(), nil, placement.WithSpeeds(learned(list, 42_800, 4, 0.5, 0.5)), placement.WithLimiter(l), placement.WithNotices(s))
-			exclude(l, s, func() *placement.Placer { return p }, list)
+		func(notice replicanotice.State, left int, before func(p *placement.Placer, fastest placement.Choice)) {
+			list, s := replicas(3), states{}
+			l := limiter{left: map[string]int{"r0": 1e6}}
+			newPlacer := func() *placement.Placer {
+				return placement.New(placement.Defaults(), nil, placement.WithSpeeds(learned(list, 42_800, 4, 0.5, 0.5)), placement.WithLimiter(l), placement.WithNotices(s))
+			}
+			Expect(share(newPlacer(), list, 100)["r0"]).To(BeNumerically(">", 50), "it is the fastest")
+			p := newPlacer()
+			c, _ := p.Choose(prompt(0), list[:1], start.Add(-time.Minute), newRand())
+			before(p, c)
+			s["r0"], l.left["r0"] = notice, left
 			Expect(share(p, list, 100)).NotTo(HaveKey("r0"))
 		},
-		Entry("one has gone", func(_ limiter, s states, _ func() *placement.Placer, _ []replica.Replica) {
-			s["r0"] = replicanotice.State{Gone: true, Share: 1}
-		}),
-		Entry("one leaves", func(_ limiter, s states, _ func() *placement.Placer, _ []replica.Replica) {
-			s["r0"] = replicanotice.State{Leaving: true, LeavingFor: time.Second, Share: 1}
-		}),
-		Entry("one pauses", func(_ limiter, s states, _ func() *placement.Placer, _ []replica.Replica) {
-			s["r0"] = replicanotice.State{PausedFor: time.Second, Share: 1}
-		}),
-		Entry("one is limited", func(l limiter, _ states, _ func() *placement.Placer, _ []replica.Replica) { l.left["r0"] = 0 }),
-		Entry("one is ejected", func(_ limiter, _ states, p func() *placement.Placer, list []replica.Replica) {
-			c, _ := p().Choose(prompt(0), list[:1], start, newRand())
-			for range 3 {
-				p().Done(c, placement.ConnectionBroken, start.Add(time.Second))
-			}
-		}),
-		Entry("one is silent", func(_ limiter, _ states, p func() *placement.Placer, list []replica.Replica) {
-			_, _ = p().Choose(prompt(0), list[:1], start.Add(-time.Minute), newRand())
+		Entry("one has gone", replicanotice.State{Gone: true, Share: 1}, 1000, served),
+		Entry("one leaves", replicanotice.State{Leaving: true, LeavingFor: time.Second, Share: 1}, 1000, served),
+		Entry("one pauses", replicanotice.State{PausedFor: time.Second, Share: 1}, 1000, served),
+		Entry("one is limited", replicanotice.State{Share: 1}, 0, served),
+		Entry("one is ejected", replicanotice.State{Share: 1}, 1000, func(p *placement.Placer, c placement.Choice) {
+			p.Done(c, placement.ConnectionBroken, start.Add(time.Second))
 		}),
+		Entry("one is silent", replicanotice.State{Share: 1}, 1000, func(*placement.Placer, placement.Choice) {}),
 	)
 })
 
+func served(p *placement.Placer, c placement.Choice) { p.Done(c, placement.Served, start) }
+
 // engines answers requests like replicas with one queue each.
 type engines struct {
 	placer  *placement.Placer
--- a/replicaspeed/replicaspeed_test.go
+++ b/replicaspeed/replicaspeed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -196,7 +197,7 @@
 	// Guards against messages that fill the links of small gateways.
 	DescribeTable("stay within their bytes",
 		func(gateways, replicaCount int) {
-			f := newFleet(time.Millisecond, 42_800, slicesOf(replicaCount)...)
+			f := newFleet(time.Millisecond, 42_800, slices.Repeat([]float64{1}, replicaCount)...)
 			f.run(5*time.Second, 1)
 			bytes, seconds := 0, 200
 			for range seconds * 4 {
@@ -217,33 +218,27 @@
 	)
 
 	It("hold the replicas with the most news first, and the others later", func() {
-		f := newFleet(time.Millisecond, 42_800, slicesOf(20)...)
+		f := newFleet(time.Millisecond, 42_800, slices.Repeat([]float64{1}, 20)...)
 		f.run(20*time.Second, 6)
-		for f.now = f.now.Add(time.Minute); ; f.now = f.now.Add(time.Minute) {
-			if _, ok := f.speeds.NextMessage(30, f.now); !ok {
-				break
-			}
+		for due := true; due; f.now = f.now.Add(time.Minute) {
+			_, due = f.speeds.NextMessage(30, f.now)
 		}
 		f.speed[7] = 0.2
 		f.run(time.Second, 6)
-		seen := make(map[uint64]bool)
-		var first uint64
+		var order []uint64
 		for range 20 {
 			m, _ := f.speeds.NextMessage(30, f.now)
 			for _, e := range m.Entries {
-				if first == 0 {
-					first = e.Key
-				}
-				seen[e.Key] = true
+				order = append(order, e.Key)
 			}
 			f.now = f.now.Add(10 * time.Second)
 		}
-		Expect(seen).To(HaveLen(20))
-		alone := newFleet(time.Millisecond, 42_800, slicesOf(20)...)
-		alone.list = alone.list[7:8]
-		alone.run(time.Second, 1)
-		m, _ := alone.speeds.NextMessage(30, alone.now)
-		Expect(first).To(Equal(m.Entries[0].Key))
+		f.list = f.list[7:8]
+		f.run(time.Second, 1)
+		slow, _ := f.speeds.NextMessage(30, f.now)
+		Expect(order[0]).To(Equal(slow.Entries[0].Key))
+		slices.Sort(order)
+		Expect(slices.Compact(order)).To(HaveLen(20))
 	})
 
 	It("with invalid values are ignored and counted", func() {
@@ -258,11 +253,3 @@
 		Expect(f.speeds.Stats().Invalid).To(BeNumerically("==", 8))
 	})
 })
-
-func slicesOf(n int) []float64 {
-	list := make([]float64, n)
-	for i := range list {
-		list[i] = 1
-	}
-	return list
-}
