Specs of single samples and of homes during a slowdown

Cause: mutants without the bound of a sample, without the bound of what it adds to the lasting speed, and without the weight of the lasting speed passed the specs.

Change: a spec of a single bad sample, and a check of the home's weight while a replica is 5 times slower.

--- a/replicaspeed/replicaspeed_test.go
+++ b/replicaspeed/replicaspeed_test.go
@@ -82,6 +82,7 @@
 			f.speed[0] = factor
 			f.run(d, 6)
 			Expect(f.estimate(0).Rate / f.rate).To(And(BeNumerically(">=", lowest), BeNumerically("<=", highest)))
+			Expect(f.estimate(0).HomeSpeed).To(BeNumerically(">=", 0.6), "its prompts stay where they are cached")
 			f.speed[0] = 1
 			f.run(2*time.Second, 6)
 			Expect(f.estimate(0).Rate/f.rate).To(BeNumerically(">=", 0.6), "it is well again")
@@ -91,6 +92,18 @@
 		Entry("a slow moment of a sound replica", 0.4, 600*time.Millisecond, 0.55, 1.0),
 	)
 
+	// Guards against one bad sample that moves the requests of a replica, or all.
+	It("is not moved far by a single sample", func() {
+		f := newFleet(time.Millisecond, 42_800, 1, 1, 1, 1)
+		f.run(20*time.Second, 6)
+		f.now = f.now.Add(5 * time.Second)
+		f.speeds.Of(f.list[0]).Record(replicaspeed.Sample{OwnTokens: 2000, Took: 125 * time.Millisecond}, f.now)
+		Expect(f.estimate(0).Speed).To(BeNumerically(">", 0.5), "2.5 times the expected time")
+		f.speeds.Of(f.list[1]).Record(replicaspeed.Sample{OwnTokens: 2000, Took: time.Minute}, f.now)
+		Expect(f.estimate(2).Rate).To(BeNumerically("~", 42_800, 4000))
+		Expect(f.estimate(1).HomeSpeed).To(BeNumerically("~", 1, 0.1))
+	})
+
 	// Guards against a hanging replica that keeps its share because it sends no first
 	// event from which a sample could be taken.
 	It("falls while requests wait, and a request counts once", func() {
