--- a/loadreplay/engine.go
+++ b/loadreplay/engine.go
@@ -17,6 +17,9 @@
 	StepTimePerRequest time.Duration // added to a step by each running request
 	TokensPerEvent     int
 	CacheTokens        int
+	FirstEventLatency  time.Duration // from the end of the prefill to the first event
+	Speeds             []SpeedClass  // without any, all replicas have speed 1
+	SlowMoments        SlowMoments
 }
 
 // DefaultEngineModel returns the parameters of Horologion's inference engines,
@@ -33,12 +36,19 @@
 	prefillLeft float64 // prompt tokens
 	generated   float64 // tokens
 	events      int
-	started     bool
+	started     bool          // the first event was sent
+	startAt     time.Duration // when the first event is due, after the prefill
+}
+
+func (j *job) start(event func(*job)) {
+	j.started, j.events = true, 1
+	event(j)
 }
 
 // engine is the engine of one replica.
 type engine struct {
 	model        EngineModel
+	speed        *replicaSpeed
 	queue        []*job // before their first event, most urgent first
 	running      []*job
 	lastUse      map[string]time.Duration // of a subject's cached shared part
@@ -48,10 +58,11 @@
 	pausedUntil  time.Duration
 	prefilled    float64 // tokens
 	recomputed   float64 // tokens of shared parts that had been sent to some replica before
+	sentTokens   float64 // tokens to prefill of all requests that were sent here
 }
 
-func newEngine(model EngineModel) *engine {
-	return &engine{model: model, lastUse: make(map[string]time.Duration), cachedTokens: make(map[string]int)}
+func newEngine(model EngineModel, speed *replicaSpeed) *engine {
+	return &engine{model: model, speed: speed, lastUse: make(map[string]time.Duration), cachedTokens: make(map[string]int)}
 }
 
 func (e *engine) add(j *job, now time.Duration, sentBefore map[string]bool) {
@@ -64,8 +75,9 @@
 		}
 	}
 	sentBefore[r.Subject] = true
+	e.sentTokens += j.prefillLeft
 	e.queue = append(e.queue, j)
-	slices.SortStableFunc(e.queue, func(a, b *job) int { return cmp.Compare(a.state.request.Priority, b.state.request.Priority) })
+	slices.SortStableFunc(e.queue, func(a, b *job) int { return cmp.Compare(a.state.priority, b.state.priority) })
 }
 
 // hasFreeSlot reports whether a request would start at once.
@@ -79,6 +91,7 @@
 	if e.down {
 		return
 	}
+	work := float64(d) * e.speed.at(now) // time that speed 1 needs for what is done in d
 	step := e.model.StepTime + time.Duration(len(e.running))*e.model.StepTimePerRequest
 	cycle := step
 	prefilling := len(e.queue) > 0 && len(e.running) < e.model.Slots
@@ -89,7 +102,7 @@
 		} else {
 			cycle += chunk
 		}
-		tokens := float64(d) / float64(cycle) * e.model.ChunkTokens
+		tokens := work / float64(cycle) * e.model.ChunkTokens
 		e.prefilled += tokens
 		for tokens > 0 && len(e.queue) > 0 && len(e.running) < e.model.Slots {
 			j := e.queue[0]
@@ -101,15 +114,22 @@
 			}
 			e.queue = e.queue[1:]
 			e.cachePrefix(j.state.request, now)
-			j.started = true
 			e.running = append(e.running, j)
-			j.events = 1
-			event(j)
+			j.startAt = now + e.model.FirstEventLatency
+			if e.model.FirstEventLatency == 0 {
+				j.start(event)
+			}
 		}
 	}
-	generated := float64(d) / float64(cycle)
+	generated := work / float64(cycle)
 	for i := len(e.running) - 1; i >= 0; i-- {
 		j := e.running[i]
+		if !j.started {
+			if now < j.startAt {
+				continue
+			}
+			j.start(event)
+		}
 		j.generated += generated
 		for j.events < j.state.request.Events && j.generated >= float64(j.events*e.model.TokensPerEvent) {
 			j.events++
@@ -132,7 +152,7 @@
 	for sum > e.model.CacheTokens {
 		oldest := ""
 		for s, at := range e.lastUse {
-			if oldest == "" || at < e.lastUse[oldest] {
+			if oldest == "" || at < e.lastUse[oldest] || at == e.lastUse[oldest] && s < oldest {
 				oldest = s
 			}
 		}
@@ -155,6 +175,6 @@
 // crash takes the engine down, clears its cache and returns the lost jobs.
 func (e *engine) crash() []*job {
 	lost := append(slices.Clone(e.queue), e.running...)
-	*e = engine{model: e.model, lastUse: make(map[string]time.Duration), cachedTokens: make(map[string]int), down: true, prefilled: e.prefilled, recomputed: e.recomputed}
+	*e = engine{model: e.model, speed: e.speed, lastUse: make(map[string]time.Duration), cachedTokens: make(map[string]int), down: true, prefilled: e.prefilled, recomputed: e.recomputed, sentTokens: e.sentTokens}
 	return lost
 }
--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	tick         = time.Millisecond
-	gatewayCount = 5
+	tick = time.Millisecond
+	// defaultGateways is the number of gateways of the default model.
+	defaultGateways = 5
 	// A caller disconnects if it gets no event for the longest of minPatience,
-	// patienceFactor target latencies and gapPatienceFactor event gaps.
+	// patienceFactor target latencies and gapPatienceFactor event gaps, unless the
+	// pattern has patient callers.
 	patienceFactor    = 4
 	minPatience       = 2 * time.Second
 	gapPatienceFactor = 8
@@ -30,6 +32,7 @@
 // requestState is the state of a request and its caller.
 type requestState struct {
 	request          Request
+	priority         int           // at the replicas
 	firstArrival     time.Duration // of the first attempt
 	immediateRetries int           // left
 	retriedLater     bool          // whether it was retried after the delay of a refusal
@@ -97,15 +100,27 @@
 	until   time.Duration
 }
 
-// Replay simulates a pattern with a policy.
-func Replay(p *Pattern, policy Policy, model EngineModel, seed uint64) Result {
+// Option changes a default of Replay.
+type Option func(*options)
+
+type options struct{ gateways int }
+
+// WithGateways sets the number of gateways that the requests arrive at.
+func WithGateways(n int) Option { return func(o *options) { o.gateways = n } }
+
+// Replay simulates a pattern with a policy. The result depends only on the arguments.
+func Replay(p *Pattern, policy Policy, model EngineModel, seed uint64, opts ...Option) Result {
+	o := options{gateways: defaultGateways}
+	for _, opt := range opts {
+		opt(&o)
+	}
 	r := &simulation{pattern: p, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), inFlight: make(map[*requestState]bool), sentBefore: make(map[string]bool), firstPauses: make(map[pauseOf]time.Duration)}
-	r.gateways = newGateways(policy, gatewayCount, model, r.clock, r.rnd)
-	for range model.Replicas {
-		r.engines = append(r.engines, newEngine(model))
+	r.gateways = newGateways(policy, o.gateways, model, r.clock, r.rnd)
+	for _, s := range newReplicaSpeeds(model, seed) {
+		r.engines = append(r.engines, newEngine(model, s))
 	}
 	for _, request := range p.Requests {
-		rs := &requestState{request: request, firstArrival: request.Arrival, immediateRetries: p.ImmediateRetries}
+		rs := &requestState{request: request, priority: request.Priority, firstArrival: request.Arrival, immediateRetries: p.ImmediateRetries}
 		r.requests = append(r.requests, rs)
 		heap.Push(&r.pending, arrival{request.Arrival, rs})
 	}
@@ -115,6 +130,7 @@
 	}
 	for ; r.now < end; r.now += tick {
 		r.applyOutages()
+		r.applySlowdowns()
 		r.applyPauses()
 		r.applyDepartures()
 		for len(r.pending) > 0 && r.pending[0].at <= r.now {
@@ -148,6 +164,21 @@
 	}
 }
 
+func (r *simulation) applySlowdowns() {
+	for _, s := range r.pattern.Slowdowns {
+		switch r.now {
+		case s.At:
+			for _, e := range r.share(s.ReplicaShare) {
+				e.speed.slowdown *= s.Factor
+			}
+		case s.At + s.Duration:
+			for _, e := range r.share(s.ReplicaShare) {
+				e.speed.slowdown /= s.Factor
+			}
+		}
+	}
+}
+
 func (r *simulation) crash(engines []*engine) {
 	for _, e := range engines {
 		for _, j := range e.crash() {
@@ -206,8 +237,22 @@
 	return true
 }
 
+// arrivalGateway returns the gateway that a request arrives at.
+func (r *simulation) arrivalGateway() *gateway {
+	list := r.gateways
+	if busy := r.pattern.BusyGateways; busy.RequestShare > 0 && len(list) > 1 {
+		n := min(max(int(busy.GatewayShare*float64(len(list))+0.5), 1), len(list)-1)
+		if r.rnd.Float64() < busy.RequestShare {
+			list = list[:n]
+		} else {
+			list = list[n:]
+		}
+	}
+	return list[r.rnd.IntN(len(list))]
+}
+
 func (r *simulation) arrive(rs *requestState) {
-	rs.gateway = r.gateways[r.rnd.IntN(len(r.gateways))]
+	rs.gateway = r.arrivalGateway()
 	for range len(r.engines) {
 		rs.replicaIndex, rs.choice = rs.gateway.choose(rs.request, r.clock())
 		if rs.choice.Refused {
@@ -286,7 +331,7 @@
 		if rs.job.started {
 			quiet = r.now - rs.lastEventAt
 		}
-		if quiet > patience || r.now-rs.firstArrival > rs.request.Timeout {
+		if !r.pattern.PatientCallers && quiet > patience || r.now-rs.firstArrival > rs.request.Timeout {
 			r.engines[rs.replicaIndex].cancel(rs.job)
 			r.end(rs, placement.Canceled, failed)
 		}
