Replay: seeds in parallel, JSON, variants of settings and of waiting

The policy sets waiting and refusal compare where requests wait, which are refused, and when their callers return.

--- a/cmd/briarreach/replay.go
+++ b/cmd/briarreach/replay.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/urfave/cli/v3"
 
@@ -12,15 +14,22 @@
 )
 
 const replayUsage = `Replays load patterns in simulated time with a model of the engines, under the
-placement policy and, for comparison, under baseline policies. A pattern is
+placement policy and, for comparison, under other policies. A pattern is
 given by name (by default all patterns run) or, with --file, as a recorded load
 with one JSON object per line. The models first and second are two deployments
 with uneven replicas; --replicas scales a model with its load and gateways.
 
+--policies chooses what is compared: placement is the product beside baselines,
+waiting is where requests wait, and refusal is which requests are refused and
+when their callers return. --set adds the product with other
+placement settings. With several seeds, the table has the means over the seeds.
+
 Examples:
    briarreach replay
    briarreach replay --pattern overload --seed 2
-   briarreach replay --model second --pattern long_burst
+   briarreach replay --model second --pattern long_burst --seeds 20 --json
+   briarreach replay --model second --replicas 12 --set prefill_rate=81900+late_factor=0.9
+   briarreach replay --policies waiting --slots 6 --seeds 20
    briarreach replay --file load.jsonl`
 
 func replayCommand() *cli.Command {
@@ -32,24 +41,36 @@
 			&cli.StringFlag{Name: "model", Usage: "`NAME` of the model: default, first or second", Value: "default"},
 			&cli.IntFlag{Name: "replicas", Usage: "`NUMBER` of replicas, 1 to 250; the load is scaled with it; 0 is the model's", Validator: inRange(0, 250)},
 			&cli.IntFlag{Name: "gateways", Usage: "`NUMBER` of gateways, 1 to 330; 0 is the model's", Validator: inRange(0, 330)},
-			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the generated loads and of tie-breaking", Value: 1},
+			&cli.IntFlag{Name: "slots", Usage: "`NUMBER` of slots of a replica, 1 to 1024; 0 is the model's", Validator: inRange(0, 1024)},
+			&cli.StringFlag{Name: "policies", Usage: "`SET` of policies: placement, waiting or refusal", Value: "placement"},
+			&cli.StringSliceFlag{Name: "set", Usage: "adds the product with another placement setting, `NAME=VALUE`; NAME=VALUE+NAME=VALUE sets several; can be repeated"},
+			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED` of the generated loads and of tie-breaking", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds, 1 to 1000", Value: 1, Validator: inRange(1, 1000)},
+			&cli.IntFlag{Name: "parallel", Usage: "`NUMBER` of replays at the same time, 1 to 64", Value: 2, Validator: inRange(1, 64)},
+			&cli.BoolFlag{Name: "json", Usage: "write the results as JSON"},
 		},
-		Action: func(_ context.Context, c *cli.Command) error {
-			model, err := replayModel(c)
+		Action: func(ctx context.Context, c *cli.Command) error {
+			batch, err := replayBatch(c)
 			if err != nil {
 				return &UsageError{Reason: err.Error()}
 			}
-			patterns, err := replayPatterns(c, model)
+			summaries, err := batch.Run(ctx)
 			if err != nil {
-				return &UsageError{Reason: err.Error()}
+				return err
 			}
-			var results []loadreplay.Result
-			for _, p := range patterns {
-				for _, policy := range loadreplay.Policies() {
-					results = append(results, loadreplay.Replay(p, policy, model.Engine, c.Uint64("seed"), loadreplay.WithGateways(model.Gateways)))
+			out := c.Root().Writer
+			switch {
+			case c.Bool("json"):
+				return json.NewEncoder(out).Encode(summaries)
+			case len(batch.Seeds) > 1:
+				return loadreplay.WriteSummaries(out, summaries)
+			default:
+				var results []loadreplay.Result
+				for _, s := range summaries {
+					results = append(results, s.Results...)
 				}
+				return loadreplay.Write(out, results)
 			}
-			return loadreplay.Write(c.Root().Writer, results)
 		},
 	}
 }
@@ -75,26 +96,46 @@
 	if n := c.Int("gateways"); n > 0 {
 		model.Gateways = n
 	}
+	if n := c.Int("slots"); n > 0 {
+		model.Engine.Slots = n
+	}
 	return model, nil
 }
 
-func replayPatterns(c *cli.Command, model loadreplay.Model) ([]*loadreplay.Pattern, error) {
-	if path := c.String("file"); path != "" {
-		f, err := os.Open(path)
+// replayBatch returns the replays that the flags ask for.
+func replayBatch(c *cli.Command) (loadreplay.Batch, error) {
+	batch := loadreplay.Batch{Patterns: c.StringSlice("pattern"), Parallel: c.Int("parallel")}
+	for i := range c.Int("seeds") {
+		batch.Seeds = append(batch.Seeds, c.Uint64("seed")+uint64(i))
+	}
+	var err error
+	if batch.Model, err = replayModel(c); err != nil {
+		return batch, err
+	}
+	if batch.Policies, err = loadreplay.PolicySet(c.String("policies"), batch.Model); err != nil {
+		return batch, err
+	}
+	for _, setting := range c.StringSlice("set") {
+		variant, err := loadreplay.SettingVariant(setting)
 		if err != nil {
-			return nil, err
+			return batch, err
 		}
-		defer func() { _ = f.Close() }()
-		p, err := loadreplay.Read(filepath.Base(path), f)
-		return []*loadreplay.Pattern{p}, err
+		batch.Policies = append(batch.Policies, variant)
 	}
-	var patterns []*loadreplay.Pattern
-	for _, name := range c.StringSlice("pattern") {
-		p, err := model.Generate(name, c.Uint64("seed"))
-		if err != nil {
-			return nil, err
+	for _, name := range batch.Patterns {
+		if !slices.Contains(loadreplay.PatternNames, name) {
+			return batch, &loadreplay.UnknownPatternError{Name: name}
 		}
-		patterns = append(patterns, p)
 	}
-	return patterns, nil
+	path := c.String("file")
+	if path == "" {
+		return batch, nil
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return batch, err
+	}
+	defer func() { _ = f.Close() }()
+	batch.Recorded, err = loadreplay.Read(filepath.Base(path), f)
+	return batch, err
 }
--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -3,6 +3,7 @@
 package loadreplay
 
 import (
+	"cmp"
 	"container/heap"
 	"math/rand/v2"
 	"slices"
@@ -45,6 +46,15 @@
 	lastEventAt       time.Duration // since the start of the replay
 	maxGap            time.Duration // longest time between events
 	outcome           outcome
+	promised          bool // it was told when to return, and returns then
+}
+
+// deadline returns when the caller disconnects.
+func (rs *requestState) deadline() time.Duration { return rs.firstArrival + rs.request.Timeout }
+
+// patience returns how long an impatient caller waits for the next event.
+func (rs *requestState) patience() time.Duration {
+	return max(minPatience, patienceFactor*rs.request.TargetLatency, gapPatienceFactor*rs.request.MaxEventGap)
 }
 
 type outcome int
@@ -82,6 +92,7 @@
 	now              time.Duration
 	epoch            time.Time
 	rnd              *rand.Rand
+	model            EngineModel
 	engines          []*engine
 	gateways         []*gateway
 	pending          arrivals
@@ -91,6 +102,13 @@
 	needlessRefusals int             // while a replica had a free slot
 	sentInPause      int             // requests that reached a replica too late in its pause
 	firstPauses      map[pauseOf]time.Duration
+	sent             []sending
+}
+
+// sending is an attempt that reached a replica.
+type sending struct {
+	at      time.Duration
+	replica int
 }
 
 // pauseOf identifies a pause of a replica, as answered to a gateway.
@@ -114,8 +132,8 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	r := &simulation{pattern: p, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), inFlight: make(map[*requestState]bool), sentBefore: make(map[string]bool), firstPauses: make(map[pauseOf]time.Duration)}
-	r.gateways = newGateways(policy, o.gateways, model, r.clock, r.rnd)
+	r := &simulation{pattern: p, model: model, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), inFlight: make(map[*requestState]bool), sentBefore: make(map[string]bool), firstPauses: make(map[pauseOf]time.Duration)}
+	r.gateways = newGateways(policy, o.gateways, model, r.clock, r.rnd, r.hasFreeSlot)
 	for _, s := range newReplicaSpeeds(model, seed) {
 		r.engines = append(r.engines, newEngine(model, s))
 	}
@@ -136,12 +154,15 @@
 		for len(r.pending) > 0 && r.pending[0].at <= r.now {
 			r.arrive(heap.Pop(&r.pending).(arrival).request)
 		}
+		if r.now%queueInterval == 0 {
+			r.serveQueues()
+		}
 		for _, e := range r.engines {
 			e.advance(r.now, tick, r.onEvent, r.onDone)
 		}
 		r.cancelImpatient()
 	}
-	return r.result(policyName(policy))
+	return r.result(policyName(policy), seed)
 }
 
 func (r *simulation) clock() time.Time { return r.epoch.Add(r.now) }
@@ -251,13 +272,36 @@
 	return list[r.rnd.IntN(len(list))]
 }
 
+// hasFreeSlot reports whether a replica has fewer requests than slots.
+func (r *simulation) hasFreeSlot(replicaIndex int) bool {
+	e := r.engines[replicaIndex]
+	return !e.down && len(e.queue)+len(e.running) < e.model.Slots
+}
+
 func (r *simulation) arrive(rs *requestState) {
 	rs.gateway = r.arrivalGateway()
+	if q := rs.gateway.queue; q != nil {
+		if len(q.waiting) > 0 || !r.send(rs) {
+			if overflow := q.add(rs); overflow != nil {
+				oldest := slices.MinFunc(append(q.waiting, overflow), func(a, b *requestState) int { return cmp.Compare(a.firstArrival, b.firstArrival) })
+				wait := r.now - oldest.firstArrival
+				overflow.choice = placement.Choice{Refused: true, ExpectedWait: wait, RetryAfter: time.Duration(float64(wait) * (0.5 + r.rnd.Float64()))}
+				r.refuse(overflow)
+			}
+		}
+		return
+	}
+	if !r.send(rs) {
+		r.refuse(rs)
+	}
+}
+
+// send sends a request to a replica. It returns false if none takes it.
+func (r *simulation) send(rs *requestState) bool {
 	for range len(r.engines) {
-		rs.replicaIndex, rs.choice = rs.gateway.choose(rs.request, r.clock())
+		rs.replicaIndex, rs.choice = rs.gateway.choose(rs, r.now)
 		if rs.choice.Refused {
-			r.refuse(rs)
-			return
+			return false
 		}
 		if r.rejectedInPause(rs) {
 			continue
@@ -266,12 +310,14 @@
 			rs.job = &job{state: rs}
 			r.engines[rs.replicaIndex].add(rs.job, r.now, r.sentBefore)
 			r.inFlight[rs] = true
-			return
+			r.sent = append(r.sent, sending{at: r.now, replica: rs.replicaIndex})
+			return true
 		}
 		// A refused connection proves that the request did not run.
 		rs.gateway.done(rs.replicaIndex, rs.choice, placement.ConnectionBroken, r.clock())
 	}
 	rs.outcome = failed
+	return true
 }
 
 // refuse handles a refusal: the caller retries once after the given delay, or
@@ -283,14 +329,19 @@
 			break
 		}
 	}
-	left := rs.firstArrival + rs.request.Timeout - r.now
+	left := rs.deadline() - r.now
+	after, commit := rs.choice.RetryAfter, func() {}
+	if g := rs.gateway; g.returns != nil {
+		after, commit = g.returns.plan(r.now, g.roomIn(rs), rs.request.Priority, g.prefillTokens(rs.choice))
+	}
 	switch {
 	case rs.immediateRetries > 0:
 		rs.immediateRetries--
 		heap.Push(&r.pending, arrival{r.now + tick, rs})
-	case !rs.retriedLater && rs.choice.RetryAfter <= left/3:
-		rs.retriedLater = true
-		heap.Push(&r.pending, arrival{r.now + rs.choice.RetryAfter, rs})
+	case !rs.retriedLater && after <= left/3:
+		commit()
+		rs.retriedLater, rs.promised = true, true
+		heap.Push(&r.pending, arrival{r.now + after, rs})
 	default:
 		rs.outcome = refused
 	}
@@ -326,12 +377,11 @@
 // cancelImpatient cancels the requests whose callers have waited too long.
 func (r *simulation) cancelImpatient() {
 	for rs := range r.inFlight {
-		patience := max(minPatience, patienceFactor*rs.request.TargetLatency, gapPatienceFactor*rs.request.MaxEventGap)
 		quiet := r.now - rs.job.sent
 		if rs.job.started {
 			quiet = r.now - rs.lastEventAt
 		}
-		if !r.pattern.PatientCallers && quiet > patience || r.now-rs.firstArrival > rs.request.Timeout {
+		if !r.pattern.PatientCallers && quiet > rs.patience() || r.now > rs.deadline() {
 			r.engines[rs.replicaIndex].cancel(rs.job)
 			r.end(rs, placement.Canceled, failed)
 		}
--- a/loadreplay/policy.go
+++ b/loadreplay/policy.go
@@ -1,6 +1,7 @@
 package loadreplay
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -40,6 +41,10 @@
 	Name          string
 	Settings      placement.Settings
 	IgnoreNotices bool // what replicas say of themselves
+	Waiting       Waiting
+	QueueLimit    int // requests that wait at a gateway; 0 is as many as its share of all slots
+	Refusal       Refusal
+	Returns       Returns
 }
 
 func (Random) policy()      {}
@@ -72,6 +77,54 @@
 	return []Policy{Random{}, LeastLoaded{}, PrefixHash{}, Placement{Name: "without_notices", Settings: product, IgnoreNotices: true}, Placement{Name: "without_refusals", Settings: accepting}, Placement{Name: "product", Settings: product}}
 }
 
+// UnknownPolicySetError reports a name that PolicySet does not know.
+type UnknownPolicySetError struct{ Name string }
+
+func (e *UnknownPolicySetError) Error() string {
+	return fmt.Sprintf("policy set %q: accepted are placement, waiting and refusal", e.Name)
+}
+
+// PolicySet returns the policies of a comparison: placement is that of Policies;
+// waiting compares where requests wait; refusal compares which requests are refused
+// and when their callers return. The policies of the latter two know the mean prefill
+// rate of the model's replicas, except for the first one, which is the product.
+func PolicySet(name string, m Model) ([]Policy, error) {
+	product := placement.Defaults()
+	rated := product
+	rated.PrefillRate = m.Engine.meanPrefillRate()
+	today := Placement{Name: "product", Settings: product}
+	switch name {
+	case "placement":
+		return Policies(), nil
+	case "waiting":
+		return []Policy{today,
+			Placement{Name: "nowhere", Settings: rated, Waiting: Nowhere},
+			Placement{Name: "at_gateway", Settings: rated, Waiting: AtGateway},
+			Placement{Name: "at_gateway_exact", Settings: rated, Waiting: AtGatewayExact},
+			Placement{Name: "at_gateway_256", Settings: rated, Waiting: AtGateway, QueueLimit: 256},
+			Placement{Name: "at_gateway_exact_256", Settings: rated, Waiting: AtGatewayExact, QueueLimit: 256},
+			Placement{Name: "at_replicas", Settings: rated},
+			Placement{Name: "at_replicas_hopeless", Settings: rated, Refusal: RefuseHopeless},
+		}, nil
+	case "refusal":
+		policies := []Policy{today}
+		for _, refusal := range []struct {
+			name  string
+			value Refusal
+		}{{"late", RefuseLate}, {"hopeless", RefuseHopeless}, {"hopeless_behind", RefuseHopelessBehind}} {
+			for _, returns := range []struct {
+				name  string
+				value Returns
+			}{{"after_wait", ReturnAfterWait}, {"spread", ReturnSpread}, {"spread_kept", ReturnSpreadKept}} {
+				policies = append(policies, Placement{Name: refusal.name + "/" + returns.name, Settings: rated, Refusal: refusal.value, Returns: returns.value})
+			}
+		}
+		return policies, nil
+	default:
+		return nil, &UnknownPolicySetError{Name: name}
+	}
+}
+
 // gateway is a gateway process with its policy and its requests in flight by
 // replica.
 type gateway struct {
@@ -81,24 +134,48 @@
 	replicas []replica.Replica
 	inFlight []int
 	rnd      *rand.Rand
+	model    EngineModel
+	epoch    time.Time
+	queue    *gatewayQueue   // nil if requests don't wait at the gateway
+	returns  *returnSchedule // nil if placement says when callers return
 }
 
-// newGateways returns n gateways that announce placements to each other.
-func newGateways(p Policy, n int, model EngineModel, now func() time.Time, rnd *rand.Rand) []*gateway {
+// newGateways returns n gateways that announce placements to each other. HasFreeSlot
+// reports whether a replica has a free slot, which only AtGatewayExact asks.
+func newGateways(p Policy, n int, model EngineModel, now func() time.Time, rnd *rand.Rand, hasFreeSlot func(replicaIndex int) bool) []*gateway {
 	list := make([]replica.Replica, model.Replicas)
 	for i := range list {
 		list[i] = replica.Replica{ID: fmt.Sprintf("r%d", i), Service: "engine", Slots: model.Slots,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}
 	}
+	index := make(map[string]int, len(list))
+	for i := range list {
+		index[list[i].ID] = i
+	}
 	gateways := make([]*gateway, n)
 	for i := range gateways {
-		g := &gateway{policy: p, notices: replicanotice.New(replicaDrainTimeout, rnd), replicas: list, inFlight: make([]int, len(list)), rnd: rnd}
+		g := &gateway{policy: p, notices: replicanotice.New(replicaDrainTimeout, rnd), replicas: list, inFlight: make([]int, len(list)), rnd: rnd, model: model, epoch: now()}
 		if p, ok := p.(Placement); ok {
 			var opts []placement.Option
 			if !p.IgnoreNotices {
 				opts = append(opts, placement.WithNotices(g.notices))
 			}
-			g.placer = placement.New(p.Settings, func(a placement.Announcement) {
+			settings := p.Settings
+			if p.Waiting != AtReplicas {
+				settings = roomSettings(settings)
+				limiter := slotLimiter{gateway: g, index: index, hasRoom: func(i int) bool { return g.inFlight[i] < slotShare(model.Slots, n) }}
+				if p.Waiting == AtGatewayExact {
+					limiter.hasRoom = hasFreeSlot
+				}
+				opts = append(opts, placement.WithLimiter(limiter))
+			}
+			if p.Waiting == AtGateway || p.Waiting == AtGatewayExact {
+				g.queue = &gatewayQueue{limit: cmp.Or(p.QueueLimit, max(model.Slots*model.Replicas/n, 1))}
+			}
+			if p.Returns != ReturnAfterWait {
+				g.returns = &returnSchedule{rate: returnShare * settings.PrefillRate * float64(model.Replicas) / float64(n), next: make(map[int]time.Duration)}
+			}
+			g.placer = placement.New(settings, func(a placement.Announcement) {
 				for _, other := range gateways {
 					if other != g {
 						other.placer.HandleAnnouncement(a, now())
@@ -112,16 +189,52 @@
 	return gateways
 }
 
+// place places a request with Placement.
+func (g *gateway) place(p Placement, rs *requestState, now time.Duration) placement.Choice {
+	r := rs.request
+	rs.priority = r.Priority
+	req := placement.Request{SharedParts: placement.HashParts([]string{r.Subject}, []int{r.SharedTokens}), UniqueTokens: r.UniqueTokens, Priority: r.Priority, TargetLatency: r.TargetLatency}
+	refusal := p.Refusal
+	if p.Returns == ReturnSpreadKept && rs.promised {
+		refusal = RefuseHopeless
+	}
+	choice, ok := g.placer.Choose(req, g.replicas, g.epoch.Add(now), g.rnd)
+	if !ok {
+		return placement.Choice{Refused: true, RetryAfter: noReplicaRetryAfter}
+	}
+	if !choice.Refused || refusal == RefuseLate || choice.Reason == placement.PausedReason || choice.Reason == placement.LimitedReason {
+		return choice
+	}
+	if refusal == RefuseHopelessBehind {
+		req.Priority += lateUrgency
+	}
+	req.TargetLatency = max(rs.deadline()-now-g.model.decodingTime(r), 1)
+	if second, ok := g.placer.Choose(req, g.replicas, g.epoch.Add(now), g.rnd); ok && !second.Refused {
+		rs.priority = req.Priority
+		return second
+	}
+	return choice
+}
+
+// roomIn returns the time until a refused request would have been accepted, without
+// further requests.
+func (g *gateway) roomIn(rs *requestState) time.Duration {
+	p := g.policy.(Placement)
+	accepted := time.Duration(p.Settings.Overload.LateFactor * float64(rs.request.TargetLatency))
+	return max(rs.choice.ExpectedWait+rs.choice.ExpectedPrefill-accepted, 0)
+}
+
+// prefillTokens returns the tokens that a choice expects to prefill.
+func (g *gateway) prefillTokens(c placement.Choice) float64 {
+	return c.ExpectedPrefill.Seconds() * g.policy.(Placement).Settings.PrefillRate
+}
+
 // choose returns the replica's index and, with Placement, its choice.
-func (g *gateway) choose(r Request, now time.Time) (int, placement.Choice) {
+func (g *gateway) choose(rs *requestState, now time.Duration) (int, placement.Choice) {
 	best := 0
-	switch g.policy.(type) {
+	switch p := g.policy.(type) {
 	case Placement:
-		req := placement.Request{SharedParts: placement.HashParts([]string{r.Subject}, []int{r.SharedTokens}), UniqueTokens: r.UniqueTokens, Priority: r.Priority, TargetLatency: r.TargetLatency}
-		choice, ok := g.placer.Choose(req, g.replicas, now, g.rnd)
-		if !ok {
-			choice = placement.Choice{Refused: true, RetryAfter: noReplicaRetryAfter}
-		}
+		choice := g.place(p, rs, now)
 		for i := range g.replicas {
 			if g.replicas[i].ID == choice.Replica.ID {
 				best = i
@@ -144,7 +257,7 @@
 		}
 		home, heaviest := 0, uint64(0)
 		for i := range g.replicas {
-			if w := xxhash.Sum64String(r.Subject + g.replicas[i].ID); w >= heaviest {
+			if w := xxhash.Sum64String(rs.request.Subject + g.replicas[i].ID); w >= heaviest {
 				home, heaviest = i, w
 			}
 		}
--- a/loadreplay/speed.go
+++ b/loadreplay/speed.go
@@ -47,6 +47,19 @@
 	return speeds
 }
 
+// meanPrefillRate returns the prefill rate of the mean replica over time.
+func (m EngineModel) meanPrefillRate() float64 {
+	speed, rest := 0.0, 1.0
+	for _, c := range m.Speeds {
+		speed, rest = speed+c.Share*c.Speed, rest-c.Share
+	}
+	speed += rest
+	if share := m.SlowMoments.TimeShare; share > 0 {
+		speed *= 1 - share + share/m.SlowMoments.Factor
+	}
+	return m.PrefillRate * speed
+}
+
 // untilSlow returns the time from the end of a slow moment to the next one.
 func (s *replicaSpeed) untilSlow() time.Duration {
 	if s.moments.TimeShare <= 0 {
