--- a/cmd/briarreach/replay.go
+++ b/cmd/briarreach/replay.go
@@ -1,8 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -39,14 +40,14 @@
 			&cli.StringSliceFlag{Name: "pattern", Usage: "`NAME` of a generated pattern; can be repeated", Value: loadreplay.PatternNames},
 			&cli.StringFlag{Name: "file", Usage: "`FILE` with a recorded load, which replaces the generated patterns"},
 			&cli.StringFlag{Name: "model", Usage: "`NAME` of the model: default, first or second", Value: "default"},
-			&cli.IntFlag{Name: "replicas", Usage: "`NUMBER` of replicas, 1 to 250; the load is scaled with it; 0 is the model's", Validator: inRange(0, 250)},
-			&cli.IntFlag{Name: "gateways", Usage: "`NUMBER` of gateways, 1 to 330; 0 is the model's", Validator: inRange(0, 330)},
-			&cli.IntFlag{Name: "slots", Usage: "`NUMBER` of slots of a replica, 1 to 1024; 0 is the model's", Validator: inRange(0, 1024)},
+			&cli.IntFlag{Name: "replicas", Usage: "`NUMBER` of replicas, 1 to 250; the load is scaled with it; 0 is the model's"},
+			&cli.IntFlag{Name: "gateways", Usage: "`NUMBER` of gateways, 1 to 330; 0 is the model's"},
+			&cli.IntFlag{Name: "slots", Usage: "`NUMBER` of slots of a replica, 1 to 1024; 0 is the model's"},
 			&cli.StringFlag{Name: "policies", Usage: "`SET` of policies: placement, waiting or refusal", Value: "placement"},
 			&cli.StringSliceFlag{Name: "set", Usage: "adds the product with another placement setting, `NAME=VALUE`; NAME=VALUE+NAME=VALUE sets several; can be repeated"},
 			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED` of the generated loads and of tie-breaking", Value: 1},
-			&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds, 1 to 1000", Value: 1, Validator: inRange(1, 1000)},
-			&cli.IntFlag{Name: "parallel", Usage: "`NUMBER` of replays at the same time, 1 to 64", Value: 2, Validator: inRange(1, 64)},
+			&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds, 1 to 1000", Value: 1},
+			&cli.IntFlag{Name: "parallel", Usage: "`NUMBER` of replays at the same time, 1 to 64", Value: 2},
 			&cli.BoolFlag{Name: "json", Usage: "write the results as JSON"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -61,7 +62,7 @@
 			out := c.Root().Writer
 			switch {
 			case c.Bool("json"):
-				return json.NewEncoder(out).Encode(summaries)
+				return printJSON(out, summaries)
 			case len(batch.Seeds) > 1:
 				return loadreplay.WriteSummaries(out, summaries)
 			default:
@@ -75,43 +76,45 @@
 	}
 }
 
-// inRange returns a check of a flag's value.
-func inRange(low, high int) func(int) error {
-	return func(n int) error {
-		if n < low || n > high {
-			return fmt.Errorf("%d is not from %d to %d", n, low, high)
-		}
-		return nil
+// intFlag returns the value of a flag that must be within a range.
+func intFlag(c *cli.Command, name string, low, high int) (int, error) {
+	n := c.Int(name)
+	if n < low || n > high {
+		return n, fmt.Errorf("--%s %d: accepted is %d to %d", name, n, low, high)
 	}
+	return n, nil
 }
 
 func replayModel(c *cli.Command) (loadreplay.Model, error) {
 	model, err := loadreplay.ModelByName(c.String("model"))
-	if err != nil {
+	replicas, err1 := intFlag(c, "replicas", 0, 250)
+	gateways, err2 := intFlag(c, "gateways", 0, 330)
+	slots, err3 := intFlag(c, "slots", 0, 1024)
+	if err := errors.Join(err, err1, err2, err3); err != nil {
 		return model, err
 	}
-	if n := c.Int("replicas"); n > 0 {
-		model = model.Scaled(n)
-	}
-	if n := c.Int("gateways"); n > 0 {
-		model.Gateways = n
-	}
-	if n := c.Int("slots"); n > 0 {
-		model.Engine.Slots = n
+	if replicas > 0 {
+		model = model.Scaled(replicas)
 	}
+	model.Gateways = cmp.Or(gateways, model.Gateways)
+	model.Engine.Slots = cmp.Or(slots, model.Engine.Slots)
 	return model, nil
 }
 
 // replayBatch returns the replays that the flags ask for.
 func replayBatch(c *cli.Command) (loadreplay.Batch, error) {
-	batch := loadreplay.Batch{Patterns: c.StringSlice("pattern"), Parallel: c.Int("parallel")}
-	for i := range c.Int("seeds") {
-		batch.Seeds = append(batch.Seeds, c.Uint64("seed")+uint64(i))
-	}
-	var err error
-	if batch.Model, err = replayModel(c); err != nil {
+	batch := loadreplay.Batch{Patterns: c.StringSlice("pattern")}
+	seeds, err1 := intFlag(c, "seeds", 1, 1000)
+	parallel, err2 := intFlag(c, "parallel", 1, 64)
+	model, err3 := replayModel(c)
+	err := errors.Join(err1, err2, err3)
+	if err != nil {
 		return batch, err
 	}
+	batch.Model, batch.Parallel = model, parallel
+	for i := range seeds {
+		batch.Seeds = append(batch.Seeds, c.Uint64("seed")+uint64(i))
+	}
 	if batch.Policies, err = loadreplay.PolicySet(c.String("policies"), batch.Model); err != nil {
 		return batch, err
 	}
--- a/loadreplay/engine.go
+++ b/loadreplay/engine.go
@@ -32,7 +32,6 @@
 // job is an attempt of a request on a replica.
 type job struct {
 	state       *requestState
-	sent        time.Duration
 	prefillLeft float64 // prompt tokens
 	generated   float64 // tokens
 	events      int
@@ -65,9 +64,9 @@
 	return &engine{model: model, speed: speed, lastUse: make(map[string]time.Duration), cachedTokens: make(map[string]int)}
 }
 
-func (e *engine) add(j *job, now time.Duration, sentBefore map[string]bool) {
+func (e *engine) add(j *job, sentBefore map[string]bool) {
 	r := j.state.request
-	j.sent, j.prefillLeft = now, float64(r.UniqueTokens)
+	j.prefillLeft = float64(r.UniqueTokens)
 	if _, ok := e.lastUse[r.Subject]; !ok {
 		j.prefillLeft += float64(r.SharedTokens)
 		if sentBefore[r.Subject] {
--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -42,6 +42,8 @@
 	replicaIndex      int
 	choice            placement.Choice
 	job               *job
+	inFlightIndex     int           // in simulation.inFlight
+	lastAlive         time.Duration // when the attempt was sent or its last event came
 	firstEventLatency time.Duration // since firstArrival
 	lastEventAt       time.Duration // since the start of the replay
 	maxGap            time.Duration // longest time between events
@@ -97,7 +99,7 @@
 	gateways         []*gateway
 	pending          arrivals
 	requests         []*requestState
-	inFlight         map[*requestState]bool
+	inFlight         []*requestState // at replicas
 	sentBefore       map[string]bool // subjects whose shared part was sent to some replica
 	needlessRefusals int             // while a replica had a free slot
 	sentInPause      int             // requests that reached a replica too late in its pause
@@ -132,7 +134,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	r := &simulation{pattern: p, model: model, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), inFlight: make(map[*requestState]bool), sentBefore: make(map[string]bool), firstPauses: make(map[pauseOf]time.Duration)}
+	r := &simulation{pattern: p, model: model, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), sentBefore: make(map[string]bool), firstPauses: make(map[pauseOf]time.Duration)}
 	r.gateways = newGateways(policy, o.gateways, model, r.clock, r.rnd, r.hasFreeSlot)
 	for _, s := range newReplicaSpeeds(model, seed) {
 		r.engines = append(r.engines, newEngine(model, s))
@@ -308,8 +310,9 @@
 		}
 		if !r.engines[rs.replicaIndex].down {
 			rs.job = &job{state: rs}
-			r.engines[rs.replicaIndex].add(rs.job, r.now, r.sentBefore)
-			r.inFlight[rs] = true
+			r.engines[rs.replicaIndex].add(rs.job, r.sentBefore)
+			rs.inFlightIndex, rs.lastAlive = len(r.inFlight), r.now
+			r.inFlight = append(r.inFlight, rs)
 			r.sent = append(r.sent, sending{at: r.now, replica: rs.replicaIndex})
 			return true
 		}
@@ -360,7 +363,7 @@
 	} else {
 		rs.maxGap = max(rs.maxGap, r.now-rs.lastEventAt)
 	}
-	rs.lastEventAt = r.now
+	rs.lastEventAt, rs.lastAlive = r.now, r.now
 	if p := rs.gateway.placer; p != nil {
 		p.RecordActivity(rs.choice, r.clock())
 	}
@@ -376,12 +379,10 @@
 
 // cancelImpatient cancels the requests whose callers have waited too long.
 func (r *simulation) cancelImpatient() {
-	for rs := range r.inFlight {
-		quiet := r.now - rs.job.sent
-		if rs.job.started {
-			quiet = r.now - rs.lastEventAt
-		}
-		if !r.pattern.PatientCallers && quiet > rs.patience() || r.now > rs.deadline() {
+	// Backwards, as end moves the last one to the place of the one that it removes.
+	for i := len(r.inFlight) - 1; i >= 0; i-- {
+		rs := r.inFlight[i]
+		if !r.pattern.PatientCallers && r.now-rs.lastAlive > rs.patience() || r.now > rs.deadline() {
 			r.engines[rs.replicaIndex].cancel(rs.job)
 			r.end(rs, placement.Canceled, failed)
 		}
@@ -391,5 +392,7 @@
 func (r *simulation) end(rs *requestState, p placement.Outcome, o outcome) {
 	rs.gateway.done(rs.replicaIndex, rs.choice, p, r.clock())
 	rs.outcome = o
-	delete(r.inFlight, rs)
+	last := r.inFlight[len(r.inFlight)-1]
+	r.inFlight[rs.inFlightIndex], last.inFlightIndex = last, rs.inFlightIndex
+	r.inFlight = r.inFlight[:len(r.inFlight)-1]
 }
--- a/loadreplay/policy.go
+++ b/loadreplay/policy.go
@@ -102,7 +102,6 @@
 			Placement{Name: "at_gateway", Settings: rated, Waiting: AtGateway},
 			Placement{Name: "at_gateway_exact", Settings: rated, Waiting: AtGatewayExact},
 			Placement{Name: "at_gateway_256", Settings: rated, Waiting: AtGateway, QueueLimit: 256},
-			Placement{Name: "at_gateway_exact_256", Settings: rated, Waiting: AtGatewayExact, QueueLimit: 256},
 			Placement{Name: "at_replicas", Settings: rated},
 			Placement{Name: "at_replicas_hopeless", Settings: rated, Refusal: RefuseHopeless},
 		}, nil
--- a/loadreplay/waiting.go
+++ b/loadreplay/waiting.go
@@ -124,7 +124,9 @@
 // serveQueues sends waiting requests, in order, until no replica has room for the
 // next one. Those that can't be completed before their time limit are refused.
 func (r *simulation) serveQueues() {
-	for _, g := range r.gateways {
+	first := int(r.now / queueInterval) // gateways take turns at being the first
+	for i := range r.gateways {
+		g := r.gateways[(first+i)%len(r.gateways)]
 		if g.queue == nil || len(g.queue.waiting) == 0 {
 			continue
 		}
