--- a/cmd/briarreach/replay_test.go
+++ b/cmd/briarreach/replay_test.go
@@ -26,7 +26,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		var summaries []loadreplay.Summary
 		Expect(json.Unmarshal([]byte(out), &summaries)).To(Succeed())
-		Expect(summaries).To(HaveLen(len(loadreplay.Policies()) + 1))
+		Expect(summaries).To(HaveLen(len(loadreplay.Policies()) + 2))
 		last := summaries[len(summaries)-1]
 		Expect([]any{last.Model, last.Replicas, last.Gateways, last.Slots, last.Pattern, last.Policy}).To(Equal([]any{"first", 4, 3, 16, "waves", "late_factor=0.9"}))
 		Expect(last.Results).To(HaveLen(2))
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -91,6 +91,7 @@
 		newLimitExchange,
 		newNotices,
 		newNoticeExchange,
+		newSpeedExchange,
 		newPlacer,
 		newRetryBudget,
 		newDescriptors,
@@ -163,8 +164,12 @@
 		}))
 }
 
-func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, notices *replicanotice.Notices, clock clockwork.Clock) *placement.Placer {
-	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, placement.WithLimiter(limits), placement.WithNotices(notices))
+func newPlacer(t Tuning, peers *mesh.Mesh, limits *replicalimit.Limits, notices *replicanotice.Notices, speeds *speedExchange, clock clockwork.Clock) *placement.Placer {
+	opts := []placement.Option{placement.WithLimiter(limits), placement.WithNotices(notices)}
+	if speeds != nil {
+		opts = append(opts, placement.WithSpeeds(speeds.speeds))
+	}
+	placer := placement.New(t.Placement, func(p placement.Announcement) { peers.BroadcastPlacement(p) }, opts...)
 	peers.OnPlacement(func(p placement.Announcement) { placer.HandleAnnouncement(p, clock.Now()) })
 	return placer
 }
@@ -233,6 +238,7 @@
 	limits          *replicalimit.Limits
 	notices         *replicanotice.Notices
 	pool            *upstream.Pool
+	speeds          *speedExchange // nil unless the speeds of replicas are estimated
 	stopping        atomic.Bool
 
 	ignoredEntries    *metrics.Counter
@@ -245,8 +251,8 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, speeds *speedExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, speeds: speeds, pool: pool,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
 		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
@@ -485,6 +491,7 @@
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), min(closeTimeout, d.clock.Until(schedule.exit)))
 	defer cancelClose()
 	d.crashes.Close()
+	d.speeds.Close()
 	d.mesh.Repay(closeCtx)
 	d.quotaSyncers.Close(closeCtx)
 	d.quarantine.Close(closeCtx)
--- a/loadreplay/policy.go
+++ b/loadreplay/policy.go
@@ -12,6 +12,7 @@
 	"briarreach/placement"
 	"briarreach/replica"
 	"briarreach/replicanotice"
+	"briarreach/replicaspeed"
 )
 
 const (
@@ -41,6 +42,7 @@
 	Name          string
 	Settings      placement.Settings
 	IgnoreNotices bool // what replicas say of themselves
+	LearnSpeed    bool // estimate the speeds of replicas, as replicaspeed does
 	Waiting       Waiting
 	QueueLimit    int // requests that wait at a gateway; 0 is as many as its share of all slots
 	Refusal       Refusal
@@ -84,7 +86,8 @@
 	return fmt.Sprintf("policy set %q: accepted are placement, waiting and refusal", e.Name)
 }
 
-// PolicySet returns the policies of a comparison: placement is that of Policies;
+// PolicySet returns the policies of a comparison: placement is that of Policies, and
+// learning, the product that estimates the speeds of replicas;
 // waiting compares where requests wait; refusal compares which requests are refused
 // and when their callers return. The policies of the latter two know the mean prefill
 // rate of the model's replicas, except for the first one, which is the product.
@@ -95,7 +98,7 @@
 	today := Placement{Name: "product", Settings: product}
 	switch name {
 	case "placement":
-		return Policies(), nil
+		return append(Policies(), Placement{Name: "learning", Settings: product, LearnSpeed: true}), nil
 	case "waiting":
 		return []Policy{today,
 			Placement{Name: "nowhere", Settings: rated, Waiting: Nowhere},
@@ -130,6 +133,8 @@
 	policy   Policy
 	placer   *placement.Placer
 	notices  *replicanotice.Notices
+	speeds   *replicaspeed.Speeds // nil unless they are estimated
+	peers    []*gateway           // all gateways
 	replicas []replica.Replica
 	inFlight []int
 	rnd      *rand.Rand
@@ -159,6 +164,11 @@
 			if !p.IgnoreNotices {
 				opts = append(opts, placement.WithNotices(g.notices))
 			}
+			if p.LearnSpeed {
+				g.speeds = replicaspeed.New(replicaspeed.Defaults())
+				opts = append(opts, placement.WithSpeeds(g.speeds))
+			}
+			g.peers = gateways
 			settings := p.Settings
 			if p.Waiting != AtReplicas {
 				settings = roomSettings(settings)
@@ -192,7 +202,7 @@
 func (g *gateway) place(p Placement, rs *requestState, now time.Duration) placement.Choice {
 	r := rs.request
 	rs.priority = r.Priority
-	req := placement.Request{SharedParts: placement.HashParts([]string{r.Subject}, []int{r.SharedTokens}), UniqueTokens: r.UniqueTokens, Priority: r.Priority, TargetLatency: r.TargetLatency}
+	req := placement.Request{Streaming: true, MaxEventGap: r.MaxEventGap, SharedParts: placement.HashParts([]string{r.Subject}, []int{r.SharedTokens}), UniqueTokens: r.UniqueTokens, Priority: r.Priority, TargetLatency: r.TargetLatency}
 	refusal := p.Refusal
 	if p.Returns == ReturnSpreadKept && rs.promised {
 		refusal = RefuseHopeless
@@ -233,6 +243,7 @@
 	best := 0
 	switch p := g.policy.(type) {
 	case Placement:
+		g.shareSpeeds(g.epoch.Add(now))
 		choice := g.place(p, rs, now)
 		for i := range g.replicas {
 			if g.replicas[i].ID == choice.Replica.ID {
@@ -268,6 +279,20 @@
 	return best, placement.Choice{}
 }
 
+// shareSpeeds sends the sums of samples that are due to the other gateways.
+func (g *gateway) shareSpeeds(now time.Time) {
+	if g.speeds == nil {
+		return
+	}
+	if m, due := g.speeds.NextMessage(len(g.peers)-1, now); due {
+		for _, other := range g.peers {
+			if other != g {
+				other.speeds.HandleMessage(m, now)
+			}
+		}
+	}
+}
+
 // setReplicas replaces the replicas, as after a change of the registry.
 func (g *gateway) setReplicas(list []replica.Replica, now time.Time) {
 	g.replicas = list
