--- a/cmd/briarreach/replay.go
+++ b/cmd/briarreach/replay.go
@@ -45,6 +45,7 @@
 			&cli.IntFlag{Name: "slots", Usage: "`NUMBER` of slots of a replica, 1 to 1024; 0 is the model's"},
 			&cli.StringFlag{Name: "policies", Usage: "`SET` of policies: placement, waiting or refusal", Value: "placement"},
 			&cli.StringSliceFlag{Name: "set", Usage: "adds the product with another placement setting, `NAME=VALUE`; NAME=VALUE+NAME=VALUE sets several; can be repeated"},
+			&cli.BoolFlag{Name: "learn", Usage: "lets all policies of package placement, except for the first one, estimate the speeds of replicas"},
 			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED` of the generated loads and of tie-breaking", Value: 1},
 			&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds, 1 to 1000", Value: 1},
 			&cli.IntFlag{Name: "parallel", Usage: "`NUMBER` of replays at the same time, 1 to 64", Value: 2},
@@ -125,6 +126,11 @@
 		}
 		batch.Policies = append(batch.Policies, variant)
 	}
+	if c.Bool("learn") {
+		for i := 1; i < len(batch.Policies); i++ {
+			batch.Policies[i] = loadreplay.Learning(batch.Policies[i])
+		}
+	}
 	for _, name := range batch.Patterns {
 		if !slices.Contains(loadreplay.PatternNames, name) {
 			return batch, &loadreplay.UnknownPatternError{Name: name}
--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -335,7 +335,7 @@
 	left := rs.deadline() - r.now
 	after, commit := rs.choice.RetryAfter, func() {}
 	if g := rs.gateway; g.returns != nil {
-		after, commit = g.returns.plan(r.now, g.roomIn(rs), rs.request.Priority, g.prefillTokens(rs.choice))
+		after, commit = g.returns.plan(r.now, g.roomIn(rs), rs.request.Priority, rs.choice.ExpectedPrefill)
 	}
 	switch {
 	case rs.immediateRetries > 0:
--- a/loadreplay/policy.go
+++ b/loadreplay/policy.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// Learning returns the policy with LearnSpeed, if it is a Placement, and otherwise the
+// policy itself.
+func Learning(p Policy) Policy {
+	if p, ok := p.(Placement); ok && !p.LearnSpeed {
+		p.Name, p.LearnSpeed = p.Name+"+learning", true
+		return p
+	}
+	return p
+}
+
 // gateway is a gateway process with its policy and its requests in flight by
 // replica.
 type gateway struct {
@@ -182,7 +192,7 @@
 				g.queue = &gatewayQueue{limit: cmp.Or(p.QueueLimit, max(model.Slots*model.Replicas/n, 1))}
 			}
 			if p.Returns != ReturnAfterWait {
-				g.returns = &returnSchedule{rate: returnShare * settings.PrefillRate * float64(model.Replicas) / float64(n), next: make(map[int]time.Duration)}
+				g.returns = &returnSchedule{share: returnShare * float64(model.Replicas) / float64(n), next: make(map[int]time.Duration)}
 			}
 			g.placer = placement.New(settings, func(a placement.Announcement) {
 				for _, other := range gateways {
@@ -233,11 +243,6 @@
 	return max(rs.choice.ExpectedWait+rs.choice.ExpectedPrefill-accepted, 0)
 }
 
-// prefillTokens returns the tokens that a choice expects to prefill.
-func (g *gateway) prefillTokens(c placement.Choice) float64 {
-	return c.ExpectedPrefill.Seconds() * g.policy.(Placement).Settings.PrefillRate
-}
-
 // choose returns the replica's index and, with Placement, its choice.
 func (g *gateway) choose(rs *requestState, now time.Duration) (int, placement.Choice) {
 	best := 0
--- a/loadreplay/waiting.go
+++ b/loadreplay/waiting.go
@@ -57,7 +57,7 @@
 	queueInterval = 5 * time.Millisecond
 	// lateUrgency is added to the priority of late requests that go behind all others.
 	lateUrgency = 10
-	// returnShare is the share of the prefill rate that is planned for returns. The
+	// returnShare is the share of the replicas' time that is planned for returns. The
 	// rest is for new requests.
 	returnShare = 0.5
 )
@@ -149,18 +149,19 @@
 
 // returnSchedule plans the returns of the requests that a gateway has refused.
 type returnSchedule struct {
-	rate float64               // tokens per second of the returns
-	next map[int]time.Duration // by priority, when the returns of the same or more urgency are done
+	share float64               // replicas whose time is planned for this gateway's returns
+	next  map[int]time.Duration // by priority, when the planned returns are done
 }
 
-// plan returns how long after now a refused request may return. Commit must be
-// called if it will.
-func (s *returnSchedule) plan(now, roomIn time.Duration, priority int, tokens float64) (after time.Duration, commit func()) {
+// plan returns how long after now a refused request may return that takes a replica
+// for the given prefill time. Commit must be called if it will. Returns of the same or
+// more urgency go before it.
+func (s *returnSchedule) plan(now, roomIn time.Duration, priority int, prefill time.Duration) (after time.Duration, commit func()) {
 	at := now + roomIn
 	for p, end := range s.next {
 		if p <= priority {
 			at = max(at, end)
 		}
 	}
-	return at - now, func() { s.next[priority] = at + time.Duration(tokens/s.rate*float64(time.Second)) }
+	return at - now, func() { s.next[priority] = at + time.Duration(float64(prefill)/s.share) }
 }
