--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -3,6 +3,7 @@
 package loadreplay
 
 import (
+	"cmp"
 	"container/heap"
 	"math/rand/v2"
 	"slices"
@@ -13,10 +14,12 @@
 )
 
 const (
-	tick         = time.Millisecond
-	gatewayCount = 5
+	tick = time.Millisecond
+	// defaultGateways is the number of gateways of the default model.
+	defaultGateways = 5
 	// A caller disconnects if it gets no event for the longest of minPatience,
-	// patienceFactor target latencies and gapPatienceFactor event gaps.
+	// patienceFactor target latencies and gapPatienceFactor event gaps, unless the
+	// pattern has patient callers.
 	patienceFactor    = 4
 	minPatience       = 2 * time.Second
 	gapPatienceFactor = 8
@@ -30,6 +33,7 @@
 // requestState is the state of a request and its caller.
 type requestState struct {
 	request          Request
+	priority         int           // at the replicas
 	firstArrival     time.Duration // of the first attempt
 	immediateRetries int           // left
 	retriedLater     bool          // whether it was retried after the delay of a refusal
@@ -38,10 +42,21 @@
 	replicaIndex      int
 	choice            placement.Choice
 	job               *job
+	inFlightIndex     int           // in simulation.inFlight
+	lastAlive         time.Duration // when the attempt was sent or its last event came
 	firstEventLatency time.Duration // since firstArrival
 	lastEventAt       time.Duration // since the start of the replay
 	maxGap            time.Duration // longest time between events
 	outcome           outcome
+	promised          bool // it was told when to return, and returns then
+}
+
+// deadline returns when the caller disconnects.
+func (rs *requestState) deadline() time.Duration { return rs.firstArrival + rs.request.Timeout }
+
+// patience returns how long an impatient caller waits for the next event.
+func (rs *requestState) patience() time.Duration {
+	return max(minPatience, patienceFactor*rs.request.TargetLatency, gapPatienceFactor*rs.request.MaxEventGap)
 }
 
 type outcome int
@@ -79,15 +94,23 @@
 	now              time.Duration
 	epoch            time.Time
 	rnd              *rand.Rand
+	model            EngineModel
 	engines          []*engine
 	gateways         []*gateway
 	pending          arrivals
 	requests         []*requestState
-	inFlight         map[*requestState]bool
+	inFlight         []*requestState // at replicas
 	sentBefore       map[string]bool // subjects whose shared part was sent to some replica
 	needlessRefusals int             // while a replica had a free slot
 	sentInPause      int             // requests that reached a replica too late in its pause
 	firstPauses      map[pauseOf]time.Duration
+	sent             []sending
+}
+
+// sending is an attempt that reached a replica.
+type sending struct {
+	at      time.Duration
+	replica int
 }
 
 // pauseOf identifies a pause of a replica, as answered to a gateway.
@@ -97,15 +120,27 @@
 	until   time.Duration
 }
 
-// Replay simulates a pattern with a policy.
-func Replay(p *Pattern, policy Policy, model EngineModel, seed uint64) Result {
-	r := &simulation{pattern: p, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), inFlight: make(map[*requestState]bool), sentBefore: make(map[string]bool), firstPauses: make(map[pauseOf]time.Duration)}
-	r.gateways = newGateways(policy, gatewayCount, model, r.clock, r.rnd)
-	for range model.Replicas {
-		r.engines = append(r.engines, newEngine(model))
+// Option changes a default of Replay.
+type Option func(*options)
+
+type options struct{ gateways int }
+
+// WithGateways sets the number of gateways that the requests arrive at.
+func WithGateways(n int) Option { return func(o *options) { o.gateways = n } }
+
+// Replay simulates a pattern with a policy. The result depends only on the arguments.
+func Replay(p *Pattern, policy Policy, model EngineModel, seed uint64, opts ...Option) Result {
+	o := options{gateways: defaultGateways}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	r := &simulation{pattern: p, model: model, epoch: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 3)), sentBefore: make(map[string]bool), firstPauses: make(map[pauseOf]time.Duration)}
+	r.gateways = newGateways(policy, o.gateways, model, r.clock, r.rnd, r.hasFreeSlot)
+	for _, s := range newReplicaSpeeds(model, seed) {
+		r.engines = append(r.engines, newEngine(model, s))
 	}
 	for _, request := range p.Requests {
-		rs := &requestState{request: request, firstArrival: request.Arrival, immediateRetries: p.ImmediateRetries}
+		rs := &requestState{request: request, priority: request.Priority, firstArrival: request.Arrival, immediateRetries: p.ImmediateRetries}
 		r.requests = append(r.requests, rs)
 		heap.Push(&r.pending, arrival{request.Arrival, rs})
 	}
@@ -115,17 +150,21 @@
 	}
 	for ; r.now < end; r.now += tick {
 		r.applyOutages()
+		r.applySlowdowns()
 		r.applyPauses()
 		r.applyDepartures()
 		for len(r.pending) > 0 && r.pending[0].at <= r.now {
 			r.arrive(heap.Pop(&r.pending).(arrival).request)
 		}
+		if r.now%queueInterval == 0 {
+			r.serveQueues()
+		}
 		for _, e := range r.engines {
 			e.advance(r.now, tick, r.onEvent, r.onDone)
 		}
 		r.cancelImpatient()
 	}
-	return r.result(policyName(policy))
+	return r.result(policyName(policy), seed)
 }
 
 func (r *simulation) clock() time.Time { return r.epoch.Add(r.now) }
@@ -148,6 +187,21 @@
 	}
 }
 
+func (r *simulation) applySlowdowns() {
+	for _, s := range r.pattern.Slowdowns {
+		switch r.now {
+		case s.At:
+			for _, e := range r.share(s.ReplicaShare) {
+				e.speed.slowdown *= s.Factor
+			}
+		case s.At + s.Duration:
+			for _, e := range r.share(s.ReplicaShare) {
+				e.speed.slowdown /= s.Factor
+			}
+		}
+	}
+}
+
 func (r *simulation) crash(engines []*engine) {
 	for _, e := range engines {
 		for _, j := range e.crash() {
@@ -206,27 +260,67 @@
 	return true
 }
 
+// arrivalGateway returns the gateway that a request arrives at.
+func (r *simulation) arrivalGateway() *gateway {
+	list := r.gateways
+	if busy := r.pattern.BusyGateways; busy.RequestShare > 0 && len(list) > 1 {
+		n := min(max(int(busy.GatewayShare*float64(len(list))+0.5), 1), len(list)-1)
+		if r.rnd.Float64() < busy.RequestShare {
+			list = list[:n]
+		} else {
+			list = list[n:]
+		}
+	}
+	return list[r.rnd.IntN(len(list))]
+}
+
+// hasFreeSlot reports whether a replica has fewer requests than slots.
+func (r *simulation) hasFreeSlot(replicaIndex int) bool {
+	e := r.engines[replicaIndex]
+	return !e.down && len(e.queue)+len(e.running) < e.model.Slots
+}
+
 func (r *simulation) arrive(rs *requestState) {
-	rs.gateway = r.gateways[r.rnd.IntN(len(r.gateways))]
+	rs.gateway = r.arrivalGateway()
+	if q := rs.gateway.queue; q != nil {
+		if len(q.waiting) > 0 || !r.send(rs) {
+			if overflow := q.add(rs); overflow != nil {
+				oldest := slices.MinFunc(append(q.waiting, overflow), func(a, b *requestState) int { return cmp.Compare(a.firstArrival, b.firstArrival) })
+				wait := r.now - oldest.firstArrival
+				overflow.choice = placement.Choice{Refused: true, ExpectedWait: wait, RetryAfter: time.Duration(float64(wait) * (0.5 + r.rnd.Float64()))}
+				r.refuse(overflow)
+			}
+		}
+		return
+	}
+	if !r.send(rs) {
+		r.refuse(rs)
+	}
+}
+
+// send sends a request to a replica. It returns false if none takes it.
+func (r *simulation) send(rs *requestState) bool {
 	for range len(r.engines) {
-		rs.replicaIndex, rs.choice = rs.gateway.choose(rs.request, r.clock())
+		rs.replicaIndex, rs.choice = rs.gateway.choose(rs, r.now)
 		if rs.choice.Refused {
-			r.refuse(rs)
-			return
+			return false
 		}
 		if r.rejectedInPause(rs) {
 			continue
 		}
 		if !r.engines[rs.replicaIndex].down {
 			rs.job = &job{state: rs}
-			r.engines[rs.replicaIndex].add(rs.job, r.now, r.sentBefore)
-			r.inFlight[rs] = true
-			return
+			r.engines[rs.replicaIndex].add(rs.job, r.sentBefore)
+			rs.inFlightIndex, rs.lastAlive = len(r.inFlight), r.now
+			r.inFlight = append(r.inFlight, rs)
+			r.sent = append(r.sent, sending{at: r.now, replica: rs.replicaIndex})
+			return true
 		}
 		// A refused connection proves that the request did not run.
 		rs.gateway.done(rs.replicaIndex, rs.choice, placement.ConnectionBroken, r.clock())
 	}
 	rs.outcome = failed
+	return true
 }
 
 // refuse handles a refusal: the caller retries once after the given delay, or
@@ -238,14 +332,19 @@
 			break
 		}
 	}
-	left := rs.firstArrival + rs.request.Timeout - r.now
+	left := rs.deadline() - r.now
+	after, commit := rs.choice.RetryAfter, func() {}
+	if g := rs.gateway; g.returns != nil {
+		after, commit = g.returns.plan(r.now, g.roomIn(rs), rs.request.Priority, rs.choice.ExpectedPrefill)
+	}
 	switch {
 	case rs.immediateRetries > 0:
 		rs.immediateRetries--
 		heap.Push(&r.pending, arrival{r.now + tick, rs})
-	case !rs.retriedLater && rs.choice.RetryAfter <= left/3:
-		rs.retriedLater = true
-		heap.Push(&r.pending, arrival{r.now + rs.choice.RetryAfter, rs})
+	case !rs.retriedLater && after <= left/3:
+		commit()
+		rs.retriedLater, rs.promised = true, true
+		heap.Push(&r.pending, arrival{r.now + after, rs})
 	default:
 		rs.outcome = refused
 	}
@@ -264,7 +363,7 @@
 	} else {
 		rs.maxGap = max(rs.maxGap, r.now-rs.lastEventAt)
 	}
-	rs.lastEventAt = r.now
+	rs.lastEventAt, rs.lastAlive = r.now, r.now
 	if p := rs.gateway.placer; p != nil {
 		p.RecordActivity(rs.choice, r.clock())
 	}
@@ -280,13 +379,10 @@
 
 // cancelImpatient cancels the requests whose callers have waited too long.
 func (r *simulation) cancelImpatient() {
-	for rs := range r.inFlight {
-		patience := max(minPatience, patienceFactor*rs.request.TargetLatency, gapPatienceFactor*rs.request.MaxEventGap)
-		quiet := r.now - rs.job.sent
-		if rs.job.started {
-			quiet = r.now - rs.lastEventAt
-		}
-		if quiet > patience || r.now-rs.firstArrival > rs.request.Timeout {
+	// Backwards, as end moves the last one to the place of the one that it removes.
+	for i := len(r.inFlight) - 1; i >= 0; i-- {
+		rs := r.inFlight[i]
+		if !r.pattern.PatientCallers && r.now-rs.lastAlive > rs.patience() || r.now > rs.deadline() {
 			r.engines[rs.replicaIndex].cancel(rs.job)
 			r.end(rs, placement.Canceled, failed)
 		}
@@ -296,5 +392,7 @@
 func (r *simulation) end(rs *requestState, p placement.Outcome, o outcome) {
 	rs.gateway.done(rs.replicaIndex, rs.choice, p, r.clock())
 	rs.outcome = o
-	delete(r.inFlight, rs)
+	last := r.inFlight[len(r.inFlight)-1]
+	r.inFlight[rs.inFlightIndex], last.inFlightIndex = last, rs.inFlightIndex
+	r.inFlight = r.inFlight[:len(r.inFlight)-1]
 }
