Spec of a silent replica that is the fastest

Cause: without the check of silence the specs of placement still passed, as the replica had a request more or an overdue one.

Change: the request in flight has no prompt, so that only silence speaks against the replica.

Measured: the spec fails without the check.

--- a/placement/speed_test.go
+++ b/placement/speed_test.go
@@ -189,7 +189,8 @@
 			}
 			Expect(share(newPlacer(), list, 100)["r0"]).To(BeNumerically(">", 50), "it is the fastest")
 			p := newPlacer()
-			c, _ := p.Choose(prompt(0), list[:1], start.Add(-time.Minute), newRand())
+			// Without a prompt, so that nothing but its silence speaks against the replica.
+			c, _ := p.Choose(placement.Request{}, list[:1], start.Add(-time.Minute), newRand())
 			before(p, c)
 			s["r0"], l.left["r0"] = notice, left
 			Expect(share(p, list, 100)).NotTo(HaveKey("r0"))
