--- /dev/null
+++ b/loadreplay/waiting_test.go
@@ -0,0 +1,75 @@
+package loadreplay_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/loadreplay"
+)
+
+// runWaiting replays an overload of the model second with the policies of a set that
+// estimate speeds, by policy.
+func runWaiting(policies string, slots int) map[string]loadreplay.Summary {
+	GinkgoHelper()
+	m := loadreplay.SecondModel().Scaled(9)
+	m.Engine.Slots = slots
+	set, err := loadreplay.PolicySet(policies, m)
+	Expect(err).NotTo(HaveOccurred())
+	batch := loadreplay.Batch{Model: m, Patterns: []string{"overload"}, Seeds: []uint64{1, 2}, Parallel: 2}
+	for _, p := range set[1:] {
+		batch.Policies = append(batch.Policies, loadreplay.Learning(p))
+	}
+	summaries, err := batch.Run(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	byPolicy := make(map[string]loadreplay.Summary)
+	for _, s := range summaries {
+		byPolicy[s.Policy] = s
+	}
+	return byPolicy
+}
+
+// The specs hold what docs/design/waiting.md concludes.
+var _ = Describe("requests that no replica can start at once", func() {
+	// Guards against a change that makes a queue of the gateway the better place, which
+	// the gateway doesn't have.
+	DescribeTable("are served on time as often from the replicas' queues as from one at the gateway", func(slots int) {
+		s := runWaiting("waiting", slots)
+		Expect(s["at_replicas+learning"].OnTime.Mean).To(BeNumerically(">=", s["at_gateway+learning"].OnTime.Mean-0.02))
+	}, Entry(nil, 16), Entry(nil, 64))
+
+	// Guards against refusals that don't pay: refusing only hopeless requests serves
+	// more of them, and refusing late ones serves more of them on time.
+	It("are served later if only the hopeless ones are refused", func() {
+		s := runWaiting("refusal", 64)
+		late, hopeless := s["late/after_wait+learning"], s["hopeless/after_wait+learning"]
+		Expect(hopeless.Served.Mean).To(BeNumerically(">", late.Served.Mean))
+		Expect(late.OnTime.Mean).To(BeNumerically(">", hopeless.OnTime.Mean))
+	})
+
+	// Guards against queues of the gateway that outgrow their bound or keep requests past
+	// their time limit: with one slot, a queue of one serves less than a long one and
+	// refuses the rest at once.
+	It("are refused when the gateway's queue is full or their time limit can't be met", func() {
+		m := loadreplay.EngineModel{Replicas: 1, Slots: 1, PrefillRate: 100_000, ChunkTokens: 2048, StepTime: 5 * time.Millisecond, TokensPerEvent: 1, CacheTokens: 1}
+		// Each takes 1 s; ten arrive at once, with a limit of 4.5 s.
+		p := evenRequests(10, time.Millisecond, loadreplay.Request{UniqueTokens: 90_000, Events: 20, TargetLatency: time.Minute, MaxEventGap: time.Second})
+		for i := range p.Requests {
+			p.Requests[i].Timeout = 4500 * time.Millisecond
+		}
+		replay := func(limit int) loadreplay.OutcomeCounts {
+			set, err := loadreplay.PolicySet("waiting", loadreplay.SecondModel())
+			Expect(err).NotTo(HaveOccurred())
+			policy := set[1].(loadreplay.Placement)
+			policy.Waiting, policy.QueueLimit = loadreplay.AtGatewayExact, limit
+			return loadreplay.Replay(p, policy, m, 1, loadreplay.WithGateways(1)).Overall
+		}
+		short, long := replay(1), replay(100)
+		Expect(long.OnTime).To(Equal(4), "as many as the replica can serve before the limit")
+		Expect(long.Refused).To(Equal(6))
+		Expect(short.OnTime).To(BeNumerically("<", long.OnTime))
+		Expect(short.OnTime + short.Refused).To(Equal(10))
+	})
+})
