Connlimit: specs that fail without the reserve and without returned room

Two mutations passed: a budget for large bodies as large as the whole memory, and headers that are not returned when a request ends. The specs now fill what large bodies leave, and keep a connection open.

--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -111,7 +111,12 @@
 	// that is not returned.
 	It("passes on requests however they arrive, and holds nothing for idle connections", func() {
 		l, dial, _ := start()
+		kept := dial()
+		Eventually(l.Held, time.Second).ShouldNot(BeZero())
 		idle := l.Held()
+		_, err := io.WriteString(kept, post("small"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer(bufio.NewReader(kept))).To(Equal("5"))
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			c := dial()
 			defer func() { _ = c.Close() }()
@@ -170,6 +175,9 @@
 		for range 20 {
 			_, _ = io.WriteString(dial(), post(strings.Repeat("b", maxBodyBytes))[:maxBodyBytes])
 		}
+		for range 12 {
+			_, _ = io.WriteString(dial(), "POST / HTTP/1.1\r\n") // these fill what is left of the memory of large bodies
+		}
 		c := dial()
 		_, err := io.WriteString(c, post("small"))
 		Expect(err).NotTo(HaveOccurred())
