Callers: charge what the server holds to one budget, and read requests in steps

Cause: fasthttp's server allocates an announced body or chunk at once, grows bodies and parses headers without a total across connections, and offers no point at which a connection could be charged before its body is read (HeaderReceived has no connection; StreamRequestBody keeps the read buffer of each connection for good).

Change: platform.CallerServer accepts and reads connections itself, with fasthttp's header parser and net/http's chunk decoder. Each buffer is charged to a bytebudget before it is allocated: connections, header buffers (4 KiB, the limit's size for a longer header), parsed fields, bodies as they grow, and buffered answers (gateway.Request.ReserveAnswer). No room is 503 with Retry-After, not run; a connection without progress for the stall time is closed for others. Limits follow the configuration in force. Trailers are bounded and dropped; the readiness server reads no bodies. New tuning keys callers.memory_part (0 turns the budget off), callers.stall_timeout and callers.connections_per_address; new metrics briarreach_caller_bytes_held, _allowed and briarreach_callers_refused_total.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -26,6 +26,9 @@
 	Header        []upstream.HeaderField // end-to-end fields to pass on
 	Body          []byte
 	LastEventID   string // event after which the caller resumes a stream
+	// ReserveAnswer is called before bytes of an answer are buffered. An error says that
+	// there is no room for them. It may be nil.
+	ReserveAnswer func(bytes int) error
 }
 
 // Prompt is the size and the composition of a model request.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -185,8 +185,13 @@
 	if _, streaming := e.route.Kind.(route.Streaming); streaming && res.Status < 300 {
 		return e.relayStream(ctx, a, res, exclude, possibleExecutions+1)
 	}
-	body, err := readBody(res.Body, e.gateway.settings.MaxBufferedBodyBytes)
+	body, err := readBody(res.Body, res.ContentLength, e.gateway.settings.MaxBufferedBodyBytes, e.request.ReserveAnswer)
 	if err != nil {
+		var noRoom *NoRoomError
+		if errors.As(err, &noRoom) { // which is no failure of the replica
+			a.end(placement.Canceled, string(InternalError))
+			return nil, &failure{refusal: &Refusal{Execution: Executed, Reason: InternalError}, possiblyExecuted: true}
+		}
 		return nil, e.failSend(ctx, a, &upstream.IncompleteResponseError{Err: err})
 	}
 	relay := &RelayedResponse{Status: res.Status, Header: res.Header, BufferedBody: body}
@@ -252,13 +257,44 @@
 	return fmt.Sprintf("response exceeds %d bytes", e.Limit)
 }
 
-func readBody(body io.Reader, limit int) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
-	if err != nil {
-		return nil, fmt.Errorf("gateway.readBody: %w", err)
+// answerBufferBytes is the buffer that an answer of unknown length starts with.
+const answerBufferBytes = 4 << 10
+
+// readBody reads a body of length bytes, or of an unknown length if it is negative.
+// Buffers are reserved before they are allocated.
+func readBody(body io.Reader, length int64, limit int, reserve func(bytes int) error) ([]byte, error) {
+	size := answerBufferBytes
+	if length >= 0 {
+		size = int(min(length, int64(limit))) + 1 // the end is read as well
 	}
-	if len(data) > limit {
-		return nil, &ResponseTooLargeError{Limit: limit}
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			if reserve != nil {
+				if err := reserve(size); err != nil {
+					return nil, &NoRoomError{Err: err}
+				}
+			}
+			data = append(make([]byte, 0, size), data...)
+			size = min(2*size, limit+1)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case len(data) > limit:
+			return nil, &ResponseTooLargeError{Limit: limit}
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return nil, fmt.Errorf("gateway.readBody: %w", err)
+		}
 	}
-	return data, nil
 }
+
+// NoRoomError reports that a response can't be held until it is complete.
+type NoRoomError struct{ Err error }
+
+func (e *NoRoomError) Error() string { return "no room for a response: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NoRoomError) Unwrap() error { return e.Err }
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -21,6 +21,7 @@
 	"go.uber.org/dig"
 	"golang.org/x/time/rate"
 
+	"briarreach/bytebudget"
 	"briarreach/crash"
 	"briarreach/feed"
 	"briarreach/gateway"
@@ -94,6 +95,7 @@
 		newPlacer,
 		newRetryBudget,
 		newDescriptors,
+		newCallerBudget,
 		newReplicaPool,
 		newSender,
 		newQuarantine,
@@ -245,7 +247,7 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors) (*Daemon, error) {
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, notices *replicanotice.Notices, statedNotices *noticeExchange, pool *upstream.Pool, fds descriptors, callerBudget *bytebudget.Budget) (*Daemon, error) {
 	d := &Daemon{settings: s, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, notices: notices, pool: pool,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
@@ -254,13 +256,13 @@
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
 	var err error
-	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, platform.WithMaxConnections(fds.callers)); err != nil {
+	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, callerOptions(d.gateway, callerBudget, t.Callers, fds, set)...); err != nil {
 		return nil, err
 	}
 	if d.readiness, err = platform.NewReadinessServer(s.ReadinessAddress, d.ready, set, l); err != nil {
 		return nil, err
 	}
-	d.log.WithFields(log.Fields{"descriptors": fds.limit, "caller_connections": fds.callers, "idle_replica_connections": fds.idleReplicas}).Info("started")
+	d.log.WithFields(log.Fields{"descriptors": fds.limit, "caller_connections": fds.callers, "idle_replica_connections": fds.idleReplicas, "caller_bytes": callerBudget.Limit()}).Info("started")
 	return d, nil
 }
 
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"time"
 
@@ -23,11 +24,12 @@
 	Placement  placement.Settings
 	Quota      quota.Settings
 	Quarantine quarantine.Settings
+	Callers    CallerTuning
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults()}
+	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults(), Callers: defaultCallerTuning()}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -59,6 +61,11 @@
 		SoundAfter         *settings.Duration `toml:"sound_after"`
 		Duration           *settings.Duration `toml:"duration"`
 	} `toml:"quarantine"`
+	Callers struct {
+		MemoryShare           *float64           `toml:"memory_part"`
+		StallTimeout          *settings.Duration `toml:"stall_timeout"`
+		ConnectionsPerAddress *int               `toml:"connections_per_address"`
+	} `toml:"callers"`
 }
 
 // TuningError reports a key of the tuning file whose value is out of range.
@@ -106,6 +113,13 @@
 	c.duration("quarantine.request_coincidence", f.Quarantine.RequestCoincidence, &t.Quarantine.RequestCoincidence)
 	c.duration("quarantine.sound_after", f.Quarantine.SoundAfter, &t.Quarantine.SoundAfter)
 	c.duration("quarantine.duration", f.Quarantine.Duration, &t.Quarantine.Duration)
+	if share := f.Callers.MemoryShare; share != nil && *share == 0 {
+		t.Callers.MemoryShare = 0
+	} else {
+		c.number("callers.memory_part", share, &t.Callers.MemoryShare, 0.05, 0.5)
+	}
+	c.duration("callers.stall_timeout", f.Callers.StallTimeout, &t.Callers.StallTimeout)
+	c.integer("callers.connections_per_address", f.Callers.ConnectionsPerAddress, &t.Callers.ConnectionsPerAddress, 0, math.MaxInt32)
 	return t, c.err
 }
 
