--- a/bytebudget/bytebudget.go
+++ b/bytebudget/bytebudget.go
@@ -86,14 +86,14 @@
 
 // reserve takes bytes for an account. It returns the accounts that were evicted for
 // them, linked by next.
-func (b *Budget) reserve(a *Account, n int64, now time.Time) (evicted *Account, err error) {
+func (b *Budget) reserve(a *Account, n, limit int64, now time.Time) (evicted *Account, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if a.closed {
 		return nil, &ClosedError{}
 	}
 	last := &evicted
-	for b.held+n > b.limit && n <= b.limit {
+	for b.held+n > limit && n <= limit {
 		c := b.oldest
 		if c == a {
 			c = a.next
@@ -106,8 +106,8 @@
 		*last = c
 		last = &c.next
 	}
-	if b.held+n > b.limit {
-		return evicted, &ExhaustedError{Requested: n, Held: b.held, Limit: b.limit}
+	if b.held+n > limit {
+		return evicted, &ExhaustedError{Requested: n, Held: b.held, Limit: limit}
 	}
 	b.held += n
 	if a.held == 0 {
@@ -174,8 +174,11 @@
 // room, it evicts the accounts that have made no progress for longest, and at least
 // for the stall timeout. Their bytes count as free at once. The error is an
 // *ExhaustedError, or a *ClosedError if the account was closed or evicted.
-func (a *Account) Reserve(n int64, now time.Time) error {
-	evicted, err := a.budget.reserve(a, n, now)
+func (a *Account) Reserve(n int64, now time.Time) error { return a.ReserveLeaving(n, 0, now) }
+
+// ReserveLeaving is Reserve, but leaves spare bytes of the limit to others.
+func (a *Account) ReserveLeaving(n, spare int64, now time.Time) error {
+	evicted, err := a.budget.reserve(a, n, a.budget.limit-spare, now)
 	for evicted != nil {
 		next := evicted.next
 		evicted.next = nil
--- a/bytebudget/bytebudget_test.go
+++ b/bytebudget/bytebudget_test.go
@@ -68,6 +68,14 @@
 		Entry("not for more than the limit", func(_, _ *bytebudget.Account) {}, int64(101), 9000),
 	)
 
+	// Without spare room, a few large bodies keep out all small requests.
+	It("leaves spare room to others", func() {
+		large, small := b.Open(at(0), nil), b.Open(at(0), nil)
+		Expect(large.ReserveLeaving(91, 10, at(0))).To(BeAssignableToTypeOf(&bytebudget.ExhaustedError{}))
+		Expect(large.ReserveLeaving(90, 10, at(0))).To(Succeed())
+		Expect(small.Reserve(10, at(0))).To(Succeed())
+	})
+
 	It("doesn't evict the account that reserves", func() {
 		a := open("a", 100, 0)
 		Expect(a.Reserve(1, at(5000))).To(BeAssignableToTypeOf(&bytebudget.ExhaustedError{}))
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -113,11 +113,7 @@
 	c.duration("quarantine.request_coincidence", f.Quarantine.RequestCoincidence, &t.Quarantine.RequestCoincidence)
 	c.duration("quarantine.sound_after", f.Quarantine.SoundAfter, &t.Quarantine.SoundAfter)
 	c.duration("quarantine.duration", f.Quarantine.Duration, &t.Quarantine.Duration)
-	if share := f.Callers.MemoryShare; share != nil && *share == 0 {
-		t.Callers.MemoryShare = 0
-	} else {
-		c.number("callers.memory_part", share, &t.Callers.MemoryShare, 0.05, 0.5)
-	}
+	c.numberOrZero("callers.memory_part", f.Callers.MemoryShare, &t.Callers.MemoryShare, 0.05, 0.5)
 	c.duration("callers.stall_timeout", f.Callers.StallTimeout, &t.Callers.StallTimeout)
 	c.integer("callers.connections_per_address", f.Callers.ConnectionsPerAddress, &t.Callers.ConnectionsPerAddress, 0, math.MaxInt32)
 	return t, c.err
@@ -157,6 +153,18 @@
 	*to = *from
 }
 
+// numberOrZero accepts 0 as well, which turns something off.
+func (c *rangeChecker) numberOrZero(key string, from *float64, to *float64, lowest, highest float64) {
+	if from == nil {
+		return
+	}
+	if *from != 0 && !(*from >= lowest && *from <= highest) {
+		c.fail(key, fmt.Sprintf("0 or a number from %g to %g", lowest, highest))
+		return
+	}
+	*to = *from
+}
+
 func (c *rangeChecker) integer(key string, from *int, to *int, lowest, highest int) {
 	if from == nil {
 		return
--- a/gatewaydaemon/tuning_test.go
+++ b/gatewaydaemon/tuning_test.go
@@ -51,6 +51,9 @@
 		Entry("crashes of a request that never coincide", "[quarantine]\nrequest_coincidence = \"0s\"\n", "quarantine.request_coincidence: accepted is a duration from 1ms to 1h"),
 		Entry("no duration of a quarantine", "[quarantine]\nduration = \"0s\"\n", "quarantine.duration: accepted is a duration from 1ms to 1h"),
 		Entry("out of range", "[quota]\ngranted_part = 1.5\n", "quota.granted_part: accepted is a number from 0.01 to 1"),
+		Entry("too much memory for callers", "[callers]\nmemory_part = 0.6\n", "callers.memory_part: accepted is 0 or a number from 0.05 to 0.5"),
+		Entry("no stall time", "[callers]\nstall_timeout = \"0s\"\n", "callers.stall_timeout: accepted is a duration from 1ms to 1h"),
+		Entry("fewer than no connections", "[callers]\nconnections_per_address = -1\n", "callers.connections_per_address: accepted is a whole number from 0"),
 		Entry("not TOML", "[placement", "gateway.toml"),
 	)
 })
