--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"briarreach/crash"
 	"briarreach/gateway"
 	"briarreach/placement"
 	"briarreach/replica"
@@ -86,3 +87,25 @@
 		Expect(answer).To(HaveField("Execution", gateway.NotExecuted))
 	})
 })
+
+var _ = Describe("an answer that there is no room for", func() {
+	// Guards against a replica that is blamed for the gateway's memory, and an outcome
+	// that is told as not run.
+	It("is of unknown outcome and no failure of the replica", func() {
+		blamed := 0
+		g, _ := newGateway(plainSender{status: 200}, clockwork.NewRealClock(), placement.New(placement.Defaults(), nil),
+			gateway.WithBrokenSendHandler(func(crash.BrokenSend) { blamed++ }))
+		g.UpdateSnapshot(func(snapshot gateway.Snapshot) gateway.Snapshot {
+			snapshot.RouteTable = route.New(route.Config{Version: 2, Services: []route.Service{{Name: "engine"}},
+				Routes: []route.Route{{Host: "h.example", PathPrefix: "/", Kind: route.NonIdempotent{}, Timeout: time.Minute,
+					MaxRuns: 1, TrafficSplit: []route.Share{{Service: "engine", Weight: 1}}}}})
+			return snapshot
+		})
+		reserved := 0
+		answer := g.Serve(context.Background(), &gateway.Request{ID: "1", Host: "h.example", Path: "/",
+			ReserveAnswer: func(n int) error { reserved = n; return io.ErrShortBuffer }})
+		Expect(answer).To(And(HaveField("Execution", gateway.ExecutionUnknown), HaveField("Reason", gateway.InternalError)))
+		Expect(reserved).To(BeNumerically(">=", 4), "the length of the answer")
+		Expect(blamed).To(BeZero())
+	})
+})
