--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -21,6 +21,7 @@
 	"go.uber.org/dig"
 	"golang.org/x/time/rate"
 
+	"briarreach/bytebudget"
 	"briarreach/crash"
 	"briarreach/feed"
 	"briarreach/gateway"
@@ -99,6 +100,7 @@
 		newDescriptors,
 		newOverload,
 		func() *overload.Meter { return &overload.Meter{} },
+		newCallerBudget,
 		newReplicaPool,
 		newSender,
 		newQuarantine,
@@ -260,7 +262,7 @@
 
 func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
 	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, cold *coldPace, notices *replicanotice.Notices, statedNotices *noticeExchange, speeds *speedExchange, pool *upstream.Pool, fds descriptors, monitor *overload.Monitor, traffic *overload.Meter) (*Daemon, error) {
+	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, cold *coldPace, notices *replicanotice.Notices, statedNotices *noticeExchange, speeds *speedExchange, pool *upstream.Pool, fds descriptors, monitor *overload.Monitor, traffic *overload.Meter, callerBudget *bytebudget.Budget) (*Daemon, error) {
 	d := &Daemon{settings: s, tuning: t.Replicas, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, cold: cold, notices: notices, speeds: speeds, pool: pool, overload: monitor,
 		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
 	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
@@ -269,14 +271,14 @@
 	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
 	d.addGauges(set, retries, dropped)
 	var err error
-	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, platform.WithMaxConnections(fds.callers), platform.WithOverload(monitor), platform.WithCallerTraffic(traffic)); err != nil {
+	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, callerOptions(d.gateway, callerBudget, t.Callers, fds, monitor, traffic, set)...); err != nil {
 		return nil, err
 	}
 	if d.readiness, err = platform.NewReadinessServer(s.ReadinessAddress, d.ready, set, l); err != nil {
 		return nil, err
 	}
 	d.sampleUsage(traffic)
-	d.log.WithFields(log.Fields{"descriptors": fds.limit, "caller_connections": fds.callers, "idle_replica_connections": fds.idleReplicas}).Info("started")
+	d.log.WithFields(log.Fields{"descriptors": fds.limit, "caller_connections": fds.callers, "idle_replica_connections": fds.idleReplicas, "caller_bytes": callerBudget.Limit()}).Info("started")
 	return d, nil
 }
 
--- a/gatewaydaemon/tuning.go
+++ b/gatewaydaemon/tuning.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"strings"
 	"time"
@@ -30,6 +31,7 @@
 	Quarantine quarantine.Settings
 	Overload   overload.Settings
 	Replicas   ReplicaTuning
+	Callers    CallerTuning
 }
 
 // ReplicaTuning switches how the gateway treats the replicas.
@@ -41,7 +43,7 @@
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
 	return Tuning{Gateway: gateway.Defaults(), Placement: placement.Defaults(), Speed: replicaspeed.Defaults(), Quota: quota.Defaults(), Quarantine: quarantine.Defaults(), Overload: overload.Defaults(),
-		Replicas: ReplicaTuning{FollowEvacuations: true, PaceCold: true}}
+		Replicas: ReplicaTuning{FollowEvacuations: true, PaceCold: true}, Callers: defaultCallerTuning()}
 }
 
 // tuningFile is the layout of the tuning file. Keys that are absent keep their
@@ -87,6 +89,11 @@
 		FollowEvacuations *bool `toml:"follow_evacuations"`
 		PaceCold          *bool `toml:"pace_cold"`
 	} `toml:"replicas"`
+	Callers struct {
+		MemoryShare           *float64           `toml:"memory_part"`
+		StallTimeout          *settings.Duration `toml:"stall_timeout"`
+		ConnectionsPerAddress *int               `toml:"connections_per_address"`
+	} `toml:"callers"`
 }
 
 // TuningError reports a key of the tuning file whose value is out of range.
@@ -150,6 +157,9 @@
 	if f.Replicas.PaceCold != nil {
 		t.Replicas.PaceCold = *f.Replicas.PaceCold
 	}
+	c.numberOrZero("callers.memory_part", f.Callers.MemoryShare, &t.Callers.MemoryShare, 0.05, 0.5)
+	c.duration("callers.stall_timeout", f.Callers.StallTimeout, &t.Callers.StallTimeout)
+	c.integer("callers.connections_per_address", f.Callers.ConnectionsPerAddress, &t.Callers.ConnectionsPerAddress, 0, math.MaxInt32)
 	return t, c.err
 }
 
@@ -191,6 +201,18 @@
 	*to = *from
 }
 
+// numberOrZero accepts 0 as well, which turns something off.
+func (c *rangeChecker) numberOrZero(key string, from *float64, to *float64, lowest, highest float64) {
+	if from == nil {
+		return
+	}
+	if *from != 0 && !(*from >= lowest && *from <= highest) {
+		c.fail(key, fmt.Sprintf("0 or a number from %g to %g", lowest, highest))
+		return
+	}
+	*to = *from
+}
+
 func (c *rangeChecker) integer(key string, from *int, to *int, lowest, highest int) {
 	if from == nil {
 		return
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -91,12 +91,14 @@
 	AddSent(n int)
 }
 
-// noTraffic counts nothing.
-type noTraffic struct{}
+// NoTraffic is a Traffic that counts nothing.
+type NoTraffic struct{}
 
-func (noTraffic) AddReceived(int) {}
+// AddReceived implements Traffic.
+func (NoTraffic) AddReceived(int) {}
 
-func (noTraffic) AddSent(int) {}
+// AddSent implements Traffic.
+func (NoTraffic) AddSent(int) {}
 
 // WithTraffic sets what counts the bytes of all connections.
 func WithTraffic(t Traffic) Option { return func(p *Pool) { p.traffic = t } }
@@ -110,7 +112,7 @@
 
 // New returns an empty pool.
 func New(opts ...Option) *Pool {
-	p := &Pool{clock: clockwork.NewRealClock(), idle: make(map[netip.AddrPort][]*conn), dialHook: func() {}, traffic: noTraffic{}, slow: func() bool { return false }}
+	p := &Pool{clock: clockwork.NewRealClock(), idle: make(map[netip.AddrPort][]*conn), dialHook: func() {}, traffic: NoTraffic{}, slow: func() bool { return false }}
 	for _, opt := range opts {
 		opt(p)
 	}
