Mesh: pause between loan requests that bring nothing

VMs of 0.144 cores with 20 requests a second used three quarters of their processor, and half of the gateways of a failure domain said that they were overloaded. Change: 200 ms without loan requests for a workspace after a round that brought nothing. The spec sees 20 requests instead of 1 without the pause.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -81,6 +81,11 @@
 	// backoffMemory is how long the failures of a peer count after its backoff.
 	backoffMemory   = 10 * time.Second
 	maxPeersPerLoan = 5
+	// fruitlessPause is the time after loan requests that brought nothing in which no
+	// others are sent for the workspace. Without it each request for a workspace whose
+	// quota is nearly consumed asks up to maxPeersPerLoan peers: 1,000 loan requests a
+	// second in a fleet of 31, most of the processor time of its weak VMs.
+	fruitlessPause = 200 * time.Millisecond
 	// repayInterval is the time between repayments of tokens that requests
 	// reserved and did not spend.
 	repayInterval   = time.Second
@@ -123,11 +128,13 @@
 	borrowedTokens *metrics.Counter
 	lentTokens     *metrics.Counter
 	loanFailures   *metrics.Counter
+	loanRequests   *metrics.Counter
 
 	mu          sync.Mutex
 	conns       map[string]*quic.Conn    // dialed by this process, by fingerprint
 	backoffs    map[string]peerBackoff   // by fingerprint
 	borrowing   map[string]chan struct{} // by workspace; closed when its loan requests are done
+	fruitless   map[string]time.Time     // by workspace; when loan requests that brought nothing were done
 	onPlacement func(placement.Announcement)
 	onEvidence  func(quarantine.Evidence)
 	onLimit     func(replicalimit.Notice)
@@ -158,6 +165,7 @@
 	return func(m *Mesh) {
 		m.borrowedTokens = set.NewCounter("briarreach_quota_borrowed_tokens_total")
 		m.lentTokens = set.NewCounter("briarreach_quota_lent_tokens_total")
+		m.loanRequests = set.NewCounter("briarreach_quota_loan_requests_total")
 		m.loanFailures = set.NewCounter("briarreach_quota_loan_failures_total")
 	}
 }
@@ -165,7 +173,7 @@
 // New listens for peers and publishes the address through allocators.
 func New(listen netip.AddrPort, allocators QuotaAllocators, opts ...Option) (*Mesh, error) {
 	m := &Mesh{allocators: allocators, clock: clockwork.NewRealClock(), log: log.Log, conns: make(map[string]*quic.Conn),
-		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, onLimit: func(replicalimit.Notice) {}, onGrants: func(quota.GrantNotice) {}, onLeaving: func(replicanotice.Leaving) {}, onSpeeds: func(replicaspeed.Message) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
+		backoffs: make(map[string]peerBackoff), borrowing: make(map[string]chan struct{}), fruitless: make(map[string]time.Time), onPlacement: func(placement.Announcement) {}, onEvidence: func(quarantine.Evidence) {}, onLimit: func(replicalimit.Notice) {}, onGrants: func(quota.GrantNotice) {}, onLeaving: func(replicanotice.Leaving) {}, onSpeeds: func(replicaspeed.Message) {}, datagrams: make(chan datagram, maxQueuedDatagrams)}
 	WithMetrics(metrics.NewSet())(m)
 	for _, opt := range opts {
 		opt(m)
@@ -304,17 +312,25 @@
 // maxPeersPerLoan peers, in a random order weighted by what they have left of the
 // workspace's quota. It returns when the requests are done or when ctx ends. A
 // call during another one for the same workspace only waits for that one's
-// requests: the caller must check what is available then.
+// requests, and a call soon after one that brought nothing returns at once: the
+// caller must check what is available then.
 func (m *Mesh) Borrow(ctx context.Context, workspace string) {
 	m.mu.Lock()
 	done, running := m.borrowing[workspace]
+	if at, ok := m.fruitless[workspace]; !running && ok && m.clock.Since(at) < fruitlessPause {
+		m.mu.Unlock()
+		return
+	}
 	if !running {
 		done = make(chan struct{})
 		m.borrowing[workspace] = done
 		m.goroutines.Go(func() {
-			m.borrowFromPeers(workspace)
+			fruitless := m.borrowFromPeers(workspace)
 			m.mu.Lock()
 			delete(m.borrowing, workspace)
+			if delete(m.fruitless, workspace); fruitless {
+				m.fruitless[workspace] = m.clock.Now()
+			}
 			m.mu.Unlock()
 			close(done)
 		})
@@ -326,8 +342,9 @@
 	}
 }
 
-func (m *Mesh) borrowFromPeers(workspace string) {
-	asked := 0
+// borrowFromPeers reports whether peers have answered and lent nothing.
+func (m *Mesh) borrowFromPeers(workspace string) (fruitless bool) {
+	asked, answered, lent := 0, 0, int64(0)
 	allocator := m.allocators.ForWorkspace(workspace)
 	defer func() { allocator.NoteAsked(workspace, m.clock.Now()) }()
 	for _, peer := range m.lenders(allocator, workspace) {
@@ -337,7 +354,7 @@
 		}
 		missing := allocator.Missing(workspace, now)
 		if asked++; asked > maxPeersPerLoan || missing == 0 {
-			return
+			break
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		a, err := m.requestLoan(ctx, peer, loanRequest{Workspace: workspace, NeededTokens: missing, WantedTokens: allocator.PreferredLoan(workspace, now)})
@@ -349,12 +366,15 @@
 			continue
 		}
 		m.responded(peer.Fingerprint)
+		answered++
+		lent += a.LentTokens
 		allocator.AddLoan(workspace, a.LentTokens, peer.Holder, a.unspent())
 		m.borrowedTokens.AddInt64(a.LentTokens)
 		if a.LentTokens < missing {
 			m.log.WithFields(log.Fields{"peer": peer.Holder, "workspace": workspace, "need": missing, "lent": a.LentTokens, "left": a.unspent()}).Info("less quota borrowed than needed")
 		}
 	}
+	return answered > 0 && lent == 0
 }
 
 // repayLoop gives back what requests borrowed and did not spend.
@@ -449,6 +469,7 @@
 
 func (m *Mesh) requestLoan(ctx context.Context, peer quota.Peer, r loanRequest) (loanResponse, error) {
 	var a loanResponse
+	m.loanRequests.Inc()
 	conn, err := m.connect(ctx, peer)
 	if err != nil {
 		return a, fmt.Errorf("mesh.requestLoan: %w", err)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -25,10 +27,10 @@
 	mesh       *mesh.Mesh
 }
 
-func start(name string) holder {
+func start(name string, opts ...mesh.Option) holder {
 	GinkgoHelper()
 	allocators := quotastore.NewAllocators(1, name, name+"-1", quota.Defaults())
-	m, err := mesh.New(netip.MustParseAddrPort("127.0.0.1:0"), allocators)
+	m, err := mesh.New(netip.MustParseAddrPort("127.0.0.1:0"), allocators, opts...)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(m.Close)
 	allocators.SetLimits(1, []quota.Limit{{Workspace: "w", Tokens: 100_000}})
@@ -92,6 +94,32 @@
 		Expect(unknown.allocators[0].Reserve("w", 500, time.Now())).NotTo(Equal(quota.Reserved))
 	})
 
+	// Guards against loan requests for each request of a workspace whose quota is
+	// nearly consumed, which took most of the processor of weak VMs.
+	It("asks again only some time after loan requests that brought nothing", func() {
+		clock, set := clockwork.NewFakeClockAt(time.Now().Add(time.Second)), metrics.NewSet()
+		a, b := start("a"), start("b", mesh.WithClock(clock), mesh.WithMetrics(set))
+		rows := grant(a, 1, nil)
+		Expect(b.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+		rows = grant(b, 2, rows)
+		for _, h := range []holder{a, b} {
+			Expect(h.allocators[0].LoadRows(rows, quota.ScopeAll, time.Second, time.Now())).To(Succeed())
+			for _, tokens := range []int64{500, 1} {
+				for h.allocators[0].Reserve("w", tokens, time.Now()) == quota.Reserved {
+					continue
+				}
+			}
+		}
+		requests := set.GetOrCreateCounter("briarreach_quota_loan_requests_total")
+		for range 20 {
+			borrow(b)
+		}
+		Expect(requests.Get()).To(BeEquivalentTo(1))
+		clock.Advance(300 * time.Millisecond)
+		borrow(b)
+		Expect(requests.Get()).To(BeEquivalentTo(2))
+	})
+
 	It("gives up on a peer that does not respond in time", func() {
 		a, b := start("a"), start("b")
 		rows := grant(a, 1, nil)
