Replay: slowed replicas are found in time at full size

The spec of the estimates runs the first deployment with all its gateways too. Without the messages between gateways it fails: 2.2 s instead of at most 2 s.

--- a/loadreplay/learning_test.go
+++ b/loadreplay/learning_test.go
@@ -37,9 +37,10 @@
 	})
 
 	// Guards against estimates that follow a change later than two seconds after it, or
-	// give slow replicas more than their share by speed.
+	// give slow replicas more than their share by speed. At full size, 26 gateways don't
+	// find them in time without sharing what they see.
 	It("finds slowed replicas within two seconds and gives slow ones their share", func() {
-		for _, m := range []loadreplay.Model{loadreplay.FirstModel().Scaled(12), loadreplay.SecondModel().Scaled(12)} {
+		for _, m := range []loadreplay.Model{loadreplay.FirstModel().Scaled(12), loadreplay.SecondModel().Scaled(12), loadreplay.FirstModel()} {
 			s := run(m, "slowed_server", 3, comparison("placement", m, "learning")...)["learning"]
 			Expect(s.NeverFound).To(BeZero())
 			for _, found := range s.Found {
