Placement: Explain returns a choice without making it

Choose is split into deciding and committing. Explain shares candidates and decide, and returns each replica with its estimates and why it would be taken or left out. It reads statistics and speeds without adding to them. On the request path the collector is nil, so that Choose allocates as before.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -311,34 +311,41 @@
 // PausedReason.
 func (p *Placer) Choose(req Request, replicas []replica.Replica, now time.Time, rnd *rand.Rand) (Choice, bool) {
 	for {
-		candidates, includesEjected, wait := p.candidates(req, replicas, now, rnd)
+		candidates, includesEjected, wait := p.candidates(req, replicas, now, rnd, nil)
 		if len(candidates) == 0 {
-			// The jitter keeps callers from returning all at once.
-			spread := wait.duration
-			if wait.reason == PausedReason {
-				spread = pausedRetrySpread
-			}
-			return Choice{Refused: true, Reason: wait.reason, ExpectedWait: wait.duration, RetryAfter: wait.duration + time.Duration(rnd.Float64()*float64(spread))}, wait.duration > 0
+			return unavailable(wait, rnd), wait.duration > 0
+		}
+		if p.speeds != nil {
+			estimateSpeeds(candidates, now)
 		}
+		best, choice := p.decide(req, candidates, includesEjected, now, rnd, nil)
 		// Another request may have taken the last one that the replica takes for now.
-		if choice, ok := p.chooseFrom(req, candidates, includesEjected, now, rnd); ok {
+		if choice.Refused || p.commit(req, best, &choice, now) {
 			return choice, true
 		}
 	}
 }
 
-// chooseFrom returns the best of the candidates. It returns false if its limit is
-// exhausted.
-func (p *Placer) chooseFrom(req Request, candidates []candidate, includesEjected bool, now time.Time, rnd *rand.Rand) (Choice, bool) {
-	best, reason := candidates[0], "only"
-	if p.speeds != nil {
-		estimateSpeeds(candidates, now)
+// unavailable returns the refusal of a request that no replica takes for now.
+func unavailable(wait unavailability, rnd *rand.Rand) Choice {
+	// The jitter keeps callers from returning all at once.
+	spread := wait.duration
+	if wait.reason == PausedReason {
+		spread = pausedRetrySpread
 	}
+	return Choice{Refused: true, Reason: wait.reason, ExpectedWait: wait.duration, RetryAfter: wait.duration + time.Duration(rnd.Float64()*float64(spread))}
+}
+
+// decide returns the best of the candidates, whose speeds are estimated, and the choice
+// of it, which may be refused. It changes only the list and x, which is nil on the
+// request path.
+func (p *Placer) decide(req Request, candidates []candidate, includesEjected bool, now time.Time, rnd *rand.Rand, x *explainer) (candidate, Choice) {
+	best, reason := candidates[0], "only"
 	switch {
 	case req.hasPrompt() && p.speeds != nil:
-		best, reason = p.leastExpected(req, candidates, now, rnd)
+		best, reason = p.leastExpected(req, candidates, now, rnd, x)
 	case req.hasPrompt():
-		best, reason = p.leastWaiting(req, candidates, now)
+		best, reason = p.leastWaiting(req, candidates, now, x)
 	case len(candidates) == 1:
 	case p.speeds != nil:
 		best, reason = leastExpectedLoad(candidates, rnd), "least_loaded"
@@ -356,24 +363,28 @@
 			best = p.soonest(req, candidates)
 			choice = p.choice(req, best, "soonest")
 		}
-		if choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, req.TargetLatency, spread); choice.Refused {
-			return choice, true
-		}
+		choice.RetryAfter, choice.Refused = p.settings.Overload.refuses(choice, req.TargetLatency, spread)
 	}
+	return best, choice
+}
+
+// commit counts a choice that is not refused as in flight. It returns false if the
+// replica's limit is exhausted.
+func (p *Placer) commit(req Request, best candidate, choice *Choice, now time.Time) bool {
 	if !p.limiter.Take(best.replica.Incarnation(), now) {
-		return Choice{}, false
+		return false
 	}
 	if req.hasPrompt() {
 		choice.waiter = best.stats.addWaiter(choice.ExpectedPrefill, req.Priority, now)
 		p.recordPlacement(req, best, now)
 	}
 	if p.speeds != nil && !p.slowItself() {
-		choice.send = newSend(req, choice, best, now)
+		choice.send = newSend(req, *choice, best, now)
 	}
 	if best.stats.inFlight.Add(1) == 1 {
 		best.stats.lastActivity.Store(now.UnixNano())
 	}
-	return choice, true
+	return true
 }
 
 // recordPlacement adds a request's prefill to the replica's backlog, and
@@ -433,29 +444,34 @@
 // candidates returns the replicas that may be chosen. Those that leave, or take only
 // a share of their requests after a pause, are candidates if there are no others. If
 // more than MaxEjectedShare of the replicas are ejected or silent, or all are, it
-// returns all of them, and includesEjected is true.
-func (p *Placer) candidates(req Request, replicas []replica.Replica, now time.Time, rnd *rand.Rand) (list []candidate, includesEjected bool, wait unavailability) {
+// returns all of them, and includesEjected is true. x, which is nil on the request
+// path, gets the replicas that are left out.
+func (p *Placer) candidates(req Request, replicas []replica.Replica, now time.Time, rnd *rand.Rand, x *explainer) (list []candidate, includesEjected bool, wait unavailability) {
 	all := make([]candidate, 0, len(replicas))
 	var reserve []candidate
 	// The least loaded replica would get each request that it is a candidate for.
 	fairShare := p.settings.LoadFactor / float64(len(replicas))
 	for _, r := range replicas {
 		if req.Exclude[r.ID] {
+			x.leaveOut(r, VerdictExcluded, 0)
 			continue
 		}
 		state := p.notices.State(r.Incarnation(), now)
 		if state.Gone {
+			x.leaveOut(r, VerdictGone, 0)
 			continue
 		}
 		if state.PausedFor > 0 {
 			wait.add(state.PausedFor, PausedReason)
+			x.leaveOut(r, VerdictPaused, state.PausedFor)
 			continue
 		}
 		if d, allowed := p.limiter.Allows(r.Incarnation(), now); !allowed {
 			wait.add(d, LimitedReason)
+			x.leaveOut(r, VerdictLimited, d)
 			continue
 		}
-		s := p.stats(r)
+		s := x.stats(p, r)
 		c := candidate{replica: r, stats: s, load: s.inFlight.Load()}
 		if state.Leaving && !p.keepsParts(req, r, state.LeavingFor, now) || state.Share < 1 && rnd.Float64() >= state.Share*fairShare {
 			reserve = append(reserve, c)
@@ -470,11 +486,14 @@
 		}
 	}
 	if len(list) == 0 && len(reserve) > 0 {
+		x.leaveOutUnsound(all, now, p.settings.SilentAfter)
 		return reserve, false, wait
 	}
+	x.leaveOutReserve(reserve, p.notices, now)
 	if float64(len(all)-len(list)) > p.settings.MaxEjectedShare*float64(len(all)) || len(list) == 0 {
 		return all, len(list) < len(all), wait
 	}
+	x.leaveOutUnsound(all, now, p.settings.SilentAfter)
 	return list, false, wait
 }
 
@@ -497,7 +516,7 @@
 // CacheMissWeight times the request's shared tokens that it has not cached. All
 // processes assume that the replica with the highest rendezvous hash of the
 // shared parts (its home) has them cached.
-func (p *Placer) leastWaiting(req Request, list []candidate, now time.Time) (candidate, string) {
+func (p *Placer) leastWaiting(req Request, list []candidate, now time.Time, x *explainer) (candidate, string) {
 	total := int64(1)
 	shared, key := req.promptTokens()-req.UniqueTokens, uint64(0)
 	if n := len(req.SharedParts); n > 0 {
@@ -535,6 +554,7 @@
 		} else {
 			c.cachedTokens = p.cache.cachedTokens(req.SharedParts, c.replica.ID, now)
 		}
+		x.weigh(c, float64(bound), false)
 		if c.load >= bound {
 			continue
 		}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -17,6 +17,8 @@
 type Speeds interface {
 	// Of returns the estimate of a replica, which takes its samples.
 	Of(r replica.Replica) *replicaspeed.Replica
+	// Lookup is Of without an effect: the estimate of an unknown replica is not kept.
+	Lookup(r replica.Replica) *replicaspeed.Replica
 	// SetReplicas sets the live replicas.
 	SetReplicas(live []replica.Replica)
 }
@@ -76,7 +78,7 @@
 // leastWaiting, shared tokens that are not cached count CacheMissWeight times. The
 // home of the shared parts is chosen by weighted rendezvous hashing, with coarse
 // speeds as weights.
-func (p *Placer) leastExpected(req Request, list []candidate, now time.Time, rnd *rand.Rand) (candidate, string) {
+func (p *Placer) leastExpected(req Request, list []candidate, now time.Time, rnd *rand.Rand, x *explainer) (candidate, string) {
 	total, speeds := 1.0, 0.0
 	shared := req.promptTokens() - req.UniqueTokens
 	key := rnd.Uint64()
@@ -118,6 +120,7 @@
 			c.cachedTokens = p.cache.cachedTokens(req.SharedParts, c.replica.ID, now)
 		}
 		bound := math.Floor(p.settings.LoadFactor*total*c.estimate.Speed/speeds) + float64(p.settings.LoadSlack)
+		x.weigh(c, bound, avoidsLate && req.tooLate(c.estimate))
 		if float64(c.load) >= bound || avoidsLate && req.tooLate(c.estimate) {
 			costs[i] = math.Inf(1)
 			continue
--- a/replicaspeed/replicaspeed.go
+++ b/replicaspeed/replicaspeed.go
@@ -234,6 +234,22 @@
 	return known
 }
 
+// Lookup returns the estimate of a replica for reading: that of an unknown one is at
+// the prior, and is not kept.
+func (s *Speeds) Lookup(r replica.Replica) *Replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.replicas[r.Incarnation()]; known != nil {
+		return known
+	}
+	l := s.services[r.Service]
+	if l == nil {
+		l = &line{plain: true}
+		l.fit(&s.settings)
+	}
+	return &Replica{speeds: s, id: r.ID, line: l}
+}
+
 // SetReplicas sets the live replicas and forgets all others.
 func (s *Speeds) SetReplicas(live []replica.Replica) {
 	keep := make(map[replica.Incarnation]bool, len(live))
@@ -342,6 +358,17 @@
 	return e
 }
 
+// Detached returns a copy whose samples and estimates change no others.
+func (r *Replica) Detached() *Replica {
+	r.speeds.mu.Lock()
+	defer r.speeds.mu.Unlock()
+	l := *r.line
+	d := &Replica{speeds: r.speeds, id: r.id, key: r.key, line: &l, lasting: r.lasting, present: r.present, at: r.at,
+		pause: r.pause, pauseDeviation: r.pauseDeviation, homeLevel: r.homeLevel}
+	d.cached.Store(r.cached.Load())
+	return d
+}
+
 // Named is the estimate of the replica of an ID.
 type Named struct {
 	ID string
