--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -114,7 +114,7 @@
 			return e.refuseUnknown(UnknownAPIKey)
 		}
 	}
-	e.priority = min(max(priority*workspacePriorityWeight+r.Priority, 0), lowestPriority)
+	e.priority = requestPriority(priority, r)
 	timeout := r.Timeout
 	if e.request.Timeout > 0 && (e.request.Timeout < timeout || timeout <= 0) {
 		timeout = e.request.Timeout
@@ -181,6 +181,10 @@
 	quotaWaitDivisor = 2
 )
 
+func requestPriority(workspacePriority int, r *route.Route) int {
+	return min(max(workspacePriority*workspacePriorityWeight+r.Priority, 0), lowestPriority)
+}
+
 // refuseUnknown refuses a request whose route or key is not in the
 // configuration. If the configuration is outdated, the refusal says so instead,
 // as a newer one may have the route or key.
@@ -200,8 +204,8 @@
 	for n := 0; n < maxSends; n++ {
 		now := e.gateway.clock.Now()
 		req := e.placementRequest(exclude)
-		if n == 0 && e.streaming {
-			req.TargetLatency = e.route.TargetLatency
+		if n == 0 {
+			req.TargetLatency = e.refusalTarget()
 		}
 		if n > 0 && e.quarantined() != nil {
 			break
@@ -222,18 +226,9 @@
 			break
 		}
 		if choice.Refused {
-			outcome, reason, retryAfter := sendOverloaded, Overloaded, choice.RetryAfter
-			switch choice.Reason {
-			case placement.LimitedReason:
-				outcome, reason = sendLimited, Limited
-			case placement.PausedReason:
-				outcome, reason = sendPaused, Paused
-				if usable := e.deadline.Sub(now) / usableRetryDivisor; choice.ExpectedWait <= usable {
-					retryAfter = min(retryAfter, usable)
-				}
-			}
+			outcome, refusal := refusalOf(choice, e.deadline.Sub(now))
 			e.recordSend(choice, outcome, choice.ExpectedWait)
-			return nil, &Refusal{Execution: NotExecuted, Reason: reason, RetryAfter: retryAfter}
+			return nil, refusal
 		}
 		exclude[choice.Replica.ID] = true
 		relay, failed := e.send(ctx, choice, exclude, possibleExecutions)
@@ -257,6 +252,25 @@
 	return nil, last.refusal
 }
 
+// refusalOf returns the refusal of a refused choice, and its outcome in the log.
+// Remaining is the time until the request's deadline.
+func refusalOf(choice placement.Choice, remaining time.Duration) (outcome string, r *Refusal) {
+	r = &Refusal{Execution: NotExecuted, Reason: Overloaded, RetryAfter: choice.RetryAfter}
+	switch choice.Reason {
+	case placement.LimitedReason:
+		r.Reason = Limited
+		return sendLimited, r
+	case placement.PausedReason:
+		r.Reason = Paused
+		if usable := remaining / usableRetryDivisor; choice.ExpectedWait <= usable {
+			r.RetryAfter = min(r.RetryAfter, usable)
+		}
+		return sendPaused, r
+	default:
+		return sendOverloaded, r
+	}
+}
+
 const (
 	// maxSends bounds the sends of one request, including refused ones and
 	// excluding those that resume a stream.
@@ -294,6 +308,15 @@
 	return e.retryReserved.Swap(false) || e.gateway.retries.AllowRetry(e.service, now)
 }
 
+// refusalTarget returns the target latency by which the first send is refused; 0 if
+// it is not.
+func (e *exchange) refusalTarget() time.Duration {
+	if e.streaming {
+		return e.route.TargetLatency
+	}
+	return 0
+}
+
 func (e *exchange) placementRequest(exclude map[string]bool) placement.Request {
 	n := placement.Request{Exclude: exclude, Priority: e.priority, Streaming: e.streaming}
 	if s, ok := e.route.Kind.(route.Streaming); ok {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,13 +36,21 @@
 // candidates returns the replicas of a service that may get requests.
 func (s Snapshot) candidates(service string) []replica.Replica {
 	list := s.Replicas.ForService(service)
-	version, withheld := s.WithheldVersions[service]
-	if !withheld && len(s.EvacuatedDomains) == 0 {
+	if _, withheld := s.WithheldVersions[service]; !withheld && len(s.EvacuatedDomains) == 0 {
 		return list
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(r replica.Replica) bool {
-		return withheld && r.Version == version || s.EvacuatedDomains[r.FailureDomain]
-	})
+	return slices.DeleteFunc(slices.Clone(list), func(r replica.Replica) bool { return s.leftOut(r) != "" })
+}
+
+// leftOut returns why a replica gets no requests whatever its state; empty if it may.
+func (s Snapshot) leftOut(r replica.Replica) placement.Verdict {
+	if s.EvacuatedDomains[r.FailureDomain] {
+		return placement.VerdictEvacuated
+	}
+	if version, withheld := s.WithheldVersions[r.Service]; withheld && r.Version == version {
+		return placement.VerdictWithheld
+	}
+	return ""
 }
 
 // Quota admits model requests by their workspace's token quota.
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -81,6 +81,7 @@
 	}
 	if p := e.request.Prompt; p != nil {
 		fields["prompt_tokens"], fields["events"], fields["prompt_parts"] = p.Tokens, e.eventsReceived, p.SharedPartIDs()
+		fields["prompt_part_tokens"] = p.sharedPartTokens()
 	}
 	e.gateway.log.WithFields(fields).Info("request")
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -49,6 +49,15 @@
 	return ids
 }
 
+// sharedPartTokens returns the tokens of the parts of SharedPartIDs.
+func (p *Prompt) sharedPartTokens() []int {
+	var tokens []int
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		tokens = append(tokens, part.Tokens)
+	}
+	return tokens
+}
+
 // PromptPart is a section of a prompt that requests can share.
 type PromptPart struct {
 	ID     string
--- a/route/route.go
+++ b/route/route.go
@@ -173,6 +173,26 @@
 	return nil, false
 }
 
+// Route returns a route by name.
+func (t *Table) Route(name string) (*Route, bool) {
+	for i := range t.config.Routes {
+		if t.config.Routes[i].Name == name {
+			return &t.config.Routes[i], true
+		}
+	}
+	return nil, false
+}
+
+// WorkspaceNamed returns a workspace by name.
+func (t *Table) WorkspaceNamed(name string) (*Workspace, bool) {
+	for i := range t.config.Workspaces {
+		if t.config.Workspaces[i].Name == name {
+			return &t.config.Workspaces[i], true
+		}
+	}
+	return nil, false
+}
+
 // Workspace returns the workspace that holds a key.
 func (t *Table) Workspace(key string) (*Workspace, bool) {
 	w, ok := t.workspacesByKey[key]
