--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -274,7 +274,7 @@
 	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, callerOptions(d.gateway, callerBudget, t.Callers, fds, monitor, traffic, set)...); err != nil {
 		return nil, err
 	}
-	if d.readiness, err = platform.NewReadinessServer(s.ReadinessAddress, d.ready, set, l); err != nil {
+	if d.readiness, err = platform.NewReadinessServer(s.ReadinessAddress, d.ready, set, l, platform.WithPlacementExplainer(d.gateway.ExplainPlacement)); err != nil {
 		return nil, err
 	}
 	d.sampleUsage(traffic)
