--- a/cmd/briarreach/explain.go
+++ b/cmd/briarreach/explain.go
@@ -29,6 +29,7 @@
 			&cli.DurationFlag{Name: "margin", Usage: "how long before the request to start", Value: 3 * time.Second},
 			&cli.BoolFlag{Name: "json", Usage: "print a JSON array"},
 		},
+		Commands: []*cli.Command{explainPlacementCommand()},
 		Action: func(_ context.Context, c *cli.Command) error {
 			id := c.Args().First()
 			if id == "" {
--- a/cmd/briarreach/main.go
+++ b/cmd/briarreach/main.go
@@ -12,7 +12,9 @@
 
 	"github.com/urfave/cli/v3"
 
+	"briarreach/gateway"
 	"briarreach/operator"
+	"briarreach/platform"
 	"briarreach/quarantinestore"
 	"briarreach/rowstore"
 )
@@ -77,9 +79,15 @@
 	var transportErr *operator.TransportError
 	var storeErr *rowstore.UnknownError
 	var unknownEntryErr *quarantinestore.UnknownEntryError
+	var placementErr *gateway.PlacementQueryError
+	var explainErr *platform.ExplainUnavailableError
 	switch {
 	case errors.As(err, &usageErr), errors.As(err, &unknownEntryErr):
 		return exitUsage
+	case errors.As(err, &explainErr), errors.As(err, &placementErr) && placementErr.Missing == gateway.MissingConfiguration:
+		return exitUnavailable
+	case errors.As(err, &placementErr):
+		return exitUsage
 	case errors.As(err, &timeoutErr):
 		return exitTimeout
 	case errors.As(err, &transportErr), errors.As(err, &storeErr):
--- a/story/story.go
+++ b/story/story.go
@@ -41,6 +41,51 @@
 	maxLineBytes   = 1 << 20
 )
 
+// Request is what a log line says about a request that was to be placed.
+type Request struct {
+	Route        string   `json:"route"`
+	Workspace    string   `json:"workspace"`
+	Service      string   `json:"service"`
+	PromptTokens int      `json:"prompt_tokens"`
+	PartIDs      []string `json:"prompt_parts"`       // of the shared parts of the prompt
+	PartTokens   []int    `json:"prompt_part_tokens"` // of the same; empty in lines of earlier versions
+}
+
+// NoRouteError reports a request whose log line names no route, as it was refused
+// before, or the route has no name.
+type NoRouteError struct{ Request string }
+
+func (e *NoRouteError) Error() string {
+	return "the log line of the request " + e.Request + " names no route"
+}
+
+// FindRequest reads log lines as Find does, and returns the request that they name. Of
+// several lines of one id the last one counts.
+func FindRequest(r io.Reader, request string) (Request, error) {
+	lines, err := Find(r, request, 0)
+	if err != nil {
+		return Request{}, err
+	}
+	for _, l := range slices.Backward(lines) {
+		if l.Message != requestMessage || l.ContextOnly {
+			continue
+		}
+		data, err := json.Marshal(l.Fields)
+		if err != nil {
+			return Request{}, fmt.Errorf("story.FindRequest: %w", err)
+		}
+		var found Request
+		if err := json.Unmarshal(data, &found); err != nil {
+			return Request{}, fmt.Errorf("story.FindRequest: %w", err)
+		}
+		if found.Route == "" {
+			return Request{}, &NoRouteError{Request: request}
+		}
+		return found, nil
+	}
+	return Request{}, &NotFoundError{Request: request}
+}
+
 // Find reads the log lines of any processes from r, in any order, and returns
 // those that name a request, sorted by time. As context it adds other lines of
 // the same processes, from margin before the start of the request to its end,
