Overload: take back the refusals

Cause: the retries of a large client that is refused go to one other gateway, too, which is overloaded next. Change: only readiness and closed connections remain.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -123,9 +123,6 @@
 	if e.gateway.refusesForDrain(e.streaming, e.deadline) {
 		return &Refusal{Execution: NotExecuted, Reason: Stopping, RetryAfter: defaultRetryAfter}
 	}
-	if e.gateway.overload.Refuses(e.rand.Float64()) {
-		return &Refusal{Execution: NotExecuted, Reason: Saturated, RetryAfter: e.elsewhereRetryAfter()}
-	}
 	service, ok := r.PickService(e.rand.Float64())
 	if !ok {
 		return &Refusal{Execution: NotExecuted, Reason: NoReplica, RetryAfter: defaultRetryAfter}
@@ -230,9 +227,6 @@
 		}
 		if choice.Refused {
 			outcome, refusal := refusalOf(choice, e.deadline.Sub(now))
-			if refusal.Reason == Overloaded && e.gateway.overload.Overloaded() {
-				refusal.RetryAfter = min(refusal.RetryAfter, e.elsewhereRetryAfter())
-			}
 			e.recordSend(choice, outcome, choice.ExpectedWait)
 			return nil, refusal
 		}
@@ -287,16 +281,8 @@
 	// noReplicaRetryAfter is the Retry-After when no replica of a service could be
 	// reached.
 	noReplicaRetryAfter = 300 * time.Millisecond
-	// elsewhereRetryAfter is the mean Retry-After when another gateway can serve.
-	elsewhereRetryAfter = 40 * time.Millisecond
 )
 
-// elsewhereRetryAfter returns the Retry-After of a request that another gateway can
-// serve now, as the cause is this VM. The spread keeps callers from arriving there at once.
-func (e *exchange) elsewhereRetryAfter() time.Duration {
-	return elsewhereRetryAfter/2 + time.Duration(e.rand.Int64N(int64(elsewhereRetryAfter)))
-}
-
 // mayRetry reports whether the request may be sent again after
 // possibleExecutions sends that may have been executed. The route's MaxRuns bounds
 // only these; maxSends also counts the sends that were certainly not executed.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,7 +126,7 @@
 	metrics           *gatewayMetrics
 	snapshot          atomic.Pointer[Snapshot]
 	configConfirmedAt func() time.Time // when the configuration was last confirmed
-	overload          Overload
+	overloaded        func() bool      // whether this process is short of network or processor time
 	onBrokenSend      func(crash.BrokenSend)
 	onLimit           func(r replica.Replica, stated replicalimit.Limit, sentAt time.Time)
 	onNotice          func(r replica.Replica, n replicanotice.Notice)
@@ -162,26 +162,13 @@
 	return func(g *Gateway) { g.configConfirmedAt = confirmedAt }
 }
 
-// Overload knows whether this process is short of network or processor time.
-type Overload interface {
-	Overloaded() bool
-	// Refuses reports whether a request is refused, so that its caller comes back to
-	// another gateway. Spread, from 0 to 1, is random.
-	Refuses(spread float64) bool
+// WithOverloaded sets the function that says whether this process is short of network
+// or processor time. Connections to replicas that time out then are not held against
+// the replicas. Without it, it never is.
+func WithOverloaded(overloaded func() bool) Option {
+	return func(g *Gateway) { g.overloaded = overloaded }
 }
 
-// noOverload is for a process that always has enough.
-type noOverload struct{}
-
-func (noOverload) Overloaded() bool { return false }
-
-func (noOverload) Refuses(float64) bool { return false }
-
-// WithOverload sets what knows whether this process is short of network or processor
-// time. Connections to replicas that time out then are not held against the replicas.
-// Without it, it never is.
-func WithOverload(o Overload) Option { return func(g *Gateway) { g.overload = o } }
-
 // WithBrokenSendHandler calls f, which must not block, for each request whose
 // connection to a replica broke.
 func WithBrokenSendHandler(f func(crash.BrokenSend)) Option {
@@ -202,7 +189,7 @@
 // New returns a gateway.
 func New(sender Sender, placer *placement.Placer, retries *retrybudget.Budget, opts ...Option) *Gateway {
 	g := &Gateway{clock: clockwork.NewRealClock(), log: log.Log, sender: sender, quota: noQuota{}, quarantine: noQuarantine{}, placer: placer,
-		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {}, overload: noOverload{},
+		retries: retries, settings: Defaults(), metrics: newMetrics(metrics.NewSet()), onBrokenSend: func(crash.BrokenSend) {}, overloaded: func() bool { return false },
 		onLimit: func(replica.Replica, replicalimit.Limit, time.Time) {}, onNotice: func(replica.Replica, replicanotice.Notice) {}}
 	g.configConfirmedAt = g.clock.Now
 	for _, opt := range opts {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -92,9 +92,8 @@
 	NoReplica          Reason = "no_replica"
 	Quarantined        Reason = "quarantined" // the request, or a part of its prompt, crashes replicas
 	Overloaded         Reason = "overloaded"
-	Saturated          Reason = "saturated" // this VM is short of network or processor time
-	Limited            Reason = "limited"   // the replicas take no more requests per second
-	Paused             Reason = "paused"    // the replicas want no requests for some time
+	Limited            Reason = "limited" // the replicas take no more requests per second
+	Paused             Reason = "paused"  // the replicas want no requests for some time
 	ReplicaFull        Reason = "replica_full"
 	ReplicaFailed      Reason = "replica_failed"
 	TimedOut           Reason = "timed_out" // the request's deadline passed, or was too close to send it
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -248,7 +248,7 @@
 			return &failure{refusal: e.contextRefusal(ctx, &Refusal{Execution: NotExecuted, Reason: TimedOut})}
 		}
 		outcome := placement.ConnectionBroken
-		if e.gateway.overload.Overloaded() {
+		if e.gateway.overloaded() {
 			outcome = placement.Canceled // the cause is this VM, not the replica
 		}
 		a.end(outcome, sendNotSent)
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -7,8 +7,7 @@
 // callers come again, which saturates it further, while other gateways of the
 // failure domain are idle. A gateway that is above a share of its capacity says
 // that it is not ready, and closes a part of its connections after their responses
-// once the balancer has noticed; the callers reconnect to other gateways. Until then
-// it refuses what it can't serve, since callers come back to other gateways. Usage is
+// once the balancer has noticed; the callers reconnect to other gateways. Usage is
 // measured, not the time that work waits: a VM whose processor runs in short bursts
 // makes work wait in calm, too. The specs "a link that is saturated" and "a burst"
 // replay it.
@@ -74,14 +73,6 @@
 // directs new connections elsewhere.
 const noticeChecks = 2
 
-// The share of refused requests rises by refusalGain per second and unit of usage
-// above Settings.CloseAbove, and falls below it in the same way. In proportion to the
-// usage it would swing, as a refused request still takes a part of the link.
-const (
-	refusalGain = 2
-	maxRefused  = 0.95 // the rest shows when the load has gone
-)
-
 // Monitor follows the usage of a gateway. It is safe for concurrent use.
 type Monitor struct {
 	settings Settings
@@ -95,7 +86,6 @@
 	failedChecks int           // readiness checks that failed in this overload
 	changedAt    time.Time     // begin of the overload, or end of the last one
 	hold         time.Duration // shortest duration of this or the last overload
-	refused      float64       // share of the requests that is refused
 }
 
 // New returns a monitor of a gateway that is not overloaded.
@@ -122,7 +112,6 @@
 	smooth(&m.shares.Processor, (u.ProcessorTime - m.last.ProcessorTime).Seconds(), m.capacity.Processors)
 	m.last, m.lastAt = u, now
 	used := m.shares.highest()
-	m.refused = min(max(m.refused+refusalGain*(used-m.settings.CloseAbove)*elapsed, 0), maxRefused)
 	switch {
 	case m.settings.NotReadyAbove <= 0:
 		return false
@@ -165,15 +154,7 @@
 	defer m.mu.Unlock()
 	used := m.shares.highest()
 	return m.overloaded && m.failedChecks >= noticeChecks && used > m.settings.CloseAbove &&
-		spread < max((used-m.settings.CloseAbove)/used, m.refused)
-}
-
-// Refuses reports whether a request is refused, so that its caller comes back to
-// another gateway at once. Spread, from 0 to 1, is random.
-func (m *Monitor) Refuses(spread float64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.overloaded && spread < m.refused
+		spread < (used-m.settings.CloseAbove)/used
 }
 
 // Overloaded reports whether the gateway is overloaded.
