--- a/replicaspeed/replicaspeed.go
+++ b/replicaspeed/replicaspeed.go
@@ -73,8 +73,9 @@
 	// estimateAge is the age up to which an estimate is reused if there were no samples.
 	estimateAge = 100 * time.Millisecond
 	// homeStep is the factor between two coarse speeds. A coarse speed changes when
-	// the estimate is homeMargin steps away, so that it does not alternate.
-	homeStep, homeMargin = 1.2, 0.75
+	// the estimate is homeMargin steps away: with less, the noise of the estimates of equal
+	// replicas moves homes, and shared parts are prefilled again.
+	homeStep, homeMargin = 1.2, 1.5
 	// pauseMemory is the number of pauses between events that an estimate of them
 	// covers, and pauseDeviations how many mean deviations the longest expected one
 	// is above the mean, as in TCP's retransmission timeout (RFC 6298).
