--- a/replicaspeed/replicaspeed.go
+++ b/replicaspeed/replicaspeed.go
@@ -75,7 +75,7 @@
 	// homeStep is the factor between two coarse speeds. A coarse speed changes when
 	// the estimate is homeMargin steps away: with less, the noise of the estimates of equal
 	// replicas moves homes, and shared parts are prefilled again.
-	homeStep, homeMargin = 1.2, 1.5
+	homeStep, homeMargin = 1.2, 1.0
 	// pauseMemory is the number of pauses between events that an estimate of them
 	// covers, and pauseDeviations how many mean deviations the longest expected one
 	// is above the mean, as in TCP's retransmission timeout (RFC 6298).
