--- a/gatewaydaemon/callers.go
+++ b/gatewaydaemon/callers.go
@@ -9,7 +9,6 @@
 
 	"briarreach/bytebudget"
 	"briarreach/gateway"
-	"briarreach/overload"
 	"briarreach/platform"
 	"briarreach/route"
 )
@@ -50,13 +49,13 @@
 }
 
 // callerOptions returns the options of the server for callers.
-func callerOptions(g *gateway.Gateway, b *bytebudget.Budget, t CallerTuning, fds descriptors, monitor *overload.Monitor, traffic *overload.Meter, set *metrics.Set) []platform.CallerOption {
+func callerOptions(g *gateway.Gateway, c components) []platform.CallerOption {
 	return []platform.CallerOption{
-		platform.WithMaxConnections(fds.callers),
-		platform.WithOverload(monitor),
-		platform.WithCallerTraffic(traffic),
-		platform.WithConnectionsPerAddress(t.ConnectionsPerAddress),
-		platform.WithCallerMemory(b),
+		platform.WithMaxConnections(c.Descriptors.callers),
+		platform.WithOverload(c.Overload),
+		platform.WithCallerTraffic(c.Traffic),
+		platform.WithConnectionsPerAddress(c.Tuning.Callers.ConnectionsPerAddress),
+		platform.WithCallerMemory(c.CallerBudget),
 		platform.WithCallerLimits(func() route.Limits {
 			if table := g.Snapshot().RouteTable; table != nil {
 				return table.Limits()
@@ -64,7 +63,7 @@
 			return route.Limits{}
 		}),
 		platform.WithRefusalHandler(func(cause platform.RefusalCause) {
-			set.GetOrCreateCounter(fmt.Sprintf("briarreach_callers_refused_total{reason=%q}", cause)).Inc()
+			c.Metrics.GetOrCreateCounter(fmt.Sprintf("briarreach_callers_refused_total{reason=%q}", cause)).Inc()
 		}),
 	}
 }
--- a/gatewaydaemon/gatewaydaemon.go
+++ b/gatewaydaemon/gatewaydaemon.go
@@ -260,25 +260,65 @@
 	expiryTimer clockwork.Timer // of the next entry in directory; nil before the first
 }
 
-func newDaemon(s *platform.Settings, clock clockwork.Clock, l log.Interface, set *metrics.Set, store rowstore.Store,
-	placer *placement.Placer, retries *retrybudget.Budget, sender gateway.Sender, allocators quotastore.Allocators, syncers *quotastore.Syncers, peers *mesh.Mesh, t Tuning, dropped droppedLineCounter,
-	crashes *crash.Detector, keeper *quarantinestore.Keeper, limits *replicalimit.Limits, statedLimits *limitExchange, cold *coldPace, notices *replicanotice.Notices, statedNotices *noticeExchange, speeds *speedExchange, pool *upstream.Pool, fds descriptors, monitor *overload.Monitor, traffic *overload.Meter, callerBudget *bytebudget.Budget) (*Daemon, error) {
-	d := &Daemon{settings: s, tuning: t.Replicas, clock: clock, log: l, placer: placer, directory: replica.New(registryGrace, replica.WithSilence(registrySilence(s))), quotaAllocators: allocators, quotaSyncers: syncers, mesh: peers, crashes: crashes, quarantine: keeper, limits: limits, cold: cold, notices: notices, speeds: speeds, pool: pool, overload: monitor,
-		ignoredEntries: set.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
-	d.gateway = gateway.New(sender, placer, retries, gateway.WithClock(clock), gateway.WithLog(l),
-		gateway.WithMetrics(set), gateway.WithSettings(gatewaySettings(s, t)), gateway.WithQuota(syncers), gateway.WithQuarantine(keeper), gateway.WithOverloaded(monitor.Overloaded), gateway.WithBrokenSendHandler(crashes.Report), gateway.WithLimitHandler(statedLimits.record), gateway.WithNoticeHandler(statedNotices.record), gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
-	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(store), d.applyConfigEvents, feed.WithClock(clock), feed.WithLog(l), feed.WithListingAfterGap())
-	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(store), d.applyReplicaEvents, feed.WithClock(clock), feed.WithLog(l))
-	d.addGauges(set, retries, dropped)
+// components are what a daemon is made of.
+type components struct {
+	dig.In
+
+	Settings     *platform.Settings
+	Tuning       Tuning
+	Clock        clockwork.Clock
+	Log          log.Interface
+	Metrics      *metrics.Set
+	DroppedLines droppedLineCounter
+
+	Store       rowstore.Store
+	Allocators  quotastore.Allocators
+	Syncers     *quotastore.Syncers
+	Peers       *mesh.Mesh
+	Placer      *placement.Placer
+	Retries     *retrybudget.Budget
+	Sender      gateway.Sender
+	Pool        *upstream.Pool
+	Descriptors descriptors
+
+	Crashes       *crash.Detector
+	Quarantine    *quarantinestore.Keeper
+	Limits        *replicalimit.Limits
+	StatedLimits  *limitExchange
+	Cold          *coldPace
+	Notices       *replicanotice.Notices
+	StatedNotices *noticeExchange
+	Speeds        *speedExchange
+
+	Overload     *overload.Monitor
+	Traffic      *overload.Meter
+	CallerBudget *bytebudget.Budget
+}
+
+func newDaemon(c components) (*Daemon, error) {
+	d := &Daemon{settings: c.Settings, tuning: c.Tuning.Replicas, clock: c.Clock, log: c.Log, placer: c.Placer,
+		directory:       replica.New(registryGrace, replica.WithSilence(registrySilence(c.Settings))),
+		quotaAllocators: c.Allocators, quotaSyncers: c.Syncers, mesh: c.Peers, crashes: c.Crashes, quarantine: c.Quarantine,
+		limits: c.Limits, cold: c.Cold, notices: c.Notices, speeds: c.Speeds, pool: c.Pool, overload: c.Overload,
+		ignoredEntries: c.Metrics.NewCounter("briarreach_registry_entries_ignored_total"), ignoredEntryLines: rate.NewLimiter(ignoredEntryLinesPerSecond, ignoredEntryBurstLines)}
+	d.gateway = gateway.New(c.Sender, c.Placer, c.Retries, gateway.WithClock(c.Clock), gateway.WithLog(c.Log), gateway.WithMetrics(c.Metrics),
+		gateway.WithSettings(gatewaySettings(c.Settings, c.Tuning)), gateway.WithQuota(c.Syncers), gateway.WithQuarantine(c.Quarantine),
+		gateway.WithOverloaded(c.Overload.Overloaded), gateway.WithBrokenSendHandler(c.Crashes.Report),
+		gateway.WithLimitHandler(c.StatedLimits.record), gateway.WithNoticeHandler(c.StatedNotices.record),
+		gateway.WithConfigConfirmedAt(func() time.Time { return d.configWatcher.Status().CurrentAt }))
+	d.configWatcher = feed.New("configuration", platform.NewOperatorSource(c.Store), d.applyConfigEvents, feed.WithClock(c.Clock), feed.WithLog(c.Log), feed.WithListingAfterGap())
+	d.replicaWatcher = feed.New("replicas", platform.NewRegistrySource(c.Store), d.applyReplicaEvents, feed.WithClock(c.Clock), feed.WithLog(c.Log))
+	d.addGauges(c.Metrics, c.Retries, c.DroppedLines)
 	var err error
-	if d.callers, err = platform.NewCallerServer(s.CallerAddress, d.gateway.Serve, l, callerOptions(d.gateway, callerBudget, t.Callers, fds, monitor, traffic, set)...); err != nil {
+	if d.callers, err = platform.NewCallerServer(c.Settings.CallerAddress, d.gateway.Serve, c.Log, callerOptions(d.gateway, c)...); err != nil {
 		return nil, err
 	}
-	if d.readiness, err = platform.NewReadinessServer(s.ReadinessAddress, d.ready, set, l, platform.WithPlacementExplainer(d.gateway.ExplainPlacement)); err != nil {
+	if d.readiness, err = platform.NewReadinessServer(c.Settings.ReadinessAddress, d.ready, c.Metrics, c.Log, platform.WithPlacementExplainer(d.gateway.ExplainPlacement)); err != nil {
 		return nil, err
 	}
-	d.sampleUsage(traffic)
-	d.log.WithFields(log.Fields{"descriptors": fds.limit, "caller_connections": fds.callers, "idle_replica_connections": fds.idleReplicas, "caller_bytes": callerBudget.Limit()}).Info("started")
+	d.sampleUsage(c.Traffic)
+	d.log.WithFields(log.Fields{"descriptors": c.Descriptors.limit, "caller_connections": c.Descriptors.callers,
+		"idle_replica_connections": c.Descriptors.idleReplicas, "caller_bytes": c.CallerBudget.Limit()}).Info("started")
 	return d, nil
 }
 
