--- a/gatewaydaemon/tuning_test.go
+++ b/gatewaydaemon/tuning_test.go
@@ -65,6 +65,7 @@
 		Entry("too much memory for callers", "[callers]\nmemory_part = 0.6\n", "callers.memory_part: accepted is 0 or a number from 0.05 to 0.5"),
 		Entry("no stall time", "[callers]\nstall_timeout = \"0s\"\n", "callers.stall_timeout: accepted is a duration from 1ms to 1h"),
 		Entry("fewer than no connections", "[callers]\nconnections_per_address = -1\n", "callers.connections_per_address: accepted is a whole number from 0"),
+		Entry("more than the whole capacity", "[overload]\nnot_ready_above = 1.5\n", "overload.not_ready_above: accepted is a number from 0 to 1"),
 		Entry("not TOML", "[placement", "gateway.toml"),
 	)
 })
