--- a/loadreplay/loadreplay.go
+++ b/loadreplay/loadreplay.go
@@ -48,7 +48,7 @@
 	lastEventAt       time.Duration // since the start of the replay
 	maxGap            time.Duration // longest time between events
 	outcome           outcome
-	promised          bool // it was told when to return, and returns then
+	promised          bool // the refusal stated when to return, and it returns then
 }
 
 // deadline returns when the caller disconnects.
--- a/loadreplay/waiting.go
+++ b/loadreplay/waiting.go
@@ -36,7 +36,7 @@
 	RefuseHopelessBehind                // hopeless ones; late ones are less urgent than all others
 )
 
-// Returns says when refused callers are told to return.
+// Returns says which time of return refusals state.
 type Returns int
 
 // Return times.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -83,8 +83,7 @@
 	maxPeersPerLoan = 5
 	// fruitlessPause is the time after loan requests that brought nothing in which no
 	// others are sent for the workspace. Without it each request for a workspace whose
-	// quota is nearly consumed asks up to maxPeersPerLoan peers: 1,000 loan requests a
-	// second in a fleet of 31, most of the processor time of its weak VMs.
+	// quota is nearly consumed asks up to maxPeersPerLoan peers again.
 	fruitlessPause = 200 * time.Millisecond
 	// repayInterval is the time between repayments of tokens that requests
 	// reserved and did not spend.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -95,7 +95,7 @@
 	})
 
 	// Guards against loan requests for each request of a workspace whose quota is
-	// nearly consumed, which took most of the processor of weak VMs.
+	// nearly consumed.
 	It("asks again only some time after loan requests that brought nothing", func() {
 		clock, set := clockwork.NewFakeClockAt(time.Now().Add(time.Second)), metrics.NewSet()
 		a, b := start("a"), start("b", mesh.WithClock(clock), mesh.WithMetrics(set))
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -67,9 +67,9 @@
 type Shares struct{ Received, Sent, Processor float64 }
 
 // processorWeight makes the marks of the processor higher than those of the link: 0.75
-// of the link is 0.94 of the processor. Work waits less for a processor than requests do for
-// a link, and weak VMs are at 0.75 of theirs with 20 requests a second. If more than half
-// of the gateways of a failure domain are not ready, the balancer uses all of them.
+// of the link is 0.94 of the processor. Control work alone takes a large part of a weak
+// VM's processor, and if more than half of the gateways of a failure domain are not
+// ready, the balancer uses all of them.
 const processorWeight = 0.8
 
 // highest returns the share of what is most in use.
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -74,6 +74,7 @@
 		Entry("a processor that is", func(*overload.Settings) {}, 2*time.Second, 0.2, 1.0, true),
 		Entry("not a burst of 300 ms", func(*overload.Settings) {}, 300*time.Millisecond, 1.0, 1.0, false),
 		Entry("not half of the capacity", func(*overload.Settings) {}, time.Minute, 0.5, 0.5, false),
+		Entry("not 0.85 of the processor", func(*overload.Settings) {}, time.Minute, 0.2, 0.85, false),
 		Entry("not when the mechanism is off", func(s *overload.Settings) { s.NotReadyAbove = 0 }, time.Minute, 1.0, 1.0, false),
 	)
 
--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -49,13 +49,13 @@
 	checkInterval     = 200 * time.Millisecond
 
 	// The first message of a stream that another process opens must arrive within
-	// firstMessageTimeout, and at most maxUnheardStreams may wait for theirs.
+	// firstMessageTimeout, and at most maxAwaitingStreams may wait for theirs.
 	// Otherwise an entry whose dispatches stop short of their end would hold the
 	// receive buffers for good. A sender gives up after writeTimeout; the rest is for
 	// 4 MiB that are in flight on a link of 5 Mbit/s. A stream without its first
 	// message takes about 12 KB (measured with 15,000), all together 48 MiB.
 	firstMessageTimeout = 10 * time.Second
-	maxUnheardStreams   = 4096
+	maxAwaitingStreams  = 4096
 
 	// idleTimeout closes a connection that closeInactive has not closed because
 	// this process itself was paused.
@@ -103,7 +103,7 @@
 	listenAddress      netip.AddrPort
 	receiveBufferLimit int64
 	bufferedBytes      atomic.Int64 // receive buffers larger than readBufferBytes
-	unheardStreams     atomic.Int64 // accepted streams whose first message has not arrived
+	awaitingStreams    atomic.Int64 // accepted streams whose first message has not arrived
 	credentials        *Credentials
 	handler            Handler
 	clock              clockwork.Clock
@@ -384,14 +384,14 @@
 		if err != nil {
 			return
 		}
-		if e.unheardStreams.Add(1) > maxUnheardStreams || !e.addStream(c) {
-			e.unheardStreams.Add(-1)
+		if e.awaitingStreams.Add(1) > maxAwaitingStreams || !e.addStream(c) {
+			e.awaitingStreams.Add(-1)
 			qs.CancelRead(codeRefused)
 			qs.CancelWrite(codeRefused)
 			continue
 		}
 		s := newStream(e, c, qs)
-		s.unheard.Store(true)
+		s.awaiting.Store(true)
 		s.SetReceiveDeadline(e.clock.Now().Add(firstMessageTimeout))
 		e.goroutines.Go(func() {
 			defer s.Abort()
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -43,7 +43,7 @@
 	pending         []byte // received and not decoded
 	bufferedBytes   atomic.Int64
 	receivedMessage bool
-	unheard         atomic.Bool // accepted, and counted in Endpoint.unheardStreams
+	awaiting        atomic.Bool // accepted, and counted in Endpoint.awaitingStreams
 
 	sendMu       sync.Mutex
 	sendDeadline deadline
@@ -132,7 +132,7 @@
 			if err == nil {
 				s.pending = rest
 				s.receivedMessage = true
-				if s.endUnheard() {
+				if s.endAwaiting() {
 					s.SetReceiveDeadline(time.Time{})
 				}
 				s.releaseEmptyBuffer()
@@ -151,12 +151,12 @@
 	}
 }
 
-// endUnheard reports whether the stream was accepted and was not heard from until now.
-func (s *Stream) endUnheard() bool {
-	if !s.unheard.CompareAndSwap(true, false) {
+// endAwaiting reports whether the stream was accepted and its first message was awaited until now.
+func (s *Stream) endAwaiting() bool {
+	if !s.awaiting.CompareAndSwap(true, false) {
 		return false
 	}
-	s.endpoint.unheardStreams.Add(-1)
+	s.endpoint.awaitingStreams.Add(-1)
 	return true
 }
 
@@ -240,7 +240,7 @@
 
 func (s *Stream) receiveError(err error) error {
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) && s.unheard.Load():
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.awaiting.Load():
 		// Nothing of the exchange was passed on.
 		s.pending = nil
 		s.replaceBuffer(nil)
@@ -322,7 +322,7 @@
 		s.sendMu.Unlock()
 		s.stopAfterFunc()
 		s.cancel(nil)
-		s.endUnheard()
+		s.endAwaiting()
 		s.releaseBufferReservation()
 		s.receiveDeadline.stop()
 		s.sendDeadline.stop()
--- a/replicaspeed/message.go
+++ b/replicaspeed/message.go
@@ -68,7 +68,7 @@
 
 // NextMessage returns the message that is due for the other processes. The entries
 // that differ most from the estimate come first; the rest is kept for the next one.
-// It reports false if there is no news or the last message was too short a time ago.
+// It reports false if there are no new sums or the last message was too short a time ago.
 func (s *Speeds) NextMessage(otherProcesses int, now time.Time) (Message, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
