--- a/review/_driver2/platform/cases.go
+++ b/review/_driver2/platform/cases.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"briarreach/platform/standin"
@@ -179,77 +180,6 @@
 	return request{id: newID(kind), kind: kind, method: http.MethodGet, path: path, key: "key-one", header: map[string]string{"Deadline-Ms": "2500"}}
 }
 
-// playGrey plays requests that crash each replica that runs them and come again, while
-// one replica fails a part of its requests.
-func playGrey(r *recorder, trouble bool) (bool, error) {
-	const (
-		replicaCount = 3
-		greyPart     = 0.45
-		deadlyCount  = 4
-		deadlyEvery  = 1500 * time.Millisecond
-		apart        = 20 * time.Second
-		last         = 24 * time.Second
-		greyFor      = 6500 * time.Millisecond
-	)
-	cfg := config(1, []any{route("read", "idempotent", "desk", map[string]any{"max_attempts": 2})}, []string{"desk"}, tenant("one", 0))
-	f, err := newFleet(r, cfg)
-	if err != nil {
-		return false, err
-	}
-	defer f.close()
-	var first *replica
-	var grey atomic.Bool
-	for range replicaCount {
-		x, err := f.addReplica("desk", 3*time.Second, func(x *replica, req *http.Request, _ string) outcome {
-			if x == first && grey.Load() && rand.Float64() < greyPart {
-				return outcome{status: 500, delay: 2 * time.Millisecond, grey: true}
-			}
-			return outcome{crash: strings.HasPrefix(req.URL.Path, "/read/deadly"), delay: 25 * time.Millisecond}
-		})
-		if err != nil {
-			return false, err
-		}
-		if first == nil {
-			first = x
-		}
-	}
-	if err := f.startGateways(3); err != nil {
-		return false, err
-	}
-	var done sync.WaitGroup
-	var mu sync.Mutex
-	sent := make([]map[string]time.Time, deadlyCount)
-	begin := time.Now()
-	end := begin.Add(time.Duration(deadlyCount-1)*apart + last)
-	every(&done, 100*time.Millisecond, end, func() { f.send(f.anyGateway(), lookup("sound", "/read/"+newID("x"))) })
-	for i := range deadlyCount {
-		sent[i] = make(map[string]time.Time)
-		done.Go(func() {
-			time.Sleep(time.Until(begin.Add(2*time.Second + time.Duration(i)*apart)))
-			if trouble {
-				r.add("a replica fails a part of its requests", map[string]any{"for_s": greyFor.Seconds()})
-				grey.Store(true)
-				time.AfterFunc(greyFor, func() { grey.Store(false) })
-			}
-			every(&done, deadlyEvery, end, func() {
-				q := lookup("deadly", fmt.Sprintf("/read/deadly-%d", i))
-				mu.Lock()
-				sent[i][q.id] = time.Now()
-				mu.Unlock()
-				f.send(f.anyGateway(), q)
-			})
-		})
-	}
-	done.Wait()
-	broken := false
-	for i := range deadlyCount {
-		crashes, late := f.retriesAfterThirdCrash(fmt.Sprintf("/read/deadly-%d", i), sent[i])
-		r.say("deadly request %d: sent %d times, ran into %d crashes; %d retries reached replicas later than a contact window after its third crash", i, len(sent[i]), crashes, late)
-		broken = broken || late > 3
-	}
-	return broken, nil
-}
-
 // playSplit plays a request that crashes each replica that runs it and comes again, on
 // a route that is split between services.
 func playSplit(r *recorder, trouble bool) (bool, error) {
@@ -427,3 +357,69 @@
 	r.say("counting only requests that were answered whole: %d tokens", statuses[http.StatusOK]*prompt+output)
 	return total > quota, nil
 }
+
+// playSilence plays streams that pause at a sound replica while the others are full,
+// after a SIGHUP of the gateway that relays them.
+func playSilence(r *recorder, trouble bool) (bool, error) {
+	const (
+		streams = 30
+		pause   = 2200 * time.Millisecond
+		apply   = 2 * time.Second // config_apply_ms
+	)
+	cfg := config(1, []any{route("chat", "streaming", "engine", map[string]any{"session_affinity": true, "stream_resumption": true, "max_attempts": 2, "timeout_ms": 15000, "gap_target_ms": 400})},
+		[]string{"engine"}, tenant("one", 50_000_000))
+	f, err := newFleet(r, cfg)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	var full atomic.Bool
+	for i := range 3 {
+		if _, err := f.addReplica("engine", 3*time.Second, func(*replica, *http.Request, string) outcome {
+			o := outcome{delay: 50 * time.Millisecond, events: 60, eventPause: 100 * time.Millisecond}
+			if trouble && i == 0 {
+				o.pauseAfter, o.pause = 36, pause
+			}
+			if i > 0 && full.Load() {
+				return outcome{full: true}
+			}
+			return o
+		}); err != nil {
+			return false, err
+		}
+	}
+	if err := f.startGateways(3); err != nil {
+		return false, err
+	}
+	time.Sleep(contactWindow)
+	g := f.gateways[0]
+	if err := g.command.Process.Signal(syscall.SIGHUP); err != nil {
+		return false, err
+	}
+	r.add("SIGHUP", map[string]any{"gateway": g.name})
+	var done sync.WaitGroup
+	var mu sync.Mutex
+	cut, whole, refused := 0, 0, 0
+	for range streams {
+		done.Go(func() {
+			q := chat("stream", "f0000001:400", "50000001:200")
+			q.header["Deadline-Ms"] = "15000"
+			a := f.send(g, q)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.status == http.StatusOK && a.err == nil:
+				whole++
+			case a.status == http.StatusOK:
+				cut++
+			default:
+				refused++
+			}
+		})
+		time.Sleep(apply / (streams + 5))
+	}
+	full.Store(true)
+	done.Wait()
+	r.say("%d streams were whole, %d were refused, %d began and were cut", whole, refused, cut)
+	return cut > 0, nil
+}
--- a/review/_driver2/platform/main.go
+++ b/review/_driver2/platform/main.go
@@ -22,9 +22,9 @@
 
 var plays = map[string]play{
 	"first-part": playFirstPart,
-	"grey":       playGrey,
 	"split":      playSplit,
 	"usage":      playUsage,
+	"silence":    playSilence,
 	"drill":      playDrill,
 }
 
--- a/review/_driver2/platform/replica.go
+++ b/review/_driver2/platform/replica.go
@@ -22,7 +22,6 @@
 	at       time.Time
 	events   int // written
 	crashing bool
-	grey     bool // answered with a failure instead
 }
 
 // outcome is what a replica does with a request.
@@ -32,7 +31,9 @@
 	delay      time.Duration // until the answer, the first event or the crash
 	events     int           // of a stream; 0 for none
 	eventPause time.Duration
-	grey       bool
+	pauseAfter int // events, before a longer pause; 0 for none
+	pause      time.Duration
+	full       bool // refuses the request
 }
 
 // replica is a stand-in for one replica of a service. After a crash it starts again
@@ -176,11 +177,15 @@
 			continue
 		}
 		o := r.decide(r, req, string(body))
-		x := &run{id: attempt, path: req.URL.Path, replica: id, service: r.service, at: time.Now(), crashing: o.crash, grey: o.grey}
+		if o.full {
+			fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", attempt)
+			continue
+		}
+		x := &run{id: attempt, path: req.URL.Path, replica: id, service: r.service, at: time.Now(), crashing: o.crash}
 		r.mu.Lock()
 		r.runs = append(r.runs, x)
 		r.mu.Unlock()
-		r.fleet.record.add("run", map[string]any{"id": attempt, "replica": id, "service": r.service, "crash": o.crash, "grey": o.grey})
+		r.fleet.record.add("run", map[string]any{"id": attempt, "replica": id, "service": r.service, "crash": o.crash})
 		if o.delay > 0 {
 			time.Sleep(o.delay)
 		}
@@ -201,6 +206,9 @@
 			if n > 0 {
 				time.Sleep(o.eventPause)
 			}
+			if n > 0 && n == o.pauseAfter {
+				time.Sleep(o.pause)
+			}
 			event := fmt.Sprintf("id: %d\ndata: token-%d\n\n", n+1, n+1)
 			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 				return
