Roundtrip, vmlist, operator: refuse statuses that are none of HTTP

Callers saw: nothing yet; the search for the cause of the answer with status 000 found it in the other readers. A service whose answer has status 000 was passed on by the agent as 200. An engine's 000 confirmed an order and began a stream, a VM list or an operator's patch with 000 was accepted, and 099, 600 or 101 from a service reached the caller as they were.

Cause: these clients read with fasthttp, which accepts any three digits, and whose StatusCode() returns 200 where the status is 0. Nothing that it parsed tells 000 from 200.

Change: the package http1 follows the bytes of response headers on the connection, before the parser, through informational responses to the final one. It holds no bytes. roundtrip (services, engines) uses it on the connection of each exchange, vmlist and operator on connections whose requests and responses take turns. Not over TLS: there the list and the operator's client read as before.

--- /dev/null
+++ b/http1/conn.go
@@ -0,0 +1,44 @@
+package http1
+
+import (
+	"cmp"
+	"net"
+	"time"
+)
+
+// Conn is a client's connection that checks the headers of responses before they can be
+// read. Each request must be written whole before its response is read.
+type Conn struct {
+	net.Conn
+	checker HeaderChecker
+}
+
+// NewConn returns a connection that checks what is read from c.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.checker = HeaderChecker{}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn. It fails with *HeaderError or *InvalidStatusError instead of
+// returning bytes that belong to no response.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err := c.checker.Check(p[:n]); err != nil {
+		return 0, err
+	}
+	return n, err
+}
+
+const defaultDialTimeout = 3 * time.Second
+
+// Dial connects to an address with a timeout, or with 3 s if it is 0.
+func Dial(address string, timeout time.Duration) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", address, cmp.Or(timeout, defaultDialTimeout))
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(c), nil
+}
--- /dev/null
+++ b/http1/http1.go
@@ -0,0 +1,25 @@
+// Package http1 checks responses of HTTP/1.1 where the parsers of libraries are more
+// lenient than RFC 9112: what two readers understand differently may be no answer at all.
+package http1
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// InvalidStatusError reports a response whose status is none of HTTP, or is 101, for
+// which no request asks.
+type InvalidStatusError struct{ Status int }
+
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("response with invalid status %03d", e.Status)
+}
+
+// CheckStatus returns *InvalidStatusError for a status that is outside of the range of
+// RFC 9110, section 15, or leaves the connection with another protocol.
+func CheckStatus(status int) error {
+	if status < 100 || status > 599 || status == http.StatusSwitchingProtocols {
+		return &InvalidStatusError{Status: status}
+	}
+	return nil
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"briarreach/config"
+	"briarreach/http1"
 	"briarreach/timeline"
 )
 
@@ -29,6 +30,12 @@
 		WriteTimeout:              RequestTimeout,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		ConfigureClient: func(c *fasthttp.HostClient) error {
+			if !c.IsTLS {
+				c.DialTimeout = http1.Dial // fasthttp takes status 000 for 200
+			}
+			return nil
+		},
 	}}
 }
 
--- /dev/null
+++ b/operator/client_test.go
@@ -0,0 +1,76 @@
+package operator_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/config"
+	"briarreach/operator"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operator")
+}
+
+// newVerbatimEntry answers each request with the given bytes and then closes the
+// connection.
+func newVerbatimEntry(answer string) (url string) {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, answer)
+			}
+			_ = c.Close()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// Guards against a broken answer that tells an operator that a change was accepted.
+var _ = Describe("an answer of an entry", func() {
+	submit := func(answer string) error {
+		GinkgoHelper()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err := operator.NewClient(newVerbatimEntry(answer), "key").Patch(ctx, config.Patch{})
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		return err
+	}
+
+	DescribeTable("does not confirm a patch",
+		func(header string) {
+			err := submit(header + "\r\nContent-Length: 2\r\n\r\n{}")
+			Expect(errors.As(err, new(*operator.TransportError))).To(BeTrue(), "%v", err)
+		},
+		Entry("with status 000", "HTTP/1.1 000 OK"),
+		Entry("with status 600", "HTTP/1.1 600 OK"),
+		Entry("with status 101", "HTTP/1.1 101 OK"),
+	)
+
+	DescribeTable("confirms a patch in an unusual form",
+		func(header string) {
+			Expect(submit(header + "\r\n\r\n{}")).To(Succeed())
+		},
+		Entry("with an empty reason phrase", "HTTP/1.1 200 \r\nUnknown: x\r\nContent-Length: 2"),
+		Entry("without a length", "HTTP/1.1 200 OK\r\nConnection: close"),
+	)
+})
--- a/roundtrip/roundtrip.go
+++ b/roundtrip/roundtrip.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"briarreach/http1"
 )
 
 // NotSentError reports that no byte of the request left the process: the
@@ -243,10 +245,20 @@
 	return body, nil
 }
 
-// conn counts the bytes that the operating system has accepted for sending.
+// conn counts the bytes that the operating system has accepted for sending, and checks
+// the header of the response: fasthttp takes status 000 for 200.
 type conn struct {
 	net.Conn
 	writtenBytes atomic.Int64
+	checker      http1.HeaderChecker
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err := c.checker.Check(p[:n]); err != nil {
+		return 0, err
+	}
+	return n, err
 }
 
 func (c *conn) Write(p []byte) (int, error) {
--- a/service/cut_response_test.go
+++ b/service/cut_response_test.go
@@ -101,5 +101,10 @@
 		Entry("an empty length", "HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\n"),
 		Entry("a signed length", "HTTP/1.1 200 OK\r\nContent-Length: +10\r\n\r\n"),
 		Entry("lines that end in LF", "HTTP/1.1 200 OK\nContent-Length: 10\n\n"),
+		Entry("a status of zeros", "HTTP/1.1 000 X\r\nContent-Length: 10\r\n\r\n"),
+		Entry("a status below those of HTTP", "HTTP/1.1 099 X\r\nContent-Length: 10\r\n\r\n"),
+		Entry("a status above those of HTTP", "HTTP/1.1 600 X\r\nContent-Length: 10\r\n\r\n"),
+		Entry("a signed status", "HTTP/1.1 +20 X\r\nContent-Length: 10\r\n\r\n"),
+		Entry("a switch to another protocol", "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 10\r\n\r\n"),
 	)
 })
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"briarreach/http1"
 )
 
 // NotSentError reports that no connection was available, so that no byte of the
@@ -391,8 +393,8 @@
 		if holdsStatusLine(res) {
 			return nil, &JoinedResponsesError{Status: res.Status}
 		}
-		if !validStatus(res.StatusCode) {
-			return nil, &InvalidStatusError{Status: res.Status}
+		if err := http1.CheckStatus(res.StatusCode); err != nil {
+			return nil, err
 		}
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
@@ -419,20 +421,6 @@
 	return nil, errors.New("too many informational responses or responses to earlier requests")
 }
 
-// InvalidStatusError reports a response whose status is none of HTTP, or is 101, for
-// which no request asks.
-type InvalidStatusError struct{ Status string }
-
-func (e *InvalidStatusError) Error() string {
-	return fmt.Sprintf("response with invalid status %q", e.Status)
-}
-
-// validStatus reports whether a status is in the range of RFC 9110, section 15, and
-// leaves the connection with HTTP.
-func validStatus(status int) bool {
-	return status >= 100 && status <= 599 && status != http.StatusSwitchingProtocols
-}
-
 // JoinedResponsesError reports a header that was cut and into which another response
 // runs, so that its fields are of two responses.
 type JoinedResponsesError struct{ Status string }
--- a/vmlist/client.go
+++ b/vmlist/client.go
@@ -10,6 +10,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
+
+	"briarreach/http1"
 )
 
 const maxBodyBytes = 4 << 20 // enough for MaxVMs entries of 400 bytes
@@ -96,6 +98,12 @@
 			MaxIdleConnDuration:       30 * time.Second,
 			MaxResponseBodySize:       maxBodyBytes,
 			ReadBufferSize:            16 << 10,
+			ConfigureClient: func(c *fasthttp.HostClient) error {
+				if !c.IsTLS {
+					c.DialTimeout = http1.Dial // fasthttp takes status 000 for 200
+				}
+				return nil
+			},
 		},
 	}
 	closing := make(chan struct{})
