Caller: an answer without a valid status is no 200

Callers saw: nothing yet; the search for the cause of the answer with status 000 went on to what an entry reads from agents and from the table. A head message of an agent, the result of an attempt, or a stored claim that lacks its status has status 0, and the caller got 200.

Cause: fasthttp sends 200 for a status of 0, and the entry passes on the status that it decoded.

Change: the server for callers, through which all three go, answers 502 with execution "unknown" in place of a reply whose status is not a final one of HTTP.

Evidence: "an answer without a valid status is a failure" failed in 5 of 5 entries before (200 for 0, 600 for 600, unreadable bytes for -200, 99 and 103) and passes with it; caller and fleet pass.

--- a/caller/server.go
+++ b/caller/server.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"briarreach/connlimit"
+	"briarreach/http1"
 	"briarreach/peer"
 )
 
@@ -381,6 +382,7 @@
 // write sends a reply. The handler holds the request's body no longer: instead of it,
 // the body of the reply is charged until it is written.
 func (s *Server) write(ctx *fasthttp.RequestCtx, envelope *Envelope, reply Reply) {
+	reply = refuseInvalidStatus(reply)
 	held := 0
 	if r, ok := reply.(*FullReply); ok {
 		held = len(r.Body)
@@ -414,6 +416,28 @@
 	}
 }
 
+// refuseInvalidStatus returns the reply, or a failure in place of one whose status is
+// none of HTTP, as an agent or a stored response may lack it: fasthttp sends 200 for 0.
+func refuseInvalidStatus(reply Reply) Reply {
+	status := 0
+	switch r := reply.(type) {
+	case *FullReply:
+		status = r.Status
+	case *StreamReply:
+		status = r.Status
+	default:
+		return reply
+	}
+	err := http1.CheckFinalStatus(status)
+	if err == nil {
+		return reply
+	}
+	if r, ok := reply.(*StreamReply); ok {
+		_ = r.Body.Close()
+	}
+	return NewFailure(http.StatusBadGateway, OutcomeUnknown, peer.ExecutionUnknown, "%v", err)
+}
+
 func noRoom() *Error {
 	refusal := NewRefusal(http.StatusServiceUnavailable, Overloaded, "no memory for the request")
 	refusal.RetryAfter = memoryRetryAfter
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -52,6 +52,17 @@
 }
 func (brokenBody) Close() error { return nil }
 
+// closeNotifier is a body that says when it is closed.
+type closeNotifier struct {
+	io.Reader
+	closed chan struct{}
+}
+
+func (b closeNotifier) Close() error {
+	close(b.closed)
+	return nil
+}
+
 var _ = Describe("HTTP server for callers", func() {
 	var server *caller.Server
 	var handled []caller.Request
@@ -83,6 +94,33 @@
 	}
 	const chat = "/v1/chat/completions"
 
+	// Guards against an answer of an agent, or one that was kept in the table, that lacks
+	// its status and reaches the caller as 200.
+	DescribeTable("an answer without a valid status is a failure",
+		func(status int) {
+			closed := make(chan struct{})
+			for _, r := range []caller.Reply{
+				&caller.FullReply{Status: status, ContentType: "application/json", Body: []byte("{}")},
+				&caller.StreamReply{Status: status, ContentType: "application/json", Body: closeNotifier{strings.NewReader("{}"), closed}},
+			} {
+				reply = r
+				response, data, err := sendRequest("POST", chat, `{"model":"m","messages":[{}]}`)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+				var fault errorBody
+				Expect(json.Unmarshal([]byte(data), &fault)).To(Succeed(), data)
+				Expect(fault.Error.Type).To(Equal(caller.OutcomeUnknown))
+				Expect(fault.Error.Execution).To(Equal(peer.ExecutionUnknown))
+			}
+			Eventually(closed, "2s").Should(BeClosed())
+		},
+		Entry("missing", 0),
+		Entry("negative", -200),
+		Entry("below those of HTTP", 99),
+		Entry("informational", 103),
+		Entry("above those of HTTP", 600),
+	)
+
 	// Guards against bad input that reaches the handler, or that gets a response
 	// without a machine-readable error.
 	DescribeTable("bad input gets a typed 4xx and does not reach the handler",
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -23,3 +23,11 @@
 	}
 	return nil
 }
+
+// CheckFinalStatus is CheckStatus for a response that is not informational.
+func CheckFinalStatus(status int) error {
+	if status < 200 {
+		return &InvalidStatusError{Status: status}
+	}
+	return CheckStatus(status)
+}
