Upstream: a reset that the write of a request reports ends no body

Cause: a socket reports a reset once. From 8 KiB on, the request is written beside the read of the response, and the write that was waiting took the ECONNRESET. The read then saw a connection that had ended, which is the end of a body without a length. The error of the write was used only to decide whether the connection may be used again.

Change: at the end of a body that ends with its connection, the write is stopped by its deadline and its error is looked at. Nothing more of the request could be of use then. No error, a write that was still waiting, and EPIPE mean that the replica's FIN came first; any other error makes the response incomplete (ResetError): 502, and a retry only where the route allows it. An orderly end during the upload is still the end of a whole answer, also if the rest of the upload then meets a reset.

--- a/service/cut_response_test.go
+++ b/service/cut_response_test.go
@@ -107,4 +107,33 @@
 		Entry("a signed status", "HTTP/1.1 +20 X\r\nContent-Length: 10\r\n\r\n"),
 		Entry("a switch to another protocol", "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 10\r\n\r\n"),
 	)
+
+	// Guards against a part of an answer that is taken for all of it, since the write of
+	// the call took the error of the reset from the socket.
+	It("is ambiguous if the connection is reset while the call is written", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReaderSize(c, 512)); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"+body[:5])
+				}
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}
+		}()
+		client, err := service.New("http://" + listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		r := booking
+		r.Body = make([]byte, 16<<20)
+		for range 20 {
+			response, err := client.Call(context.Background(), r)
+			Expect(as[*service.AmbiguousError](err)).To(BeTrue(), "%v: body %q", err, response.Body)
+		}
+	})
 })
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -197,7 +198,7 @@
 	if err != nil {
 		stop()
 		_ = c.Close()
-		_ = awaitWrite(written) // the caller may reuse the body's memory
+		_ = written.await() // the caller may reuse the body's memory
 		if ctx.Err() != nil {
 			err = errors.Join(err, ctx.Err())
 		}
@@ -306,8 +307,35 @@
 	idleLimit time.Duration
 }
 
-// write starts to send the request and returns a channel with its result.
-func (c *conn) write(r Request) <-chan error {
+// requestWrite is the write of a request, which may still be in progress.
+type requestWrite struct {
+	done chan struct{}
+	err  error // set when done is closed
+}
+
+func (w *requestWrite) end(err error) {
+	w.err = err
+	close(w.done)
+}
+
+// await waits until the write has ended and returns its error.
+func (w *requestWrite) await() error {
+	<-w.done
+	return w.err
+}
+
+// ended reports whether the write has ended.
+func (w *requestWrite) ended() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// write starts to send the request.
+func (c *conn) write(r Request) *requestWrite {
 	head := make([]byte, 0, 1024)
 	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\n", r.Method, r.RequestTarget)
 	for _, f := range r.Header {
@@ -317,24 +345,48 @@
 		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(r.Body))
 	}
 	head = append(head, "\r\n"...)
-	done := make(chan error, 1)
+	w := &requestWrite{done: make(chan struct{})}
 	if len(head)+len(r.Body) < concurrentWriteBytes {
 		n, err := c.Write(append(head, r.Body...))
 		c.traffic.AddSent(n)
-		done <- err
-		return done
+		w.end(err)
+		return w
 	}
 	go func() {
 		buffers := net.Buffers{head, r.Body}
 		n, err := buffers.WriteTo(c.Conn)
 		c.traffic.AddSent(int(n))
-		done <- err
+		w.end(err)
 	}()
-	return done
+	return w
 }
 
-// awaitWrite waits for a write to end and returns its result.
-func awaitWrite(written <-chan error) error { return <-written }
+// ResetError reports a connection that failed before the end of the response. Err is the
+// error of the write of the request.
+type ResetError struct{ Err error }
+
+func (e *ResetError) Error() string {
+	return "connection failed before the end of the response: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ResetError) Unwrap() error { return e.Err }
+
+// checkEnd returns *ResetError if the end of the connection, as a read has seen it, is no
+// end that the replica sent. A socket reports a reset once, to the read or to the write
+// of the request, and the other one then sees a connection that has ended. Nothing more
+// of the request is written.
+func (c *conn) checkEnd(written *requestWrite) error {
+	if !written.ended() {
+		_ = c.SetWriteDeadline(time.Unix(0, 1))
+	}
+	err := written.await()
+	// EPIPE is the error of a reset that came after the end.
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return &ResetError{Err: err}
+}
 
 const (
 	// maxResponses bounds the responses read for one request, including the skipped
@@ -483,31 +535,39 @@
 	conn          *conn
 	res           *http.Response
 	stopAfterFunc func() bool
-	written       <-chan error
+	written       *requestWrite
 	reachedEOF    bool
 	closed        bool
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.endsWithConnection() {
+		if err := b.conn.checkEnd(b.written); err != nil {
+			return n, err
+		}
+	}
 	if err == io.EOF {
 		b.reachedEOF = true
 	}
 	return n, err
 }
 
+// endsWithConnection reports whether the end of the connection ends the body.
+func (b *body) endsWithConnection() bool {
+	return b.res.ContentLength < 0 && len(b.res.TransferEncoding) == 0 && b.ReadCloser != http.NoBody
+}
+
 func (b *body) Close() error {
 	if b.closed {
 		return nil
 	}
 	b.closed = true
 	canceled := !b.stopAfterFunc()
-	complete, pending := b.requestWritten()
-	if canceled || !b.reachedEOF || b.res.Close || !complete || b.conn.reader.Buffered() > 0 {
+	sent := b.written.ended() && b.written.err == nil
+	if canceled || !b.reachedEOF || b.res.Close || !sent || b.conn.reader.Buffered() > 0 {
 		err := b.conn.Close()
-		if pending {
-			_ = awaitWrite(b.written) // the caller may reuse the request's memory
-		}
+		_ = b.written.await() // the caller may reuse the request's memory
 		return err
 	}
 	b.conn.used, b.conn.idleLimit = true, idleLimit(b.res.Header.Get("Keep-Alive"))
@@ -515,17 +575,6 @@
 	return nil
 }
 
-// requestWritten reports whether the whole request was written, and whether the
-// write is still in progress.
-func (b *body) requestWritten() (complete, pending bool) {
-	select {
-	case err := <-b.written:
-		return err == nil, false
-	default:
-		return false, true
-	}
-}
-
 func idleLimit(keepAlive string) time.Duration {
 	for part := range strings.SplitSeq(keepAlive, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
