Upstream: refuse responses with a header that is not in the form of HTTP

Callers saw: a replica in trouble answered with a header in which the name of a field held a blank or a control byte.

Cause: the parsers repair what they read. net/http keeps a name with a blank in or behind it, passes it on, and does not see "Content-Length :" as the length; a line that begins with a blank or a tab becomes a part of the value before it (a signature with " Content-Length: 5" behind it reached the caller); LF among CRLF is a line, so that "\nContent-Length: 5" ends the header and begins the body; a reason phrase may hold control bytes, a CR and a field behind it. fasthttp does the same. What was parsed does not show any of this.

Change: HeaderChecker checks the whole header, before the parser has the bytes: names are tokens, no folded lines, no control bytes in values and reason phrases, one kind of line end in a header, HTTP/1.x. upstream uses it for each header on a connection, informational ones and those of earlier requests included; it was in use in roundtrip, vmlist and operator. A broken header ends the connection, and the request may have run. A header all of whose lines end in LF is still read.

--- a/engine/broken_answer_test.go
+++ b/engine/broken_answer_test.go
@@ -45,7 +45,7 @@
 
 	DescribeTable("is ambiguous",
 		func(header string) {
-			order := newVerbatimEngine(header + "\r\nContent-Length: 0\r\n\r\n").Order(context.Background(), engine.Order{Kind: "load"})
+			order := newVerbatimEngine(header+"\r\nContent-Length: 0\r\n\r\n").Order(context.Background(), engine.Order{Kind: "load"})
 			Expect(errors.As(order, new(*engine.AmbiguousError))).To(BeTrue(), "%v", order)
 			_, err := newVerbatimEngine(header+"\r\nContent-Length: 14\r\n\r\n"+done).Stream(context.Background(), engine.Request{Body: body("p", 0)})
 			Expect(errors.As(err, new(*engine.AmbiguousError))).To(BeTrue(), "%v", err)
@@ -54,6 +54,11 @@
 		Entry("with status 099", "HTTP/1.1 099 OK"),
 		Entry("with status 600", "HTTP/1.1 600 OK"),
 		Entry("with status 101", "HTTP/1.1 101 OK"),
+		Entry("with a blank before a colon", "HTTP/1.1 200 OK\r\nX : y"),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nX Y: z"),
+		Entry("with a folded line", "HTTP/1.1 200 OK\r\nX: y\r\n z"),
+		Entry("with LF before a name", "HTTP/1.1 200 OK\r\nX: y\r\n\nY: z"),
+		Entry("with CR in the reason phrase", "HTTP/1.1 200 OK\rX: y"),
 	)
 
 	DescribeTable("is accepted in an unusual form",
--- a/http1/header.go
+++ b/http1/header.go
@@ -1,6 +1,9 @@
 package http1
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // HeaderError reports a header that is not in the form of RFC 9112.
 type HeaderError struct {
@@ -18,18 +21,37 @@
 const (
 	inVersion headerState = iota
 	inStatus
-	inLine      // the rest of a line
+	inReason
 	atLineStart // of a field, or of the line that ends the header
+	inName
+	inValue
 	afterHeader
 )
 
+var headerParts = [...]string{inVersion: "version", inStatus: "status", inReason: "reason phrase",
+	atLineStart: "field name", inName: "field name", inValue: "field value"}
+
+// lineEnding is how the lines of a header end. RFC 9112, section 2.2, allows a reader to
+// take LF alone, but where both are used, LF may be a part of a broken line.
+type lineEnding int
+
+const (
+	unknownEnding lineEnding = iota
+	crlf
+	lf
+)
+
 // HeaderChecker checks the bytes of the headers that a peer sends in response to a
-// request: any informational ones and the final one. It holds no bytes. The zero value
-// is ready for the first byte.
+// request: any informational ones and the final one. It refuses what parsers read
+// differently: names of fields that hold anything but the characters of a token, folded
+// lines, control bytes, and lines that end in different ways. It holds no bytes. The zero
+// value is ready for the first byte.
 type HeaderChecker struct {
 	state    headerState
 	position int // in version or status
 	status   int
+	afterCR  bool
+	ending   lineEnding
 	err      error
 }
 
@@ -45,67 +67,104 @@
 		if c.state == afterHeader || c.err != nil {
 			break
 		}
+		if c.state == inValue && !c.afterCR && isText(b) {
+			continue
+		}
 		c.err = c.next(b)
 	}
 	return c.err
 }
 
 func (c *HeaderChecker) next(b byte) error {
+	if c.afterCR {
+		c.afterCR = false
+		if b != '\n' {
+			return &HeaderError{Part: "end of a line", Byte: b}
+		}
+		return c.endLine(crlf)
+	}
+	switch b {
+	case '\r':
+		c.afterCR = true
+		return nil
+	case '\n':
+		return c.endLine(lf)
+	}
+	valid := false
 	switch c.state {
 	case inVersion:
-		return c.nextOfVersion(b)
+		valid = c.nextOfVersion(b)
 	case inStatus:
-		return c.nextOfStatus(b)
-	case inLine:
-		if b == '\n' {
-			c.state = atLineStart
-		}
+		valid = c.nextOfStatus(b)
+	case inReason, inValue:
+		valid = isText(b)
 	case atLineStart:
-		switch {
-		case b == '\r':
-		case b != '\n':
-			c.state = inLine
-		case c.status < 200:
-			*c = HeaderChecker{}
-		default:
-			c.state = afterHeader
+		c.state = inName
+		valid = isToken[b]
+	case inName:
+		if valid = isToken[b] || b == ':'; b == ':' {
+			c.state = inValue
 		}
 	}
+	if !valid {
+		return &HeaderError{Part: headerParts[c.state], Byte: b}
+	}
 	return nil
 }
 
-func (c *HeaderChecker) nextOfVersion(b byte) error {
+func (c *HeaderChecker) nextOfVersion(b byte) bool {
 	p := c.position
 	c.position++
 	switch {
-	case p < len(versionPrefix) && b == versionPrefix[p]:
-	case p == len(versionPrefix) && isDigit(b):
-	case p == len(versionPrefix)+1 && b == ' ':
-		c.state, c.position = inStatus, 0
+	case p < len(versionPrefix):
+		return b == versionPrefix[p]
+	case p == len(versionPrefix):
+		return isDigit(b)
 	default:
-		return &HeaderError{Part: "version", Byte: b}
+		c.state, c.position = inStatus, 0
+		return b == ' '
 	}
-	return nil
 }
 
-func (c *HeaderChecker) nextOfStatus(b byte) error {
-	if c.position < statusDigits {
-		if !isDigit(b) {
-			return &HeaderError{Part: "status", Byte: b}
-		}
-		c.position++
-		c.status = 10*c.status + int(b-'0')
-		return nil
+func (c *HeaderChecker) nextOfStatus(b byte) bool {
+	if c.position == statusDigits {
+		c.state = inReason
+		return b == ' '
 	}
-	switch b {
-	case ' ', '\r':
-		c.state = inLine
-	case '\n':
+	c.position++
+	c.status = 10*c.status + int(b-'0')
+	return isDigit(b)
+}
+
+func (c *HeaderChecker) endLine(ending lineEnding) error {
+	statusLine := c.state == inReason || c.state == inStatus && c.position == statusDigits
+	switch {
+	case c.ending != unknownEnding && c.ending != ending:
+		return &HeaderError{Part: "end of a line", Byte: '\n'}
+	case statusLine:
+		c.state, c.ending = atLineStart, ending
+		return CheckStatus(c.status)
+	case c.state == inValue:
 		c.state = atLineStart
+	case c.state == atLineStart && c.status < 200:
+		*c = HeaderChecker{}
+	case c.state == atLineStart:
+		c.state = afterHeader
 	default:
-		return &HeaderError{Part: "status", Byte: b}
+		return &HeaderError{Part: headerParts[c.state], Byte: '\n'}
 	}
-	return CheckStatus(c.status)
+	return nil
 }
 
+// isToken tells the characters of a token (RFC 9110, section 5.6.2).
+var isToken = func() (table [256]bool) {
+	for b := range table {
+		table[b] = isDigit(byte(b)) || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", byte(b)) >= 0
+	}
+	return table
+}()
+
+// isText reports whether a byte may stand in a field value or a reason phrase.
+func isText(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
+
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -64,6 +64,10 @@
 		Entry("with status 000", "HTTP/1.1 000 OK"),
 		Entry("with status 600", "HTTP/1.1 600 OK"),
 		Entry("with status 101", "HTTP/1.1 101 OK"),
+		Entry("with a blank before a colon", "HTTP/1.1 200 OK\r\nX : y"),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nX Y: z"),
+		Entry("with a folded line", "HTTP/1.1 200 OK\r\nX: y\r\n z"),
+		Entry("with CR in the reason phrase", "HTTP/1.1 200 OK\rX: y"),
 	)
 
 	DescribeTable("confirms a patch in an unusual form",
--- /dev/null
+++ b/upstream/broken_header_test.go
@@ -0,0 +1,127 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briarreach/upstream"
+)
+
+// exchange sends a request for each answer of a connection and returns the response to
+// the last one, which is the one in question.
+func exchange(method string, s script) (status int, body string, err error) {
+	GinkgoHelper()
+	address, scripts := newScriptedServer()
+	pool := upstream.New()
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	scripts <- s
+	for n := range s.answers {
+		res, err := pool.Do(ctx, address, upstream.Request{Method: method, RequestTarget: "/"}, ownResponse)
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		if err != nil {
+			Expect(n).To(Equal(len(s.answers)-1), "%v", err)
+			Expect(errors.As(err, new(*upstream.IncompleteResponseError))).To(BeTrue(), "%v", err)
+			return 0, "", err
+		}
+		data, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if n == len(s.answers)-1 {
+			return res.StatusCode, string(data), err
+		}
+		Expect(err).NotTo(HaveOccurred())
+	}
+	return 0, "", nil
+}
+
+// Guards against a header of which a line is passed on that is no field, or is not seen
+// as the field that tells where the body ends.
+var _ = Describe("a response with a broken header", func() {
+	const (
+		body    = "0123456789"
+		first   = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok"
+		sized   = "HTTP/1.1 200 OK\r\nId: own\r\nDigest: 3e\r\nContent-Length: 10\r\nOther: x\r\n\r\n" + body
+		chunked = "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\na;x=y\r\n" + body + "\r\n0\r\n\r\n"
+		unsized = "HTTP/1.1 200 OK\r\nId: own\r\nDigest: 3e\r\n\r\n" + body
+		early   = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+		copied  = "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 4\r\n\r\ncopy"
+	)
+
+	// expectRefused expects that the last response of a connection is not accepted.
+	expectRefused := func(answers ...string) {
+		GinkgoHelper()
+		status, got, err := exchange("POST", script{answers: answers})
+		Expect(err).To(HaveOccurred(), "%q: status %d, body %q", answers[len(answers)-1], status, got)
+	}
+
+	DescribeTable("is refused with a blank or a control byte anywhere in the name of a field",
+		func(before []string, response string) {
+			header, rest, found := strings.Cut(response, "\r\n\r\n")
+			Expect(found).To(BeTrue())
+			offset := 0
+			for line := range strings.SplitAfterSeq(header+"\r\n", "\r\n") {
+				name, _, isField := strings.Cut(line, ":")
+				for at := 0; isField && at <= len(name); at++ {
+					for _, b := range []string{" ", "\t", "\x00", "\x01", "\n", "\v", "\f", "\r", "\x1f", "\x7f"} {
+						broken := header[:offset+at] + b + header[offset+at:] + "\r\n\r\n" + rest
+						expectRefused(append(before[:len(before):len(before)], broken)...)
+					}
+				}
+				offset += len(line)
+			}
+		},
+		Entry("with a length", nil, sized),
+		Entry("in chunks", nil, chunked),
+		Entry("without a length", nil, unsized),
+		Entry("informational", nil, early+sized),
+		Entry("a failure", nil, strings.Replace(sized, "200 OK", "500 X", 1)),
+		Entry("on a connection in use", []string{first}, sized),
+		Entry("a copy of an earlier one", []string{first}, copied+sized),
+	)
+
+	It("is refused also after an informational response", func() {
+		expectRefused(early + strings.Replace(sized, "Content-Length", "Content-Length ", 1))
+		expectRefused(early + strings.Replace(unsized, "Digest", " Digest", 1))
+	})
+
+	DescribeTable("is refused",
+		func(header string) { expectRefused(header + body) },
+		Entry("with a folded line", "HTTP/1.1 200 OK\r\nId: own\r\nOther: x\r\n y\r\n\r\n"),
+		Entry("with a control byte in the reason phrase", "HTTP/1.1 200 O\x01K\r\nId: own\r\n\r\n"),
+		Entry("with a field behind CR in the reason phrase", "HTTP/1.1 200 OK\rContent-Length: 5\r\nId: own\r\n\r\n"),
+		Entry("with a field behind CR in a value", "HTTP/1.1 200 OK\r\nId: own\rContent-Length: 5\r\n\r\n"),
+		Entry("with LF among CRLF", "HTTP/1.1 200 OK\r\nId: own\nOther: x\r\n\r\n"),
+		Entry("of another version", "HTTP/2.0 200 OK\r\nId: own\r\n\r\n"),
+	)
+
+	DescribeTable("is not one that is only unusual",
+		func(response string) {
+			for _, answers := range [][]string{{response}, {early + response}, {first, response}, {first, copied + response}} {
+				status, got, err := exchange("POST", script{answers: answers})
+				Expect(err).NotTo(HaveOccurred(), "%q", answers)
+				Expect(status).To(Equal(200))
+				Expect(got).To(Equal(body))
+			}
+		},
+		Entry("with a length", sized),
+		Entry("in chunks with extensions", "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n5;x=\"y z\"\r\n01234\r\n5;a\r\n56789\r\n0;b\r\n\r\n"),
+		Entry("with trailers", "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\na\r\n"+body+"\r\n0\r\nSum: 12\r\nOther: x\r\n\r\n"),
+		Entry("without a length", unsized),
+		Entry("with an empty reason phrase", strings.Replace(sized, "OK", "", 1)),
+		Entry("without a reason phrase", strings.Replace(sized, " OK", "", 1)),
+		Entry("with unknown fields of all kinds of names", strings.Replace(sized, "Other", "!#$%&'*+-.^_`|~0", 1)),
+		Entry("with empty values and blanks around them", strings.Replace(sized, "Other: x", "Other:\r\nA:b\r\nC: \t d \t", 1)),
+		Entry("with bytes beyond ASCII in values", strings.Replace(sized, "Other: x", "Other: \xce\x94\xff", 1)),
+		Entry("with a long header", strings.Replace(sized, "Other: x", fmt.Sprint("Other: ", strings.Repeat("x", 16<<10)), 1)),
+		Entry("with many fields", strings.Replace(sized, "Other: x", strings.Repeat("Other: x\r\n", 500)+"Last: x", 1)),
+		Entry("with lines that end in LF", strings.ReplaceAll(sized, "\r\n", "\n")),
+	)
+})
--- a/upstream/status_test.go
+++ b/upstream/status_test.go
@@ -1,10 +1,7 @@
 package upstream_test
 
 import (
-	"context"
 	"errors"
-	"io"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -16,30 +13,6 @@
 var _ = Describe("the status of a response", func() {
 	const fields = "Id: own\r\nContent-Length: 2\r\n\r\nok"
 
-	// send sends one request for each answer, the last of which is the one in question.
-	send := func(answers ...string) (status int, body string, err error) {
-		GinkgoHelper()
-		address, scripts := newScriptedServer()
-		pool := upstream.New()
-		DeferCleanup(pool.Close)
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		defer cancel()
-		scripts <- script{answers: answers}
-		for n := range answers {
-			res, err := pool.Do(ctx, address, upstream.Request{Method: "POST", RequestTarget: "/"}, ownResponse)
-			Expect(ctx.Err()).NotTo(HaveOccurred())
-			if err != nil {
-				Expect(n).To(Equal(len(answers)-1), "%v", err)
-				return 0, "", err
-			}
-			data, err := io.ReadAll(res.Body)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(res.Body.Close()).To(Succeed())
-			status, body = res.StatusCode, string(data)
-		}
-		return status, body, nil
-	}
-
 	DescribeTable("is refused",
 		func(statusLine string) {
 			response := statusLine + "\r\n" + fields
@@ -49,7 +22,7 @@
 				{"HTTP/1.1 200 OK\r\n" + fields, response},
 				{"HTTP/1.1 200 OK\r\n" + fields, statusLine + "\r\nId: earlier\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + fields},
 			} {
-				status, body, err := send(answers...)
+				status, body, err := exchange("POST", script{answers: answers})
 				Expect(errors.As(err, new(*upstream.IncompleteResponseError))).To(BeTrue(), "%q: status %d, body %q", answers, status, body)
 			}
 		},
@@ -66,7 +39,7 @@
 
 	DescribeTable("is passed on",
 		func(statusLine string, want int) {
-			status, body, err := send(statusLine + "\r\n" + fields)
+			status, body, err := exchange("POST", script{answers: []string{statusLine + "\r\n" + fields}})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(status).To(Equal(want))
 			Expect(body).To(Equal("ok"))
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -411,12 +411,14 @@
 }
 
 // limitedReader fails after a number of bytes while limited is set. The bytes
-// that the buffer above it reads ahead count as well.
+// that the buffer above it reads ahead count as well. It also fails on a malformed
+// header, before any byte of the read that brings it is passed on.
 type limitedReader struct {
 	reader    io.Reader
 	traffic   Traffic
 	limited   bool
 	remaining int
+	checker   http1.HeaderChecker
 }
 
 // Read implements io.Reader.
@@ -427,12 +429,23 @@
 	n, err := l.reader.Read(p)
 	l.traffic.AddReceived(n)
 	l.remaining -= n
+	if err := l.checker.Check(p[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	c.limited.limited, c.limited.remaining = true, maxResponseHeaderBytes
 	defer func() { c.limited.limited = false }()
+	c.limited.checker = http1.HeaderChecker{}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.limited.checker.Check(buffered); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
--- a/vmlist/broken_answer_test.go
+++ b/vmlist/broken_answer_test.go
@@ -62,6 +62,10 @@
 		Entry("with status 600", "HTTP/1.1 600 OK", ""),
 		Entry("with a signed status", "HTTP/1.1 +20 OK", ""),
 		Entry("with status 101", "HTTP/1.1 101 OK", ""),
+		Entry("with a blank before a colon", "HTTP/1.1 200 OK", "X : y\r\n"),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK", "X Y: z\r\n"),
+		Entry("with a folded line", "HTTP/1.1 200 OK", "X: y\r\n z\r\n"),
+		Entry("with CR in the reason phrase", "HTTP/1.1 200 OK\rX: y", ""),
 		Entry("with status 000 after an informational one", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 OK", ""),
 	)
 
