Upstream: refuse responses with broken chunk lines or trailers

Callers saw: nothing that was not the replica's body. Found beside the broken names of fields: a control byte in the extension of a chunk, and a trailer with a blank in its name, a folded line or LF before its name, still made a whole answer.

Cause: as in headers, the parsers repair or skip what is not in the form of HTTP.

Change: the checker goes on behind the header of a response in chunks, through the lines around them, whose data it skips by their size, to the end of the trailers. It is named ResponseChecker now. It knows of a response to HEAD, with 204 or 304 that it has no body. The same for services and engines.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -10,7 +10,7 @@
 // read. Each request must be written whole before its response is read.
 type Conn struct {
 	net.Conn
-	checker HeaderChecker
+	checker ResponseChecker
 }
 
 // NewConn returns a connection that checks what is read from c.
@@ -18,11 +18,11 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.checker = HeaderChecker{}
+	c.checker = ResponseChecker{}
 	return c.Conn.Write(p)
 }
 
-// Read implements net.Conn. It fails with *HeaderError or *InvalidStatusError instead of
+// Read implements net.Conn. It fails with *FormatError or *InvalidStatusError instead of
 // returning bytes that belong to no response.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/http1/header_test.go
+++ b/http1/response_test.go
@@ -20,7 +20,13 @@
 // check checks a text at once and byte by byte, and expects the same result.
 func check(text string) error {
 	GinkgoHelper()
-	var whole, split http1.HeaderChecker
+	return checkMethod("POST", text)
+}
+
+// checkMethod is check for the response to a request with a method.
+func checkMethod(method, text string) error {
+	GinkgoHelper()
+	whole, split := http1.NewResponseChecker(method), http1.NewResponseChecker(method)
 	err := whole.Check([]byte(text))
 	var splitErr error
 	for i := range len(text) {
@@ -57,7 +63,7 @@
 	)
 
 	DescribeTable("is refused", func(header string) {
-		Expect(errors.As(check(header), new(*http1.HeaderError))).To(BeTrue(), "%q", header)
+		Expect(errors.As(check(header), new(*http1.FormatError))).To(BeTrue(), "%q", header)
 	},
 		Entry("with a blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n"),
 		Entry("with a folded line", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n"),
@@ -110,6 +116,55 @@
 	)
 })
 
+var _ = Describe("the chunks of a response", func() {
+	const (
+		header = "HTTP/1.1 200 OK\r\nA: b\r\ntransfer-ENCODING: chunked\r\nC: d\r\n\r\n"
+		body   = "5\r\n01234\r\n"
+		end    = "0\r\n\r\n"
+	)
+	DescribeTable("are accepted", func(text string) { Expect(check(text)).To(Succeed()) },
+		Entry("none", header+end),
+		Entry("one", header+body+end),
+		Entry("several", header+body+"a\r\n0123456789\r\n"+end),
+		Entry("with data that looks like lines", header+"6\r\n0\r\n\r\n\x00\r\n"+end),
+		Entry("with sizes in capitals and leading zeros", header+"00A\r\n0123456789\r\n000"+end),
+		Entry("with extensions", header+"5;a=b;c=\"d e\xff\"\r\n01234\r\n0;f\r\n\r\n"),
+		Entry("with a blank behind the size", header+"5 \r\n01234\r\n"+end),
+		Entry("with trailers", header+body+"0\r\nSum: 1\r\nTransfer-Encoding: x\r\n\r\n"),
+		Entry("that are not complete", header+"5\r\n012"),
+		Entry("and what follows them", header+body+end+"\x00 :\n"),
+		Entry("of a header with lines that end in LF", strings.ReplaceAll(header, "\r\n", "\n")+body+end),
+		Entry("after an informational response", "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n"+header+body+end),
+	)
+
+	DescribeTable("are refused", func(text string) {
+		Expect(errors.As(check(text), new(*http1.FormatError))).To(BeTrue(), "%q", text)
+	},
+		Entry("without a size", header+"\r\n01234\r\n"+end),
+		Entry("with an extension alone", header+";a\r\n01234\r\n"+end),
+		Entry("with a size that is no number", header+"x\r\n01234\r\n"+end),
+		Entry("with a blank before the size", header+" 5\r\n01234\r\n"+end),
+		Entry("with a size of too many digits", header+"00000000000000005\r\n01234\r\n"+end),
+		Entry("with a control byte in an extension", header+"5;a\x01\r\n01234\r\n"+end),
+		Entry("with LF behind the size", header+"5\n01234\r\n"+end),
+		Entry("with a size that is too small", header+"4\r\n01234\r\n"+end),
+		Entry("with LF behind the data", header+"5\r\n01234\n"+end),
+		Entry("with a blank in the name of a trailer", header+body+"0\r\nS um: 1\r\n\r\n"),
+		Entry("with a blank behind the name of a trailer", header+body+"0\r\nSum : 1\r\n\r\n"),
+		Entry("with a folded trailer", header+body+"0\r\nSum: 1\r\n 2\r\n\r\n"),
+		Entry("with LF before a trailer", header+body+"0\r\n\nSum: 1\r\n\r\n"),
+		Entry("with a control byte in a trailer", header+body+"0\r\nSum: \x00\r\n\r\n"),
+	)
+
+	It("are none where the response has no body", func() {
+		for _, status := range []string{"204", "304"} {
+			Expect(check("HTTP/1.1 " + status + " X\r\nTransfer-Encoding: chunked\r\n\r\nHTTP")).To(Succeed())
+		}
+		Expect(checkMethod("HEAD", header+"HTTP")).To(Succeed())
+		Expect(check("HTTP/1.1 200 OK\r\nTransfer-Encodings: chunked\r\nX-Transfer-Encoding: chunked\r\nTransfer: chunked\r\n\r\nbody")).To(Succeed())
+	})
+})
+
 // BenchmarkCheck measures a header as replicas send it, with the beginning of a body.
 func BenchmarkCheck(b *testing.B) {
 	var text strings.Builder
@@ -121,7 +176,7 @@
 	data := []byte(text.String())
 	b.ReportAllocs()
 	for b.Loop() {
-		var c http1.HeaderChecker
+		var c http1.ResponseChecker
 		if err := c.Check(data); err != nil {
 			b.Fatal(err)
 		}
--- a/roundtrip/roundtrip.go
+++ b/roundtrip/roundtrip.go
@@ -146,7 +146,7 @@
 				// Best effort: a larger buffer only delays the back pressure.
 				_ = c.(*net.TCPConn).SetReadBuffer(e.limits.ReceiveBuffer)
 			}
-			x.conn = &conn{Conn: c}
+			x.conn = &conn{Conn: c, checker: http1.NewResponseChecker(string(request.Header.Method()))}
 			x.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.Close() })
 			return x.conn, nil
 		},
@@ -250,7 +250,7 @@
 type conn struct {
 	net.Conn
 	writtenBytes atomic.Int64
-	checker      http1.HeaderChecker
+	checker      http1.ResponseChecker
 }
 
 func (c *conn) Read(p []byte) (int, error) {
--- a/upstream/broken_header_test.go
+++ b/upstream/broken_header_test.go
@@ -102,6 +102,20 @@
 		Entry("of another version", "HTTP/2.0 200 OK\r\nId: own\r\n\r\n"),
 	)
 
+	DescribeTable("is refused with chunks or trailers that are broken",
+		func(chunks string) {
+			expectRefused("HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks)
+		},
+		Entry("by a control byte in an extension", "a;x\x01\r\n"+body+"\r\n0\r\n\r\n"),
+		Entry("by a control byte in the last extension", "a\r\n"+body+"\r\n0;\x00\r\n\r\n"),
+		Entry("by LF behind a size", "a\n"+body+"\r\n0\r\n\r\n"),
+		Entry("by a blank in the name of a trailer", "a\r\n"+body+"\r\n0\r\nS um: 1\r\n\r\n"),
+		Entry("by a blank behind the name of a trailer", "a\r\n"+body+"\r\n0\r\nSum : 1\r\n\r\n"),
+		Entry("by a control byte in the name of a trailer", "a\r\n"+body+"\r\n0\r\nS\x01um: 1\r\n\r\n"),
+		Entry("by a folded trailer", "a\r\n"+body+"\r\n0\r\nSum: 1\r\n 2\r\n\r\n"),
+		Entry("by LF before a trailer", "a\r\n"+body+"\r\n0\r\n\nSum: 1\r\n\r\n"),
+	)
+
 	DescribeTable("is not one that is only unusual",
 		func(response string) {
 			for _, answers := range [][]string{{response}, {early + response}, {first, response}, {first, copied + response}} {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -418,7 +418,7 @@
 	traffic   Traffic
 	limited   bool
 	remaining int
-	checker   http1.HeaderChecker
+	checker   http1.ResponseChecker
 }
 
 // Read implements io.Reader.
@@ -438,7 +438,7 @@
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	c.limited.limited, c.limited.remaining = true, maxResponseHeaderBytes
 	defer func() { c.limited.limited = false }()
-	c.limited.checker = http1.HeaderChecker{}
+	c.limited.checker = http1.NewResponseChecker(method)
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
 		return nil, err
