Upstream: refuse responses of HTTP/1.0 with a transfer encoding

Callers saw: nothing yet. Found beside the broken names of fields: the sizes of the chunks of such a response were passed on as a part of its body, which is then not the replica's.

Cause: HTTP/1.0 has no chunks, and the parsers drop the field without a word and read to the end of the connection. RFC 9112, section 6.1, takes the framing of such a response for faulty.

Change: the checker refuses it. Services and engines are read the same way.

Evidence: "of HTTP/1.0 with a transfer encoding" (upstream) and "a transfer encoding in HTTP/1.0" (service) were red before ("status 200, body" for a body that is no chunk); they pass with it.

--- a/http1/response.go
+++ b/http1/response.go
@@ -15,6 +15,12 @@
 	return fmt.Sprintf("byte %q in the %s of a response", e.Byte, e.Part)
 }
 
+// TransferEncodingError reports a response of HTTP/1.0 with a transfer encoding, which
+// that version does not have: readers take the chunks for the body.
+type TransferEncodingError struct{}
+
+func (*TransferEncodingError) Error() string { return "response of HTTP/1.0 has a transfer encoding" }
+
 // responsePart is what the next byte of a response belongs to.
 type responsePart int
 
@@ -55,6 +61,7 @@
 	part     responsePart
 	position int // in version, status, or chunkSize, or in transferEncoding
 	status   int
+	http10   bool
 	chunked  bool
 	trailers bool // whether the fields are trailers
 	size     uint64
@@ -125,8 +132,7 @@
 		c.matchTransferEncoding(b)
 	case inName:
 		if b == ':' {
-			c.endName()
-			return nil
+			return c.endName()
 		}
 		valid = isToken[b]
 		c.matchTransferEncoding(b)
@@ -146,6 +152,7 @@
 	case p < len(versionPrefix):
 		return b == versionPrefix[p]
 	case p == len(versionPrefix):
+		c.http10 = b == '0'
 		return isDigit(b)
 	case b == ' ':
 		c.part, c.position = inStatus, 0
@@ -180,11 +187,16 @@
 
 // endName ends the name of a field. Transfer-Encoding has the value "chunked": parsers
 // refuse others.
-func (c *ResponseChecker) endName() {
+func (c *ResponseChecker) endName() error {
 	c.part = inValue
-	if !c.trailers && c.position == len(transferEncoding) {
-		c.chunked = true
+	if c.trailers || c.position != len(transferEncoding) {
+		return nil
 	}
+	if c.http10 {
+		return &TransferEncodingError{}
+	}
+	c.chunked = true
+	return nil
 }
 
 func (c *ResponseChecker) nextOfChunkSize(b byte) bool {
--- a/http1/response_test.go
+++ b/http1/response_test.go
@@ -163,6 +163,10 @@
 		Expect(checkMethod("HEAD", header+"HTTP")).To(Succeed())
 		Expect(check("HTTP/1.1 200 OK\r\nTransfer-Encodings: chunked\r\nX-Transfer-Encoding: chunked\r\nTransfer: chunked\r\n\r\nbody")).To(Succeed())
 	})
+
+	It("are refused in HTTP/1.0, which has none", func() {
+		Expect(check("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")).To(MatchError(&http1.TransferEncodingError{}))
+	})
 })
 
 // BenchmarkCheck measures a header as replicas send it, with the beginning of a body.
--- a/service/cut_response_test.go
+++ b/service/cut_response_test.go
@@ -106,6 +106,7 @@
 		Entry("a folded line", "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 5\r\n\r\n"),
 		Entry("LF before a name", "HTTP/1.1 200 OK\r\nX: y\r\n\nContent-Length: 5\r\n\r\n"),
 		Entry("CR in the reason phrase", "HTTP/1.1 200 OK\rContent-Length: 5\r\n\r\n"),
+		Entry("a transfer encoding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
 		Entry("a status of zeros", "HTTP/1.1 000 X\r\nContent-Length: 10\r\n\r\n"),
 		Entry("a status below those of HTTP", "HTTP/1.1 099 X\r\nContent-Length: 10\r\n\r\n"),
 		Entry("a status above those of HTTP", "HTTP/1.1 600 X\r\nContent-Length: 10\r\n\r\n"),
--- a/upstream/broken_header_test.go
+++ b/upstream/broken_header_test.go
@@ -99,6 +99,7 @@
 		Entry("with a field behind CR in the reason phrase", "HTTP/1.1 200 OK\rContent-Length: 5\r\nId: own\r\n\r\n"),
 		Entry("with a field behind CR in a value", "HTTP/1.1 200 OK\r\nId: own\rContent-Length: 5\r\n\r\n"),
 		Entry("with LF among CRLF", "HTTP/1.1 200 OK\r\nId: own\nOther: x\r\n\r\n"),
+		Entry("of HTTP/1.0 with a transfer encoding", "HTTP/1.0 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n"),
 		Entry("of another version", "HTTP/2.0 200 OK\r\nId: own\r\n\r\n"),
 	)
 
