--- a/http1/response.go
+++ b/http1/response.go
@@ -5,14 +5,14 @@
 	"strings"
 )
 
-// FormatError reports a response that is not in the form of RFC 9112.
+// FormatError reports a message that is not in the form of RFC 9112.
 type FormatError struct {
-	Part string // the part of the response
+	Part string // the part of the message
 	Byte byte   // the first byte that does not belong there
 }
 
 func (e *FormatError) Error() string {
-	return fmt.Sprintf("byte %q in the %s of a response", e.Byte, e.Part)
+	return fmt.Sprintf("byte %q in the %s of an HTTP message", e.Byte, e.Part)
 }
 
 // TransferEncodingError reports a response of HTTP/1.0 with a transfer encoding, which
@@ -84,6 +84,13 @@
 	return ResponseChecker{bodiless: method == "HEAD"}
 }
 
+// CheckFields checks the lines of fields in a header, which a parser has read, as a
+// ResponseChecker does. They must end with CRLF.
+func CheckFields(lines []byte) error {
+	c := ResponseChecker{bodiless: true, part: atLineStart, status: 200, ending: crlf}
+	return c.Check(lines)
+}
+
 // Check checks the next bytes. It ignores those that follow the response. After an error
 // it returns the same error.
 func (c *ResponseChecker) Check(p []byte) error {
--- a/http1/response_test.go
+++ b/http1/response_test.go
@@ -169,6 +169,20 @@
 	})
 })
 
+var _ = DescribeTable("CheckFields", func(lines string, valid bool) {
+	if valid {
+		Expect(http1.CheckFields([]byte(lines))).To(Succeed())
+		return
+	}
+	Expect(errors.As(http1.CheckFields([]byte(lines)), new(*http1.FormatError))).To(BeTrue())
+},
+	Entry("accepts none", "\r\n", true),
+	Entry("accepts fields", "A: b\r\nTransfer-Encoding: chunked\r\n\r\n", true),
+	Entry("refuses a blank in a name", "A b: c\r\n\r\n", false),
+	Entry("refuses a folded line", "A: b\r\n c\r\n\r\n", false),
+	Entry("refuses LF that ends the header", "A: b\r\n\n", false),
+)
+
 // BenchmarkCheck measures a header as replicas send it, with the beginning of a body.
 func BenchmarkCheck(b *testing.B) {
 	var text strings.Builder
