Table: bound what a response of the table service takes

Callers saw: nothing yet; other operators report peers that send bytes without end until the machine that called them runs out of memory.

Cause: the SDK reads a body whole, and the transport's bound of a header is 10 MiB.

Change: a body is at most 32 MiB (16 MiB of rows, the most that the API allows, in base64), all that are being read are at most 64 MiB together, charged before the read that fills a buffer, and a header is at most 32 KiB.

--- a/table/client.go
+++ b/table/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
@@ -28,6 +29,17 @@
 	maxBatchKeys          = 100
 )
 
+// Limits of a response. The largest one that the API allows, of a batch read, has 16 MiB
+// of rows, whose values are encoded as base64.
+const (
+	MaxResponseBytes       = 32 << 20
+	MaxResponseHeaderBytes = 32 << 10
+	// maxHeldResponseBytes bounds the responses that are being read, together.
+	maxHeldResponseBytes = 2 * MaxResponseBytes
+	// responseReadBytes bounds one read of a response.
+	responseReadBytes = 64 << 10
+)
+
 const (
 	// maxConnections bounds the client's connections to the service. One
 	// connection carries one request at a time.
@@ -107,6 +119,7 @@
 		t.IdleConnTimeout = 30 * time.Second
 		t.TLSHandshakeTimeout = o.timeout
 		t.ResponseHeaderTimeout = o.timeout
+		t.MaxResponseHeaderBytes = MaxResponseHeaderBytes
 		// HTTP/1.1 only: one stalled HTTP/2 connection would block all requests,
 		// and the writes of one request could not be counted.
 		t.ForceAttemptHTTP2 = false
@@ -120,7 +133,7 @@
 		BaseEndpoint: aws.String(o.endpoint),
 		Region:       o.region,
 		Credentials:  credentials.NewStaticCredentialsProvider(o.accessKeyID, o.secretAccessKey, ""),
-		HTTPClient:   unclosedBodyClient{httpClient},
+		HTTPClient:   boundedClient{unclosedBodyClient{httpClient}, &atomic.Int64{}},
 		Retryer:      aws.NopRetryer{},
 	})
 	return c, nil
@@ -141,6 +154,60 @@
 	return c.client.Do(r)
 }
 
+// ResponseTooLargeError reports a response, or several that were read at the same time,
+// of more than Limit bytes.
+type ResponseTooLargeError struct{ Limit int }
+
+func (e *ResponseTooLargeError) Error() string {
+	return fmt.Sprintf("responses exceed %d bytes", e.Limit)
+}
+
+// boundedClient bounds the bodies of responses, which the SDK reads whole. held counts
+// the bytes of those that are being read.
+type boundedClient struct {
+	client aws.HTTPClient
+	held   *atomic.Int64
+}
+
+// Do sends a request and bounds the body of its response.
+func (c boundedClient) Do(r *http.Request) (*http.Response, error) {
+	res, err := c.client.Do(r)
+	if res != nil && res.Body != nil {
+		res.Body = &boundedBody{ReadCloser: res.Body, held: c.held}
+	}
+	return res, err
+}
+
+// boundedBody charges each read before it fills a buffer.
+type boundedBody struct {
+	io.ReadCloser
+	held *atomic.Int64
+	read int64
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	p = p[:min(len(p), responseReadBytes)]
+	charged := int64(len(p))
+	if b.held.Add(charged) > maxHeldResponseBytes {
+		b.held.Add(-charged)
+		return 0, &ResponseTooLargeError{Limit: maxHeldResponseBytes}
+	}
+	n, err := b.ReadCloser.Read(p)
+	b.held.Add(int64(n) - charged)
+	if b.read += int64(n); b.read > MaxResponseBytes {
+		return 0, &ResponseTooLargeError{Limit: MaxResponseBytes}
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *boundedBody) Close() error {
+	b.held.Add(-b.read)
+	b.read = 0
+	return b.ReadCloser.Close()
+}
+
 // Close closes the idle connections. It does not interrupt calls in flight.
 func (c *Client) Close() error {
 	if c.transport != nil {
