Operator: bound the response of an entry

An operator's command read a body without end until its time was up.

Cause: fasthttp's client has no bound of a body unless one is set.

Change: a response is at most 64 MiB.

--- a/operator/client.go
+++ b/operator/client.go
@@ -15,6 +15,9 @@
 	"briarreach/timeline"
 )
 
+// MaxResponseBytes bounds the response of an entry.
+const MaxResponseBytes = 64 << 20
+
 // Client calls the API of an entry.
 type Client struct {
 	url  string
@@ -29,6 +32,7 @@
 		ReadTimeout:               2 * RequestTimeout,
 		WriteTimeout:              RequestTimeout,
 		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       MaxResponseBytes,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		ConfigureClient: func(c *fasthttp.HostClient) error {
 			if !c.IsTLS {
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,6 +71,42 @@
 		Entry("with CR in the reason phrase", "HTTP/1.1 200 OK\rX: y"),
 	)
 
+	// Guards against memory that grows with what an entry sends until the process ends.
+	DescribeTable("is given up if it does not end",
+		func(prefix, repeated string, maxBytes int) {
+			const socketBytes, mostBytes = 16 << 20, 256 << 20
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(listener.Close)
+			sent := make(chan int, 1)
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				n, err := io.WriteString(c, prefix)
+				for block := strings.Repeat(repeated, 1+16<<10/len(repeated)); err == nil && n < mostBytes; {
+					var k int
+					k, err = io.WriteString(c, block)
+					n += k
+				}
+				sent <- n
+			}()
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			_, err = operator.NewClient("http://"+listener.Addr().String(), "key").Budgets(ctx)
+			Expect(errors.As(err, new(*operator.TransportError))).To(BeTrue(), "%v", err)
+			Eventually(sent, "5s").Should(Receive(BeNumerically("<", maxBytes+socketBytes)))
+		},
+		Entry("in a header", "HTTP/1.1 200 OK\r\n", "X: y\r\n", operator.MaxResponseBytes),
+		Entry("in a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "x", operator.MaxResponseBytes),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n", operator.MaxResponseBytes),
+	)
+
 	DescribeTable("confirms a patch in an unusual form",
 		func(header string) {
 			Expect(submit(header + "\r\n\r\n{}")).To(Succeed())
