--- a/table/endless_test.go
+++ b/table/broken_response_test.go
@@ -117,3 +117,38 @@
 		Expect(tooLarge.Limit).To(Equal(table.MaxResponseBytes), "a single one has room for its own bound")
 	})
 })
+
+// Guards against a broken response that says that a transaction was applied, or was not.
+var _ = DescribeTable("a response that is broken leaves the outcome open",
+	func(header, body string) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, header+"\r\n\r\n"+body)
+				}
+				_ = c.Close()
+			}
+		}()
+		client, err := table.New(table.WithEndpoint("http://"+listener.Addr().String()), table.WithTimeout(20*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(client.Close)
+		Expect(client.Commit(ctx, writes(put("a", table.Any{}, "1")))).To(beAmbiguous)
+		_, err = client.Get(ctx, key("a"))
+		Expect(err).To(beUnavailable)
+	},
+	Entry("by its status, 000", "HTTP/1.1 000 OK", "{}"),
+	Entry("by its status, 099", "HTTP/1.1 099 OK", "{}"),
+	Entry("by its status, 600", "HTTP/1.1 600 OK", "{}"),
+	Entry("by its status, 101", "HTTP/1.1 101 OK", "{}"),
+	Entry("by the end of its body", "HTTP/1.1 200 OK", `{"Item":`),
+	Entry("by LF before the name of a field", "HTTP/1.1 200 OK\r\nX: y\r\n\nContent-Length: 2", "{}"),
+	Entry("by a control byte in the name of a field", "HTTP/1.1 200 OK\r\nX\x01: y", "{}"),
+)
