--- a/caller/server.go
+++ b/caller/server.go
@@ -416,8 +416,9 @@
 	}
 }
 
-// refuseInvalidStatus returns the reply, or a failure in place of one whose status is
-// none of HTTP, as an agent or a stored response may lack it: fasthttp sends 200 for 0.
+// refuseInvalidStatus returns the reply, or a failure in place of one without a final
+// status of HTTP: the message of an agent and a stored response may lack it, and fasthttp
+// sends 200 for 0.
 func refuseInvalidStatus(reply Reply) Reply {
 	status := 0
 	switch r := reply.(type) {
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Conn is a client's connection that checks the headers of responses before they can be
-// read. Each request must be written whole before its response is read.
+// Conn is a client's connection that checks responses before they can be read. Each
+// request must be written whole before its response is read.
 type Conn struct {
 	net.Conn
 	checker ResponseChecker
@@ -22,8 +22,8 @@
 	return c.Conn.Write(p)
 }
 
-// Read implements net.Conn. It fails with *FormatError or *InvalidStatusError instead of
-// returning bytes that belong to no response.
+// Read implements net.Conn. It fails with the errors of ResponseChecker instead of
+// returning the bytes that it refuses.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err := c.checker.Check(p[:n]); err != nil {
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -1,5 +1,5 @@
-// Package http1 checks responses of HTTP/1.1 where the parsers of libraries are more
-// lenient than RFC 9112: what two readers understand differently may be no answer at all.
+// Package http1 checks what peers send over HTTP/1.1 where the parsers of libraries are
+// more lenient than RFC 9112 and repair or skip what they can't read.
 package http1
 
 import (
@@ -7,8 +7,8 @@
 	"net/http"
 )
 
-// InvalidStatusError reports a response whose status is none of HTTP, or is 101, for
-// which no request asks.
+// InvalidStatusError reports a response whose status is outside of 100 to 599, or 101,
+// for which no request asks.
 type InvalidStatusError struct{ Status int }
 
 func (e *InvalidStatusError) Error() string {
--- a/http1/response.go
+++ b/http1/response.go
@@ -59,12 +59,12 @@
 type ResponseChecker struct {
 	bodiless bool // whether the request was HEAD
 	part     responsePart
-	position int // in version, status, or chunkSize, or in transferEncoding
+	position int // in the version, the status or a chunk's size, or in transferEncoding
 	status   int
 	http10   bool
 	chunked  bool
-	trailers bool // whether the fields are trailers
-	size     uint64
+	trailers bool   // whether the fields are trailers
+	size     uint64 // of the chunk, or of the rest of it
 	afterCR  bool
 	ending   lineEnding
 	err      error
@@ -91,8 +91,8 @@
 	return c.Check(lines)
 }
 
-// Check checks the next bytes. It ignores those that follow the response. After an error
-// it returns the same error.
+// Check checks the next bytes. It ignores those that follow the response. Its errors are
+// *FormatError, *InvalidStatusError and *TransferEncodingError, and stay.
 func (c *ResponseChecker) Check(p []byte) error {
 	for i := 0; i < len(p) && c.part != unchecked && c.err == nil; i++ {
 		switch {
@@ -192,8 +192,8 @@
 	}
 }
 
-// endName ends the name of a field. Transfer-Encoding has the value "chunked": parsers
-// refuse others.
+// endName ends the name of a field. The value of Transfer-Encoding is not checked: parsers
+// refuse all but "chunked".
 func (c *ResponseChecker) endName() error {
 	c.part = inValue
 	if c.trailers || c.position != len(transferEncoding) {
--- a/http1/response_test.go
+++ b/http1/response_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"briarreach/http1"
 )
@@ -169,6 +170,45 @@
 	})
 })
 
+// Guards against sound responses that are refused: whatever the form of HTTP allows, in
+// any number and order.
+var _ = It("a response in the form of HTTP is accepted", func() {
+	rapid.Check(GinkgoT(), func(t *rapid.T) {
+		text := func(label string) string { return rapid.StringMatching(`[\t -~\x{80}-\x{7ff}]{0,20}`).Draw(t, label) }
+		fields := func(label string) string {
+			var lines strings.Builder
+			for range rapid.IntRange(0, 4).Draw(t, label) {
+				lines.WriteString(rapid.StringMatching("[!#$%&'*+.^_`|~0-9A-Za-z-]{1,12}").Draw(t, "name") + ":" + text("value") + "\r\n")
+			}
+			return lines.String()
+		}
+		var response strings.Builder
+		for range rapid.IntRange(0, 2).Draw(t, "informational responses") {
+			response.WriteString("HTTP/1.1 103 " + text("reason") + "\r\n" + fields("fields") + "\r\n")
+		}
+		status := rapid.IntRange(200, 599).Draw(t, "status")
+		fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\n%s", status, text("reason"), fields("fields"))
+		method := rapid.SampledFrom([]string{"GET", "POST", "HEAD"}).Draw(t, "method")
+		bodiless := method == "HEAD" || status == 204 || status == 304
+		switch inChunks := rapid.Bool().Draw(t, "in chunks"); {
+		case inChunks && bodiless:
+			response.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		case inChunks:
+			response.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+			for range rapid.IntRange(0, 3).Draw(t, "chunks") {
+				data := rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "data")
+				fmt.Fprintf(&response, "%x;%s\r\n%s\r\n", len(data), text("extension"), data)
+			}
+			response.WriteString("0\r\n" + fields("trailers") + "\r\n")
+		default:
+			response.WriteString("\r\n" + text("body"))
+		}
+		if err := checkMethod(method, response.String()); err != nil {
+			t.Fatalf("%q: %v", response.String(), err)
+		}
+	})
+})
+
 var _ = DescribeTable("CheckFields", func(lines string, valid bool) {
 	if valid {
 		Expect(http1.CheckFields([]byte(lines))).To(Succeed())
