Upstream: specs that a broken response ends its connection

Handled already: a response that is refused, in its header or in its trailers, closes its connection, and the next request has a new one that is kept.

--- a/upstream/broken_header_test.go
+++ b/upstream/broken_header_test.go
@@ -1,10 +1,13 @@
 package upstream_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"time"
 
@@ -117,6 +120,61 @@
 		Entry("by LF before a trailer", "a\r\n"+body+"\r\n0\r\n\nSum: 1\r\n\r\n"),
 	)
 
+	// Guards against a connection that is used again with the rest of a broken response on
+	// it, or after it.
+	DescribeTable("ends its connection",
+		func(broken string) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(listener.Close)
+			ended := make(chan struct{}, 2)
+			go func() {
+				for n := 0; ; n++ {
+					c, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer func() { _ = c.Close() }()
+						reader := bufio.NewReader(c)
+						for {
+							if _, err := http.ReadRequest(reader); err != nil {
+								ended <- struct{}{}
+								return
+							}
+							_, _ = io.WriteString(c, []string{broken, sized}[min(n, 1)])
+						}
+					}()
+				}
+			}()
+			address := listener.Addr().(*net.TCPAddr).AddrPort()
+			pool := upstream.New()
+			DeferCleanup(pool.Close)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			call := func() (string, error) {
+				res, err := pool.Do(ctx, address, upstream.Request{Method: "POST", RequestTarget: "/"}, ownResponse)
+				if err != nil {
+					return "", err
+				}
+				data, err := io.ReadAll(res.Body)
+				_ = res.Body.Close()
+				return string(data), err
+			}
+			_, err = call()
+			Expect(err).To(HaveOccurred())
+			Eventually(ended, "2s").Should(Receive())
+			for range 2 {
+				Expect(call()).To(Equal(body))
+			}
+			Consistently(ended, "50ms").ShouldNot(Receive())
+		},
+		Entry("with a broken header", strings.Replace(sized, "Other", "Ot her", 1)),
+		Entry("with an invalid status", strings.Replace(sized, "200", "000", 1)),
+		Entry("with a broken trailer", "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\na\r\n"+body+"\r\n0\r\nS um: 1\r\n\r\n"),
+		Entry("with a broken header of an informational response", "HTTP/1.1 103 X\r\n Link: x\r\n\r\n"+sized),
+	)
+
 	DescribeTable("is not one that is only unusual",
 		func(response string) {
 			for _, answers := range [][]string{{response}, {early + response}, {first, response}, {first, copied + response}} {
