Tests: processes of a fleet get ports that no connection takes

No process of the fleet had started, and no check was reached.

Until the process listened there, a connection of another test could get it.

No check is changed.

--- a/cmd/briarreach/process_test.go
+++ b/cmd/briarreach/process_test.go
@@ -7,12 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,6 +22,7 @@
 	. "github.com/onsi/gomega"
 
 	"briarreach/operator"
+	"briarreach/platform/standin"
 )
 
 // processFleet runs a fleet of separate processes with the example settings, in
@@ -71,18 +72,16 @@
 	return f
 }
 
-// port returns the free port that replaces a port of the examples.
+// port returns the free port that replaces a port of the examples. It is below those of
+// outgoing connections, which could take it before its process listens there.
 func (f *processFleet) port(example string) string {
 	if p, ok := f.ports[example]; ok {
 		return p
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standin.FreeAddress()
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	_, p, err := net.SplitHostPort(l.Addr().String())
-	Expect(err).NotTo(HaveOccurred())
-	f.ports[example] = p
-	return p
+	f.ports[example] = strconv.Itoa(int(address.Port()))
+	return f.ports[example]
 }
 
 func (f *processFleet) command(args ...string) *exec.Cmd {
