Upstream: a broken response is given up at once, also if it arrives in pieces

It refused the bytes that show that a response is broken, once. net/http's reader takes what it has of a line for a whole line if a read fails then, drops the error, and reads on; that read waited for a replica that had nothing more to send.

Change: after an error of the checker nothing more is read from the connection, in all of its users.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -25,11 +25,7 @@
 // Read implements net.Conn. It fails with the errors of ResponseChecker instead of
 // returning the bytes that it refuses.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err := c.checker.Check(p[:n]); err != nil {
-		return 0, err
-	}
-	return n, err
+	return c.checker.Read(c.Conn, p)
 }
 
 const defaultDialTimeout = 3 * time.Second
--- a/http1/response.go
+++ b/http1/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 )
 
@@ -91,6 +92,23 @@
 	return c.Check(lines)
 }
 
+// Err returns the error of Check, or nil. A reader asks for it before it reads on: after
+// an error a parser may take what it has for a whole line, and wait for the next one.
+func (c *ResponseChecker) Err() error { return c.err }
+
+// Read reads from r and checks what it has read, of which it returns nothing if it is
+// refused.
+func (c *ResponseChecker) Read(r io.Reader, p []byte) (int, error) {
+	if err := c.Err(); err != nil {
+		return 0, err
+	}
+	n, err := r.Read(p)
+	if err := c.Check(p[:n]); err != nil {
+		return 0, err
+	}
+	return n, err
+}
+
 // Check checks the next bytes. It ignores those that follow the response. Its errors are
 // *FormatError, *InvalidStatusError and *TransferEncodingError, and stay.
 func (c *ResponseChecker) Check(p []byte) error {
--- a/roundtrip/roundtrip.go
+++ b/roundtrip/roundtrip.go
@@ -254,11 +254,7 @@
 }
 
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err := c.checker.Check(p[:n]); err != nil {
-		return 0, err
-	}
-	return n, err
+	return c.checker.Read(c.Conn, p)
 }
 
 func (c *conn) Write(p []byte) (int, error) {
--- a/upstream/broken_header_test.go
+++ b/upstream/broken_header_test.go
@@ -56,6 +56,8 @@
 		unsized = "HTTP/1.1 200 OK\r\nId: own\r\nDigest: 3e\r\n\r\n" + body
 		early   = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 		copied  = "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 4\r\n\r\ncopy"
+		// betweenPieces lets a piece be read before the next one is written.
+		betweenPieces = 20 * time.Millisecond
 	)
 
 	// expectRefused expects that the last response of a connection is not accepted.
@@ -121,9 +123,10 @@
 	)
 
 	// Guards against a connection that is used again with the rest of a broken response on
-	// it, or after it.
-	DescribeTable("ends its connection",
-		func(broken string) {
+	// it, or after it, and against a wait for more after the byte that shows that it is
+	// broken.
+	DescribeTable("ends its connection at once",
+		func(pieces ...string) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(listener.Close)
@@ -142,7 +145,14 @@
 								ended <- struct{}{}
 								return
 							}
-							_, _ = io.WriteString(c, []string{broken, sized}[min(n, 1)])
+							if n > 0 {
+								_, _ = io.WriteString(c, sized)
+								continue
+							}
+							for _, piece := range pieces {
+								_, _ = io.WriteString(c, piece)
+								time.Sleep(betweenPieces)
+							}
 						}
 					}()
 				}
@@ -163,6 +173,7 @@
 			}
 			_, err = call()
 			Expect(err).To(HaveOccurred())
+			Expect(ctx.Err()).NotTo(HaveOccurred())
 			Eventually(ended, "2s").Should(Receive())
 			for range 2 {
 				Expect(call()).To(Equal(body))
@@ -173,6 +184,12 @@
 		Entry("with an invalid status", strings.Replace(sized, "200", "000", 1)),
 		Entry("with a broken trailer", "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\na\r\n"+body+"\r\n0\r\nS um: 1\r\n\r\n"),
 		Entry("with a broken header of an informational response", "HTTP/1.1 103 X\r\n Link: x\r\n\r\n"+sized),
+		Entry("in pieces, cut in the status line", "HTTP/1.1 503", sized),
+		Entry("in pieces, cut in the end of a line", "HTTP/1.1 503 X\r", sized),
+		Entry("in pieces, cut in the name of a field", "HTTP/1.1 503 X\r\nOt", " her: x\r\n\r\n"),
+		Entry("in pieces, cut in a value", "HTTP/1.1 503 X\r\nOther: x", "\x00\r\n\r\n"),
+		Entry("in pieces, cut before the end of the header", "HTTP/1.1 503 X\r\nOther: x\r\n", " y\r\n\r\n"),
+		Entry("in pieces, cut in a trailer", "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nSum", " : 1\r\n\r\n"),
 	)
 
 	DescribeTable("is not one that is only unusual",
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -425,6 +425,9 @@
 	if l.limited && l.remaining <= 0 {
 		return 0, &ResponseTooLargeError{Part: "response header", Limit: maxResponseHeaderBytes}
 	}
+	if err := l.checker.Err(); err != nil {
+		return 0, err
+	}
 	n, err := l.reader.Read(p)
 	l.traffic.AddReceived(n)
 	l.remaining -= n
