--- a/review/_driver3/fleet.go
+++ b/review/_driver3/fleet.go
@@ -81,6 +81,8 @@
 	run      *run
 	store    *standin.Store
 	gateways []*gateway
+	replicas []*replica // closed with the fleet
+	version  string     // of the replicas that are started
 }
 
 func newFleet(r *run) (*fleet, error) {
@@ -88,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{run: r, store: s}, nil
+	return &fleet{run: r, store: s, version: "v1"}, nil
 }
 
 // configure publishes a configuration.
@@ -104,7 +106,7 @@
 
 // register writes the registry entry of a replica.
 func (f *fleet) register(id, service string, address netip.AddrPort, slots int, born time.Time) error {
-	data, err := json.Marshal(map[string]any{"service": service, "address": address.String(), "zone": "a", "version": "v1",
+	data, err := json.Marshal(map[string]any{"service": service, "address": address.String(), "zone": "a", "version": f.version,
 		"concurrency_slots": slots, "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": born.UnixMilli()})
 	if err != nil {
 		return err
@@ -256,5 +258,8 @@
 			}
 		}
 	}
+	for _, r := range f.replicas {
+		r.close()
+	}
 	_ = f.store.Close()
 }
