--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # replicas and the callers. It adds no dependency to those of the project.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-3/driver ./review/_driver3
+go build -o target/review-3/driver ./review/_driver3/platform
