--- a/review/_driver3/platform/case_late.go
+++ b/review/_driver3/platform/case_late.go
@@ -13,13 +13,14 @@
 func init() { cases["late"] = late }
 
 // late checks that requests with a part that crashes replicas are no longer sent after
-// the fifth crash, when a replica crashes some time after it has begun to write an answer.
+// the fifth crash, when a replica writes its first event and nothing more, and its process
+// and connections end some time later.
 func late(r *run) (verdict, error) {
 	const (
 		replicas = 9
 		in, out  = 900, 90
 		deadly   = "badc0de"
-		lasts    = 800 * time.Millisecond // from the first event to the crash
+		lasts    = 800 * time.Millisecond // from the first event to the end of the process
 		contact  = 3 * time.Second
 	)
 	f, err := newFleet(r)
@@ -48,7 +49,8 @@
 		}
 		mu.Unlock()
 		pause(25 * time.Millisecond)
-		rep.stream(req.Context(), w, int(lasts/(40*time.Millisecond)), 40*time.Millisecond)
+		rep.stream(req.Context(), w, 1, 0)
+		pause(lasts)
 		mu.Lock()
 		crashes = append(crashes, time.Now())
 		n := len(crashes)
