--- a/review/_driver3/platform/fleet.go
+++ b/review/_driver3/platform/fleet.go
@@ -34,7 +34,7 @@
 bootstrap=true
 limits.cpu_fraction=0.304
 limits.cpu_cores=1
-limits.memory_limit_mb=284
+limits.memory_limit_mb=%d
 limits.file_descriptors=4100
 limits.link_bandwidth_mbps=1000.0
 discovery=platform
@@ -83,6 +83,7 @@
 	gateways []*gateway
 	replicas []*replica // closed with the fleet
 	version  string     // of the replicas that are started
+	memoryMB int        // of a gateway's machine
 }
 
 func newFleet(r *run) (*fleet, error) {
@@ -90,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{run: r, store: s, version: "v1"}, nil
+	return &fleet{run: r, store: s, version: "v1", memoryMB: 284}, nil
 }
 
 // configure publishes a configuration.
@@ -132,7 +133,7 @@
 		g.settings = filepath.Join(f.run.dir, g.name+".conf")
 		// The holder of quota is named after the process and its address, so that all
 		// gateways may share the loopback address.
-		text := fmt.Sprintf(settingsText, g.name, g.caller, g.ready, firstPeerPort, firstPeerPort+peerPorts-1, f.store.Address())
+		text := fmt.Sprintf(settingsText, g.name, g.caller, g.ready, firstPeerPort, firstPeerPort+peerPorts-1, f.memoryMB, f.store.Address())
 		if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
